--- /dev/null
+++ b/run.py
@@ -0,0 +1,11 @@
+"""Entry for the platform: ``python3 run.py --config FILE`` runs one controller."""
+
+import sys
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parent / "target" / "deps"))
+
+from umberward.cli import run  # noqa: E402  (the path must be set first)
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/umberward/__main__.py
@@ -0,0 +1,4 @@
+from umberward.cli import main
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/umberward/holder.py
@@ -0,0 +1,395 @@
+"""The actor that holds machines for one term: wraps the scheduler's decisions with I/O."""
+
+from __future__ import annotations
+
+import logging
+import random
+import time
+from typing import Any, NamedTuple
+
+import curio
+
+from umberward import state, wire
+from umberward.actor import Actor
+from umberward.cloud import Cloud, CloudTrouble, NoCapacity
+from umberward.http import Client, NoAnswer, NotSent
+from umberward.membership import Membership
+from umberward.provision import Provisioner
+from umberward.scheduler import BLOCKS, LIVE, Batch, Command, Probe, Scheduler
+from umberward.settings import Settings
+from umberward.state import State
+from umberward.types import (
+    Epoch,
+    Instant,
+    JobId,
+    MachineId,
+    Revision,
+    Stamp,
+    TypeName,
+    WallTime,
+    parse_address,
+    parse_task_id,
+)
+from umberward.wire import JobRecord, Report, Sku
+
+log = logging.getLogger(__name__)
+
+TICK_S = 0.2
+PASS_S = 0.06  # the least time between two placing passes
+IDLE_PASS_S = 1.0  # a pass is made so often even if nothing seems to have changed
+DO_TIMEOUT_S = 2.0
+PROBE_TIMEOUT_S = 1.0
+SILENT_REFRESH_S = 30.0
+
+
+class Hello(NamedTuple):
+    report: Report
+
+
+class Commanded(NamedTuple):
+    command: Command
+    report: Report | None
+    unknown: bool
+
+
+class Probed(NamedTuple):
+    probe: Probe
+    report: Report | None
+
+
+class Changes(NamedTuple):
+    changes: list[wire.Change]
+
+
+class Tick(NamedTuple):
+    pass
+
+
+class Holder(Actor):
+    """Lives as long as one term of leadership."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        membership: Membership,
+        store: State,
+        client: Client,
+        cloud: Cloud,
+        skus: dict[TypeName, Sku],
+        epoch: Epoch,
+        rng: random.Random,
+    ) -> None:
+        super().__init__()
+        now = _now()
+        self.membership = membership
+        self.store = store
+        self.client = client
+        self.cloud = cloud
+        self.skus = skus
+        self.rng = rng
+        self.scheduler = Scheduler(settings, skus, epoch, now, _wall, rng)
+        prefix = f"{settings.platform.label}-{epoch}"
+        self.provisioner = Provisioner(self.scheduler, prefix, now)
+        self.busy: set[MachineId] = set()
+        self.queued: dict[MachineId, list[Command]] = {}
+        self.to_write = curio.Event()
+        self.last_pass = 0.0
+        self.tasks: Any = None
+
+    # ---- the term ----------------------------------------------------------------------
+
+    async def serve(self) -> None:
+        """Runs until cancelled."""
+        async with curio.TaskGroup() as self.tasks:
+            await self.tasks.spawn(self.run)
+            await self.tasks.spawn(self._load_and_watch)
+            await self.tasks.spawn(self._ticker)
+            await self.tasks.spawn(self._write)
+            await self.tasks.spawn(self._tend_cloud)
+
+    async def _load_and_watch(self) -> None:
+        after: Revision | None = None
+        while True:
+            try:
+                if after is None:
+                    if not self.scheduler.loaded:
+                        entries, _ = await self.store.entries(BLOCKS)
+                        for entry in entries:
+                            number = int(entry.path[len(BLOCKS) :])
+                            record = wire.converted(entry.data, wire.BlockRecord)
+                            stamp = Stamp(entry.stamp)
+                            self.scheduler.load_block(number, record, stamp, _now())
+                        await self._flush()
+                    entries, after = await self.store.entries(LIVE)
+                    await self.ask(entries)
+                news, after = await self.store.watch(LIVE, after, 10.0)
+                if news:
+                    await self.tell(Changes(news))
+            except state.TooOld:
+                after = None
+            except (state.Unavailable, state.Unknown) as error:
+                log.debug("watch: %s", error)
+                await curio.sleep(self.rng.uniform(0.15, 0.3))
+
+    async def _ticker(self) -> None:
+        while True:
+            await curio.sleep(TICK_S)
+            await self.ask(Tick())
+
+    # ---- messages ----------------------------------------------------------------------
+
+    async def handle(self, message: Any) -> Any:
+        scheduler = self.scheduler
+        now = _now()
+        answer: Any = None
+        if isinstance(message, Hello):
+            orders = scheduler.report(message.report, now, hello=True)
+            if orders is not None and not self.membership.leading():
+                # Without our lease nothing may be started; what is there goes on.
+                orders = [order for order in orders if order["verb"] == wire.KILL]
+            answer = orders
+        elif isinstance(message, Commanded):
+            scheduler.commanded(message.command, message.report, message.unknown, now)
+            await self._next_command(message.command.machine)
+        elif isinstance(message, Probed):
+            scheduler.probed(message.probe, message.report, now)
+        elif isinstance(message, Changes):
+            for change in message.changes:
+                if change.delete is not None:
+                    scheduler.job_gone(JobId(change.delete[len(LIVE) :]))
+                elif change.write is not None:
+                    self._job(change.write, change.data, change.stamp)
+        elif isinstance(message, list):
+            self._load_jobs(message)
+        elif isinstance(message, Tick):
+            scheduler.tick(now)
+            if scheduler.want_epoch and self.membership.leading():
+                scheduler.want_epoch = False
+                await curio.spawn(self._raise_epoch, daemon=True)
+        due = scheduler.want_pass and now - self.last_pass >= PASS_S
+        if (due or now - self.last_pass >= IDLE_PASS_S) and self.membership.leading():
+            scheduler.place(now)
+            self.last_pass = now
+        await self._flush()
+        return answer
+
+    def _job(self, path: str, data: Any, stamp: int) -> None:
+        try:
+            self.scheduler.job_put(wire.converted(data, JobRecord), Stamp(stamp))
+        except wire.Malformed as error:
+            log.error("record %s: %s", path, error)
+
+    def _load_jobs(self, entries: list[wire.Entry]) -> None:
+        listed = set()
+        for entry in entries:
+            listed.add(JobId(entry.path[len(LIVE) :]))
+            self._job(entry.path, entry.data, entry.stamp)
+        for id in list(self.scheduler.jobs):
+            if id not in listed:
+                self.scheduler.job_gone(id)
+        if not self.scheduler.loaded:
+            self.scheduler.load_done()
+
+    async def _raise_epoch(self) -> None:
+        try:
+            epoch = await self.membership.raise_epoch()
+        except (state.Unavailable, state.Unknown, state.Conflict) as error:
+            log.info("raising the token: %s", error)
+            return
+        log.info("token raised to %d", epoch)
+        self.scheduler.next_epoch(epoch)
+
+    # ---- commands ----------------------------------------------------------------------
+
+    async def _flush(self) -> None:
+        out, self.scheduler.out = self.scheduler.out, []
+        for item in out:
+            if isinstance(item, Probe):
+                await self.tasks.spawn(self._probe, item)
+            elif item.machine in self.busy:
+                self.queued.setdefault(item.machine, []).append(item)
+            else:
+                await self._start_command(item)
+        if self.scheduler.touched or self.scheduler.dirty_blocks:
+            await self.to_write.set()
+
+    async def _next_command(self, machine: MachineId) -> None:
+        self.busy.discard(machine)
+        waiting = self.queued.pop(machine, [])
+        while waiting:
+            command = waiting.pop(0)
+            # What waited for the same session goes together.
+            while waiting and waiting[0].tenure == command.tenure:
+                command.orders.extend(waiting.pop(0).orders)
+            if await self._start_command(command):
+                break
+        if waiting:
+            self.queued[machine] = waiting
+
+    async def _start_command(self, command: Command) -> bool:
+        """Send what still holds of the command; False if nothing was left."""
+        held = self.scheduler.machines.get(command.machine)
+        if held is None:
+            return False
+        orders = []
+        for order in command.orders:
+            if order["verb"] != wire.START:
+                orders.append(order)
+                continue
+            # The decision may be old by now: the worker's session may have changed, the task
+            # may have been given up or placed elsewhere, our lease may have run out.
+            task = parse_task_id(order["shard"])
+            placement = held.held.get(task) if task is not None else None
+            if placement is None or placement.attempt != order["try"]:
+                continue
+            if (
+                placement.stop is None
+                and held.tenure == command.tenure
+                and self.membership.leading()
+            ):
+                orders.append(order)
+            else:
+                placement.inflight -= 1
+        if (command.orders and not orders) or held.tenure != command.tenure:
+            return False
+        made = command._replace(orders=orders, epoch=self.scheduler.epoch, address=held.address)
+        self.busy.add(command.machine)
+        await self.tasks.spawn(self._command, made)
+        return True
+
+    async def _command(self, command: Command) -> None:
+        report = None
+        unknown = False
+        body = {"epoch": command.epoch, "tenure": command.tenure, "orders": command.orders}
+        try:
+            response = await self.client.request(
+                parse_address(command.address), "POST", "/do", wire.encode(body), DO_TIMEOUT_S
+            )
+            if response.status in (200, 409):
+                report = wire.decode_report(response.body)
+        except NotSent:
+            pass
+        except (NoAnswer, wire.Malformed, ValueError) as error:
+            log.debug("command to %s: %s", command.machine, error)
+            unknown = True
+        await self.tell(Commanded(command, report, unknown))
+
+    async def _probe(self, probe: Probe) -> None:
+        report = None
+        try:
+            response = await self.client.request(
+                parse_address(probe.address), "GET", "/status", b"", PROBE_TIMEOUT_S
+            )
+            if response.status == 200:
+                report = wire.decode_report(response.body)
+        except (NotSent, NoAnswer, wire.Malformed, ValueError):
+            pass
+        await self.tell(Probed(probe, report))
+
+    # ---- writing -----------------------------------------------------------------------
+
+    async def _write(self) -> None:
+        while True:
+            await curio.ignore_after(0.5, self.to_write.wait)
+            self.to_write.clear()
+            while self.membership.leading():
+                batch = self.scheduler.next_batch(_now())
+                if batch is None:
+                    break
+                if not await self._commit(batch):
+                    await curio.sleep(self.rng.uniform(0.05, 0.15))
+                await self.tell(None)
+
+    async def _commit(self, batch: Batch) -> bool:
+        conditions = [self.membership.condition(), *batch.conditions]
+        try:
+            revision = await self.store.commit(
+                conditions, batch.writes, priority=batch.priority, patience=2.0
+            )
+        except state.Unavailable as error:
+            log.debug("commit: %s", error)
+            return False
+        except (state.Conflict, state.Unknown, state.NoLease):
+            # Each key is read again: what stands there decides, whoever wrote it.
+            for key, _ in batch.conditions:
+                if not self.membership.leading():
+                    return False
+                try:
+                    self.scheduler.reread(key, await self.store.get(key, state.URGENT))
+                except (state.Unavailable, state.Unknown) as error:
+                    log.debug("read %s: %s", key, error)
+                    return False
+            return False
+        self.scheduler.committed(batch, Stamp(revision), _now())
+        return True
+
+    # ---- the cloud ---------------------------------------------------------------------
+
+    async def _tend_cloud(self) -> None:
+        listed = 0.0
+        refreshed = _now()
+        while True:
+            await curio.sleep(0.3)
+            if not self.membership.leading():
+                continue
+            try:
+                await self._deletions()
+                await self._rentals()
+                if _now() - listed > 8.0:
+                    listed = _now()
+                    await self._list()
+                if _now() - refreshed > SILENT_REFRESH_S:
+                    refreshed = _now()
+                    self.skus.update(await self.cloud.flavors())
+            except CloudTrouble as error:
+                log.debug("cloud: %s", error)
+                await curio.sleep(0.5)
+
+    async def _deletions(self) -> None:
+        now = _now()
+        for machine in self.provisioner.idle(now):
+            log.info("returning %s (%s)", machine.id, machine.type)
+            machine.returning = True
+        ids = self.provisioner.deletions(now)[: wire.DELETE_LIMIT]
+        if ids:
+            log.info("deleting %s", " ".join(ids))
+            await self.cloud.delete(ids)
+            self._removed(ids)
+
+    def _removed(self, ids: list[MachineId]) -> None:
+        self.scheduler.removed(ids, _now())
+        self.provisioner.removed(ids)
+
+    async def _rentals(self) -> None:
+        for rental in self.provisioner.rentals(_now()):
+            log.info("renting %d of %s as %s", rental.many, rental.offer, rental.claim)
+            while self.membership.leading():
+                try:
+                    ids = await self.cloud.rent(rental)
+                except NoCapacity:
+                    log.info("no capacity: %s", rental.offer)
+                    self.provisioner.no_capacity(rental.offer, _now())
+                    break
+                except NoAnswer:
+                    # It may have been carried out: the same claim tells, and rents nothing twice.
+                    await curio.sleep(0.5)
+                    continue
+                self.provisioner.rented(rental, ids, _now())
+                break
+
+    async def _list(self) -> None:
+        hosts = await self.cloud.machines()
+        failed = self.provisioner.listed(hosts, _now())
+        if failed:
+            # A failed machine runs nothing any more; it stays listed until it is deleted.
+            log.info("failed machines: %s", " ".join(failed))
+            self._removed(failed)
+            await self.cloud.delete(failed[: wire.DELETE_LIMIT])
+
+
+def _now() -> Instant:
+    return Instant(time.monotonic())
+
+
+def _wall() -> WallTime:
+    return WallTime(time.time())
--- /dev/null
+++ b/umberward/http.py
@@ -0,0 +1,297 @@
+"""HTTP/1.1 with h11 over curio: a server, and a client that keeps connections."""
+
+from __future__ import annotations
+
+import logging
+import time
+from collections.abc import Awaitable, Callable
+from typing import Any, NamedTuple
+
+import curio
+import curio.socket as sockets
+import h11
+
+from umberward.types import Address
+from umberward.wire import BODY_LIMIT
+
+log = logging.getLogger(__name__)
+
+IDLE_S = 75.0  # a connection without a request is closed after this
+SLOW_S = 10.0  # a request must be complete this long after its first byte
+KEEP_IDLE = 4  # pooled connections kept for one address
+READ = 16384
+
+
+class NotSent(Exception):
+    """The request did not reach the other side: it was certainly not executed."""
+
+
+class NoAnswer(Exception):
+    """No answer came: the request may have been executed, or may be executed later."""
+
+
+class Request(NamedTuple):
+    method: str
+    path: str
+    query: str
+    body: bytes
+
+
+class Response(NamedTuple):
+    status: int
+    body: bytes = b""
+    retry_after: float | None = None
+
+
+Handler = Callable[[Request], Awaitable[Response]]
+
+
+class Server:
+    """Serves one address. Each connection is a task of its own, so that none hurts another."""
+
+    def __init__(self, address: Address, handler: Handler, most: int) -> None:
+        self.address = address
+        self.handler = handler
+        self.most = most
+        self.open = 0
+
+    async def run(self) -> None:
+        listener = sockets.socket(sockets.AF_INET, sockets.SOCK_STREAM)
+        listener.setsockopt(sockets.SOL_SOCKET, sockets.SO_REUSEADDR, 1)
+        listener.bind(tuple(self.address))
+        listener.listen(256)
+        log.info("serving %s", self.address)
+        async with listener:
+            while True:
+                try:
+                    client, _ = await listener.accept()
+                except OSError as error:
+                    # Out of sockets: wait rather than spin, clients are told by the refusal.
+                    log.error("accept on %s: %s", self.address, error)
+                    await curio.sleep(0.05)
+                    continue
+                if self.open >= self.most:
+                    await client.close()
+                    continue
+                self.open += 1
+                await curio.spawn(self._serve, client, daemon=True)
+
+    async def _serve(self, client: Any) -> None:
+        try:
+            client.setsockopt(sockets.IPPROTO_TCP, sockets.TCP_NODELAY, 1)
+            async with client:
+                await self._converse(client)
+        except (OSError, curio.TaskTimeout, h11.LocalProtocolError):
+            pass  # the client is gone, or too slow
+        except Exception:
+            log.exception("connection on %s", self.address)
+        finally:
+            self.open -= 1
+
+    async def _converse(self, client: Any) -> None:
+        conn = h11.Connection(h11.SERVER, max_incomplete_event_size=BODY_LIMIT)
+        while True:
+            try:
+                request = await self._read(client, conn)
+            except h11.RemoteProtocolError as error:
+                status = error.error_status_hint or 400
+                await self._refuse(client, conn, status)
+                return
+            if request is None:
+                return
+            try:
+                response = await self.handler(request)
+            except curio.CancelledError:
+                raise
+            except Exception:
+                log.exception("%s %s", request.method, request.path)
+                response = Response(503, retry_after=1.0)
+            await self._write(client, conn, response)
+            if conn.our_state is not h11.DONE or conn.their_state is not h11.DONE:
+                return
+            conn.start_next_cycle()
+
+    async def _read(self, client: Any, conn: h11.Connection) -> Request | None:
+        head: h11.Request | None = None
+        body = b""
+        deadline = time.monotonic() + IDLE_S
+        started = bool(conn.trailing_data[0])
+        while True:
+            event = conn.next_event()
+            if event is h11.NEED_DATA:
+                wait = deadline - time.monotonic()
+                if wait <= 0:
+                    return None
+                data = await curio.timeout_after(wait, client.recv, READ)
+                if not started and data:
+                    # A client that sends a byte now and then must not hold a socket for ever.
+                    started = True
+                    deadline = time.monotonic() + SLOW_S
+                conn.receive_data(data)
+            elif isinstance(event, h11.Request):
+                head = event
+                for name, value in event.headers:
+                    if name == b"content-length" and int(value) > BODY_LIMIT:
+                        raise h11.RemoteProtocolError("body too large", error_status_hint=413)
+                if conn.they_are_waiting_for_100_continue:
+                    await client.sendall(
+                        conn.send(h11.InformationalResponse(status_code=100, headers=[]))
+                    )
+            elif isinstance(event, h11.Data):
+                body += event.data
+                if len(body) > BODY_LIMIT:
+                    raise h11.RemoteProtocolError("body too large", error_status_hint=413)
+            elif isinstance(event, h11.EndOfMessage):
+                assert head is not None
+                target = head.target.decode("ascii", "replace")
+                path, _, query = target.partition("?")
+                return Request(head.method.decode("ascii", "replace"), path, query, body)
+            else:
+                return None
+
+    async def _write(self, client: Any, conn: h11.Connection, response: Response) -> None:
+        headers = [
+            ("content-type", "application/msgpack"),
+            ("content-length", str(len(response.body))),
+        ]
+        if response.retry_after is not None:
+            headers.append(("retry-after", str(max(1, round(response.retry_after)))))
+        if response.status == 413 or conn.their_state is h11.ERROR:
+            headers.append(("connection", "close"))
+        data = conn.send(h11.Response(status_code=response.status, headers=headers)) or b""
+        data += conn.send(h11.Data(data=response.body)) or b""
+        data += conn.send(h11.EndOfMessage()) or b""
+        await curio.timeout_after(SLOW_S, client.sendall, data)
+
+    async def _refuse(self, client: Any, conn: h11.Connection, status: int) -> None:
+        if conn.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            await self._write(client, conn, Response(status))
+
+
+class Client:
+    """Sends requests over kept connections, within a bound on open sockets."""
+
+    def __init__(self, most: int) -> None:
+        self.free = curio.Semaphore(most)
+        self.idle: dict[Address, list[tuple[Any, h11.Connection]]] = {}
+
+    async def request(
+        self,
+        address: Address,
+        method: str,
+        target: str,
+        body: bytes = b"",
+        timeout: float = 2.0,
+        fresh: bool = False,
+    ) -> Response:
+        """Raises NotSent or NoAnswer. With `fresh`, takes no kept connection."""
+        deadline = time.monotonic() + timeout
+        sock, conn = await self._connection(address, deadline, fresh)
+        try:
+            response = await self._exchange(sock, conn, address, method, target, body, deadline)
+        except (OSError, curio.TaskTimeout, h11.ProtocolError, EOFError) as error:
+            await self._close(sock)
+            raise NoAnswer(f"{method} {address}: {error!r}") from None
+        except BaseException:
+            await self._close(sock)
+            raise
+        kept = self.idle.setdefault(address, [])
+        if conn.our_state is h11.DONE and conn.their_state is h11.DONE and len(kept) < KEEP_IDLE:
+            conn.start_next_cycle()
+            kept.append((sock, conn))
+        else:
+            await self._close(sock)
+        return response
+
+    async def forget(self, address: Address) -> None:
+        """Close what is kept for an address that is gone."""
+        for sock, _ in self.idle.pop(address, []):
+            await self._close(sock)
+
+    async def _connection(self, address: Address, deadline: float, fresh: bool) -> Any:
+        kept = self.idle.get(address)
+        while kept and not fresh:
+            sock, conn = kept.pop()
+            if self._usable(sock):
+                return sock, conn
+            await self._close(sock)
+        wait = max(deadline - time.monotonic(), 0.001)
+        try:
+            await curio.timeout_after(wait, self.free.acquire)
+        except curio.TaskTimeout:
+            raise NotSent(f"{address}: no socket to spare") from None
+        sock = sockets.socket(sockets.AF_INET, sockets.SOCK_STREAM)
+        try:
+            sock.setsockopt(sockets.IPPROTO_TCP, sockets.TCP_NODELAY, 1)
+            wait = max(deadline - time.monotonic(), 0.001)
+            await curio.timeout_after(wait, sock.connect, tuple(address))
+        except (OSError, curio.TaskTimeout) as error:
+            await self._close(sock)
+            raise NotSent(f"{address}: {error!r}") from None
+        except BaseException:
+            await self._close(sock)
+            raise
+        return sock, h11.Connection(h11.CLIENT)
+
+    @staticmethod
+    def _usable(sock: Any) -> bool:
+        """Nothing may come on an idle connection: data or an end both make it useless."""
+        try:
+            with sock.blocking() as raw:
+                raw.setblocking(False)
+                raw.recv(1)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+    async def _close(self, sock: Any) -> None:
+        await sock.close()
+        await self.free.release()
+
+    async def _exchange(
+        self,
+        sock: Any,
+        conn: h11.Connection,
+        address: Address,
+        method: str,
+        target: str,
+        body: bytes,
+        deadline: float,
+    ) -> Response:
+        headers = [("host", str(address))]
+        if body or method == "POST":
+            headers.append(("content-type", "application/msgpack"))
+            headers.append(("content-length", str(len(body))))
+        data = conn.send(h11.Request(method=method, target=target, headers=headers)) or b""
+        if body:
+            data += conn.send(h11.Data(data=body)) or b""
+        data += conn.send(h11.EndOfMessage()) or b""
+        wait = max(deadline - time.monotonic(), 0.001)
+        return await curio.timeout_after(wait, self._round_trip, sock, conn, data)
+
+    @staticmethod
+    async def _round_trip(sock: Any, conn: h11.Connection, data: bytes) -> Response:
+        await sock.sendall(data)
+        status = 0
+        retry_after: float | None = None
+        parts: list[bytes] = []
+        while True:
+            event = conn.next_event()
+            if event is h11.NEED_DATA:
+                conn.receive_data(await sock.recv(65536))
+            elif isinstance(event, h11.Response):
+                status = event.status_code
+                for name, value in event.headers:
+                    if name == b"retry-after":
+                        try:
+                            retry_after = float(value)
+                        except ValueError:
+                            retry_after = None
+            elif isinstance(event, h11.Data):
+                parts.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                return Response(status, b"".join(parts), retry_after)
+            elif isinstance(event, h11.ConnectionClosed):
+                raise EOFError("closed")
--- /dev/null
+++ b/umberward/jobs.py
@@ -0,0 +1,157 @@
+"""Jobs under way, as their holder sees them. No I/O."""
+
+from __future__ import annotations
+
+import bisect
+
+from umberward import wire
+from umberward.types import (
+    Amount,
+    Attempt,
+    Instant,
+    JobId,
+    MachineId,
+    Stamp,
+    TaskId,
+    TeamName,
+    WallTime,
+    ZoneName,
+)
+from umberward.wire import JobRecord, Spec
+
+RECORD_SPARE = 400  # bytes of a record besides the spec and the bitmap
+WINDOW = 8192  # at most so many tasks may be between the first unfinished and the last started
+
+
+class Placement:
+    """One attempt of one task on one machine, from the decision until it is surely gone."""
+
+    __slots__ = (
+        "task", "attempt", "machine", "zone", "need", "team", "rank", "at", "sent", "seen",
+        "inflight", "tainted", "hello_serial", "phase", "running_at", "stop", "stop_at", "ready",
+    )  # fmt: skip
+
+    def __init__(
+        self,
+        task: TaskId,
+        attempt: Attempt,
+        machine: MachineId,
+        zone: ZoneName,
+        job: Job,
+        at: Instant,
+    ) -> None:
+        self.task = task
+        self.attempt = attempt
+        self.machine = machine
+        self.zone = zone
+        self.need = job.need
+        self.team = job.team
+        self.rank = job.rank
+        self.at = at
+        self.ready = False  # its mark is committed: it may be sent
+        self.sent = False
+        self.seen = False  # listed by its worker
+        self.inflight = 0  # direct commands that start it and are not answered yet
+        self.tainted = 0  # highest token of an unanswered direct start; 0: none
+        self.hello_serial = -1  # the report whose response last carried the start
+        self.phase = ""
+        self.running_at: Instant | None = None
+        self.stop: float | None = None  # grace with which it is being stopped
+        self.stop_at = at
+
+
+class Job:
+    def __init__(self, record: JobRecord, stamp: Stamp, value_limit: int) -> None:
+        spec = record.spec
+        self.spec: Spec = spec
+        self.id = JobId(spec.uid)
+        self.team = TeamName(spec.owner)
+        self.need = Amount(spec.cores, spec.accelerators, spec.mem_gb)
+        self.rank = wire.RANKS[spec.rank]
+        self.gang = spec.shape == wire.GANG
+        self.service = spec.shape == wire.SERVICE
+        self.at = WallTime(record.at)
+        self.size = spec.shards
+        self.stamp = stamp
+        self.marked = record.marked
+        spare = value_limit - wire.json_size(spec) - RECORD_SPARE
+        self.window = max(64, min(WINDOW, spare * 4))
+        self.base = record.base
+        self.bits = int(record.done, 16)
+        self.saved = (self.base, self.bits)
+        self.placed: dict[int, Placement] = {}
+        self.fresh = self.marked  # tasks from here on were never started
+        self.again: list[int] = []  # tasks to start once more, ascending
+        # Marked by a former holder and not found yet: they may be on an unsettled machine.
+        self.unsure = {i for i in range(self.base, self.marked) if not self.is_done(i)}
+        self.ended = False
+        self.committed_at = 0.0
+        self.errors: set[MachineId] = set()
+        self.hold_until = 0.0
+        self.holds = 0
+        self.ran_well = False
+        self.stopped_at = 0.0
+
+    def is_done(self, index: int) -> bool:
+        return index < self.base or bool(self.bits >> (index - self.base) & 1)
+
+    def is_saved(self, index: int) -> bool:
+        """Whether the completion of this task is in the state service."""
+        base, bits = self.saved
+        return index < base or bool(bits >> (index - base) & 1)
+
+    def mark_done(self, index: int) -> bool:
+        if index >= self.size or self.is_done(index):
+            return False
+        self.bits |= 1 << (index - self.base)
+        self.unsure.discard(index)
+        at = bisect.bisect_left(self.again, index)
+        if at < len(self.again) and self.again[at] == index:
+            del self.again[at]
+        while self.bits & 1:
+            self.bits >>= 1
+            self.base += 1
+        return True
+
+    @property
+    def done(self) -> int:
+        return self.base + self.bits.bit_count()
+
+    @property
+    def complete(self) -> bool:
+        return self.done >= self.size
+
+    @property
+    def dirty(self) -> bool:
+        return self.saved != (self.base, self.bits)
+
+    def startable(self) -> int:
+        """How many tasks wait for a place."""
+        end = min(self.size, self.base + self.window)
+        return len(self.again) + max(0, end - self.fresh)
+
+    def take(self) -> int:
+        """The next task to place; it must be put back if it is not placed."""
+        if self.again:
+            return self.again.pop(0)
+        self.fresh += 1
+        return self.fresh - 1
+
+    def put_back(self, index: int) -> None:
+        if not self.is_done(index) and index not in self.again:
+            bisect.insort(self.again, index)
+
+    def settle(self) -> None:
+        """All machines are known now: what was not found is nowhere."""
+        for index in self.unsure:
+            self.put_back(index)
+        self.unsure.clear()
+
+    def record(self, marked: int) -> JobRecord:
+        return JobRecord(self.spec, self.at, marked, self.base, f"{self.bits:x}")
+
+    def adopt(self, record: JobRecord, stamp: Stamp) -> None:
+        """Take over what the state service has after an unknown outcome."""
+        self.stamp = stamp
+        self.marked = max(self.marked, record.marked)
+        self.saved = (record.base, int(record.done, 16))
--- /dev/null
+++ b/umberward/membership.py
@@ -0,0 +1,208 @@
+"""Who leads: a lease in the state service, the leader's key on it, and the fencing token."""
+
+from __future__ import annotations
+
+import contextlib
+import logging
+import random
+import time
+from collections.abc import Awaitable, Callable
+
+import curio
+
+from umberward import state, wire
+from umberward.settings import Settings
+from umberward.state import State
+from umberward.types import Epoch, Instant, Key, LeaseId, NodeName, Revision, Stamp
+
+log = logging.getLogger(__name__)
+
+LEADER = Key("leader")
+DRIFT = 0.999
+MARGIN_S = 0.15
+
+
+class Membership:
+    """Keeps this controller's lease, follows the leader's key and campaigns when it is free."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        store: State,
+        rng: random.Random,
+        elected: Callable[[Epoch], Awaitable[None]],
+        lost: Callable[[], Awaitable[None]],
+    ) -> None:
+        platform = settings.platform
+        self.me = NodeName(platform.label)
+        self.record_key = Key(f"controllers/{platform.label}")
+        self.store = store
+        self.ttl = settings.operator.lease_seconds
+        workers = platform.cluster.workers
+        # Without the state service we may go on answering reports for so long: a cancellation
+        # that somebody else confirms meanwhile must still be kept (docs/design.md, "Silence").
+        self.tend_s = max(0.0, workers.cancel_s - workers.lease_s - 1.5)
+        self.rng = rng
+        self.elected = elected
+        self.lost = lost
+        self.nonces: set[str] = set()
+        self.nonce = ""
+        self.term = 0
+        self.lease: LeaseId | None = None
+        self.good = Instant(0.0)  # when the last granted renewal was sent
+        self.epoch: Epoch | None = None  # ours, while we lead
+        self.leader: NodeName | None = None
+        self.leader_stamp = Stamp(0)
+        self.rest_until = 0.0
+
+    # ---- what others ask ---------------------------------------------------------------
+
+    def leading(self) -> bool:
+        """Whether our lease surely holds: only then may anything be started or written."""
+        return (
+            self.epoch is not None
+            and self.lease is not None
+            and time.monotonic() < self.good + self.ttl * DRIFT - MARGIN_S
+        )
+
+    def tending(self) -> bool:
+        """Whether reports may be answered."""
+        return self.epoch is not None and time.monotonic() < self.good + self.tend_s
+
+    def condition(self) -> tuple[Key, Stamp]:
+        """What makes a write valid only while we lead."""
+        return LEADER, self.leader_stamp
+
+    async def raise_epoch(self) -> Epoch:
+        """A higher token for all we hold: late commands under the old one become void."""
+        assert self.epoch is not None
+        self.term += 1
+        record = wire.ControllerRecord(self.me, self.nonce, self.term, (0, 65536))
+        revision = await self.store.commit([self.condition()], [state.put(self.record_key, record)])
+        self.epoch = Epoch(revision)
+        return self.epoch
+
+    async def step_down(self, why: str) -> None:
+        if self.epoch is None:
+            return
+        log.warning("stepping down: %s", why)
+        lease, self.lease = self.lease, None
+        await self._lose()
+        if lease is not None:
+            with contextlib.suppress(state.Unavailable, state.Unknown):
+                await self.store.drop(lease)
+        self.rest_until = time.monotonic() + 2 * self.ttl  # let another one win
+
+    # ---- the lease ---------------------------------------------------------------------
+
+    async def keep_lease(self) -> None:
+        while True:
+            try:
+                await self._renew()
+            except (state.Unavailable, state.Unknown) as error:
+                log.debug("lease: %s", error)
+            if self.epoch is not None and not self.tending():
+                await self._lose()
+            # Shortly before the end, ask more often.
+            await curio.sleep(self.ttl / 5 * self.rng.uniform(0.9, 1.1))
+
+    async def _renew(self) -> None:
+        sent = Instant(time.monotonic())
+        if self.lease is None:
+            self.lease = await self.store.grant(self.ttl)
+            self.good = sent
+            return
+        try:
+            await self.store.extend(self.lease, max(0.5, self.ttl / 3))
+        except state.NoLease:
+            log.info("our lease is over")
+            self.lease = None
+            if self.epoch is not None:
+                await self._lose()
+            return
+        self.good = sent
+
+    async def _lose(self) -> None:
+        self.epoch = None
+        # What an earlier campaign wrote hangs on an earlier lease: never take it for a win.
+        self.nonce = ""
+        self.store.share(leading=False)
+        await self.lost()
+
+    # ---- the leader's key --------------------------------------------------------------
+
+    async def follow(self) -> None:
+        while True:
+            try:
+                after = await self._look()
+                while True:
+                    if self.leader is None and time.monotonic() >= self.rest_until:
+                        await self._campaign()
+                        break
+                    hold = 10.0 if self.leader is not None else 1.0
+                    changes, after = await self.store.watch(LEADER, after, hold)
+                    if any(LEADER in (change.write, change.delete) for change in changes):
+                        break
+            except state.Conflict:
+                continue
+            except (state.Unavailable, state.Unknown, state.TooOld, state.NoLease) as error:
+                log.debug("leader key: %s", error)
+                await curio.sleep(self.rng.uniform(0.2, 0.4))
+
+    async def _look(self) -> Revision:
+        """Read the key; learn who leads, and whether it is us."""
+        entries, revision = await self.store.entries(LEADER)
+        found = next((entry for entry in entries if entry.path == LEADER), None)
+        if found is None:
+            self.leader, self.leader_stamp = None, Stamp(0)
+            if self.epoch is not None:
+                await self._lose()
+            return revision
+        record = wire.converted(found.data, wire.LeaderRecord)
+        stamp = Stamp(found.stamp)
+        if record.node == self.me and record.nonce in self.nonces:
+            if self.epoch is None and self.lease is not None and record.nonce == self.nonce:
+                await self._won(stamp)
+            elif self.epoch is None:
+                # Left over from a lease of ours that is over or a campaign that came late.
+                self.leader, self.leader_stamp = None, stamp
+            return revision
+        if record.node == self.me:
+            # Our former self led and was restarted: its commands carry a lower token and its
+            # transactions a condition that fails from now on.
+            self.leader, self.leader_stamp = None, stamp
+            return revision
+        if self.epoch is not None:
+            await self._lose()
+        if self.leader != record.node:
+            log.info("%s leads", record.node)
+        self.leader, self.leader_stamp = NodeName(record.node), stamp
+        return revision
+
+    async def _campaign(self) -> None:
+        if self.lease is None or time.monotonic() > self.good + self.ttl * 0.8:
+            await self._renew()
+        if self.lease is None:
+            return
+        self.nonce = f"{self.rng.getrandbits(64):016x}"
+        self.nonces.add(self.nonce)
+        self.term = 1
+        leader = wire.LeaderRecord(self.me, self.nonce)
+        record = wire.ControllerRecord(self.me, self.nonce, self.term, (0, 65536))
+        try:
+            revision = await self.store.commit(
+                [(LEADER, self.leader_stamp)],
+                [state.put(LEADER, leader, self.lease), state.put(self.record_key, record)],
+                priority=state.URGENT,
+            )
+        except state.NoLease:
+            self.lease = None
+            return
+        await self._won(Stamp(revision))
+
+    async def _won(self, stamp: Stamp) -> None:
+        self.leader, self.leader_stamp = self.me, stamp
+        self.epoch = Epoch(stamp)
+        self.store.share(leading=True)
+        log.info("leading with token %d", stamp)
+        await self.elected(self.epoch)
--- /dev/null
+++ b/umberward/node.py
@@ -0,0 +1,196 @@
+"""One controller: wires the parts together and serves its two addresses."""
+
+from __future__ import annotations
+
+import logging
+import random
+import time
+from typing import Any
+
+import cbor2
+import curio
+
+from umberward import state, wire
+from umberward.cloud import Cloud, CloudTrouble
+from umberward.holder import Hello, Holder
+from umberward.http import Client, NoAnswer, NotSent, Request, Response, Server
+from umberward.membership import Membership
+from umberward.settings import Settings
+from umberward.state import State
+from umberward.types import Epoch, Key, TypeName, parse_job_id
+from umberward.users import Users
+from umberward.wire import Flavors, Sku
+
+log = logging.getLogger(__name__)
+
+FLAVORS = Key("flavors")
+JOBS = "/v1/jobs"
+CONTACT_S = 2.5  # without the state service for so long, a node asks whether others have it
+
+
+class Node:
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.rng = random.Random()
+        limits = settings.platform.cluster.machine_limits
+        # A third of the sockets is for what we open ourselves, some are spare.
+        self.client = Client(max(16, limits.sockets // 3))
+        self.serving = max(32, limits.sockets // 2)
+        cluster = settings.platform.cluster
+        self.store = State(settings.state, cluster.state, self.client)
+        self.cloud = Cloud(settings.cloud, cluster.cloud.rps, self.client)
+        self.skus: dict[TypeName, Sku] = {}
+        self.users = Users(settings, self.store, self.skus)
+        self.membership = Membership(settings, self.store, self.rng, self._elected, self._lost)
+        self.holder: Holder | None = None
+        self.holder_task: Any = None
+        self.peer_contact: dict[str, tuple[float, float]] = {}  # when it told, age it told
+        self.started = time.monotonic()
+
+    async def run(self) -> None:
+        # Any of these ending means a fault of ours: it is logged, and the part starts again.
+        parts = [
+            Server(self.settings.listen, self._serve, self.serving).run,
+            Server(self.settings.peer_bind, self._serve_peer, 64).run,
+            self.membership.keep_lease,
+            self.membership.follow,
+            self._know_flavors,
+            self._ask_peers,
+        ]
+        async with curio.TaskGroup() as group:
+            for part in parts:
+                await group.spawn(_forever, part)
+
+    # ---- leadership --------------------------------------------------------------------
+
+    async def _elected(self, epoch: Epoch) -> None:
+        await self._lost()
+        self.holder = Holder(
+            self.settings, self.membership, self.store, self.client, self.cloud, self.skus,
+            epoch, self.rng,
+        )  # fmt: skip
+        self.holder_task = await curio.spawn(_forever, self.holder.serve, daemon=True)
+
+    async def _lost(self) -> None:
+        if self.holder_task is not None:
+            log.info("no longer leading")
+            task, self.holder_task, self.holder = self.holder_task, None, None
+            await task.cancel(blocking=False)
+
+    # ---- machine types -----------------------------------------------------------------
+
+    async def _know_flavors(self) -> None:
+        while not self.skus:
+            try:
+                # What an earlier controller stored serves when the cloud is down.
+                found = await self.store.get(FLAVORS)
+                if found is not None:
+                    self._learn(wire.converted(found.data, Flavors))
+                    break
+            except (state.Unavailable, state.Unknown, wire.Malformed) as error:
+                log.debug("stored flavors: %s", error)
+            try:
+                self.skus.update(await self.cloud.flavors())
+                record = Flavors(list(self.skus.values()))
+                if wire.json_size(record) < self.users.value_limit:
+                    await self.store.commit(
+                        [(FLAVORS, state.Stamp(0))], [state.put(FLAVORS, record)]
+                    )
+            except (CloudTrouble, state.Unavailable, state.Unknown, state.Conflict) as error:
+                log.debug("flavors: %s", error)
+                await curio.sleep(self.rng.uniform(0.5, 1.5))
+        while True:
+            await curio.sleep(3600)
+
+    def _learn(self, flavors: Flavors) -> None:
+        for sku in flavors.flavors:
+            self.skus[TypeName(sku.sku)] = sku
+
+    # ---- requests ----------------------------------------------------------------------
+
+    async def _serve(self, request: Request) -> Response:
+        method, path = request.method, request.path
+        if path == "/hello":
+            return await self._hello(request) if method == "POST" else Response(405)
+        if path == JOBS:
+            return await self.users.submit(request.body) if method == "POST" else Response(405)
+        if path.startswith(JOBS + "/"):
+            name, _, verb = path[len(JOBS) + 1 :].partition("/")
+            if verb not in ("", "cancel"):
+                return Response(404)
+            if method != ("POST" if verb else "GET"):
+                return Response(405)
+            id = parse_job_id(name)
+            if id is None:
+                return Response(404)
+            return await (self.users.cancel(id) if verb else self.users.poll(id))
+        if path == "/ready":
+            if method not in ("GET", "HEAD"):
+                return Response(405)
+            return Response(200 if self._ready() else 503)
+        return Response(404)
+
+    async def _hello(self, request: Request) -> Response:
+        try:
+            report = wire.decode_report(request.body)
+        except wire.Malformed as error:
+            return Response(400, wire.encode({"error": str(error)}))
+        holder = self.holder
+        if holder is not None and self.membership.tending():
+            orders = await holder.ask(Hello(report))
+            if orders is not None and self.membership.tending():
+                epoch = holder.scheduler.epoch
+                return Response(200, wire.encode({"epoch": epoch, "orders": orders}))
+            return Response(421, wire.encode({}))
+        leader = self.membership.leader
+        if leader is None or leader == self.membership.me:
+            return Response(421, wire.encode({}))
+        return Response(421, wire.encode({"steward": leader}))
+
+    def _ready(self) -> bool:
+        """Not ready: no machine types yet, or only we are without the state service."""
+        if not self.skus:
+            return False
+        age = time.monotonic() - self.membership.good
+        if age < CONTACT_S:
+            return True
+        now = time.monotonic()
+        return not any(
+            now - at < 3.0 and told < CONTACT_S for at, told in self.peer_contact.values()
+        )
+
+    # ---- other controllers -------------------------------------------------------------
+
+    async def _serve_peer(self, request: Request) -> Response:
+        if request.path != "/peer":
+            return Response(404)
+        told = {
+            "label": self.membership.me,
+            "contact_age": time.monotonic() - self.membership.good,
+            "leader": self.membership.leader,
+        }
+        return Response(200, cbor2.dumps(told))
+
+    async def _ask_peers(self) -> None:
+        while True:
+            await curio.sleep(self.rng.uniform(0.8, 1.2))
+            if time.monotonic() - self.membership.good < CONTACT_S:
+                continue  # only who lacks the state service needs to know
+            for label, address in self.settings.peers.items():
+                try:
+                    response = await self.client.request(address, "GET", "/peer", b"", 0.5)
+                    told = cbor2.loads(response.body)
+                    self.peer_contact[label] = (time.monotonic(), float(told["contact_age"]))
+                except (NotSent, NoAnswer, ValueError, KeyError, TypeError, cbor2.CBORDecodeError):
+                    continue
+
+
+async def _forever(part: Any) -> None:
+    while True:
+        try:
+            await part()
+        except curio.CancelledError:
+            raise
+        except Exception:
+            log.exception("%s", getattr(part, "__qualname__", part))
+        await curio.sleep(0.5)
--- /dev/null
+++ b/umberward/provision.py
@@ -0,0 +1,222 @@
+"""What to rent and what to return. Pure decisions; the leader's cloud actor carries them out."""
+
+from __future__ import annotations
+
+import logging
+import math
+from typing import NamedTuple
+
+from umberward.fleet import Machine
+from umberward.jobs import Job
+from umberward.scheduler import Scheduler
+from umberward.types import (
+    Amount,
+    ClaimId,
+    Instant,
+    MachineId,
+    TypeName,
+    ZoneName,
+)
+from umberward.wire import BOOTING, FAILED, RENT_LIMIT, Host, Sku
+
+log = logging.getLogger(__name__)
+
+REFUSED_S = 15.0  # how long a refused type, zone and kind is left alone at first
+LATE_BOOT = 2.5  # a machine booting for so many times boot_s is no longer counted on
+DEAD_BOOT = 5.0  # ... and is returned after so many
+
+
+class Offer(NamedTuple):
+    type: TypeName
+    zone: ZoneName
+    spot: bool
+
+
+class Rental(NamedTuple):
+    claim: ClaimId
+    offer: Offer
+    many: int
+
+
+class Expected:
+    """A rented machine that has not reported yet."""
+
+    def __init__(self, offer: Offer, since: Instant) -> None:
+        self.offer = offer
+        self.since = since
+
+
+class Provisioner:
+    def __init__(self, scheduler: Scheduler, prefix: str, now: Instant) -> None:
+        self.scheduler = scheduler
+        self.prefix = prefix
+        self.claims = 0
+        self.refused: dict[Offer, tuple[Instant, float]] = {}  # until, length of the pause
+        self.expected: dict[MachineId, Expected] = {}
+        self.strange: dict[MachineId, Instant] = {}  # listed and not reporting, since when
+        self.started = now
+        self.lacking_since: Instant | None = None
+
+    # ---- what the cloud says -----------------------------------------------------------
+
+    def rented(self, rental: Rental, ids: list[MachineId], now: Instant) -> None:
+        for id in ids:
+            self.expected[id] = Expected(rental.offer, now)
+        if len(ids) < rental.many:
+            self.no_capacity(rental.offer, now)
+        else:
+            self.refused.pop(rental.offer, None)
+
+    def no_capacity(self, offer: Offer, now: Instant) -> None:
+        _, pause = self.refused.get(offer, (now, REFUSED_S / 1.5))
+        pause = min(pause * 1.5, 60.0)
+        self.refused[offer] = (Instant(now + pause), pause)
+
+    def listed(self, hosts: list[Host], now: Instant) -> list[MachineId]:
+        """Take in the machine list; returns machines that have failed."""
+        failed = []
+        known = self.scheduler.machines
+        names = set()
+        for host in hosts:
+            id = MachineId(host.uid)
+            names.add(id)
+            if id in self.scheduler.gone:
+                continue
+            if host.phase == FAILED:
+                failed.append(id)
+            elif id in known:
+                self.expected.pop(id, None)
+            elif host.phase == BOOTING:
+                if id not in self.expected:
+                    offer = Offer(TypeName(host.flavor), ZoneName(host.yard), host.reclaimable)
+                    self.expected[id] = Expected(offer, Instant(now - host.held_s))
+            else:
+                # It runs and we have not heard of it: ask it, it may report to nobody.
+                self.strange.setdefault(id, now)
+        for id in list(self.strange):
+            if id not in names or id in known:
+                del self.strange[id]
+        return failed
+
+    def removed(self, ids: list[MachineId]) -> None:
+        for id in ids:
+            self.expected.pop(id, None)
+            self.strange.pop(id, None)
+
+    # ---- decisions ---------------------------------------------------------------------
+
+    def deletions(self, now: Instant) -> list[MachineId]:
+        scheduler = self.scheduler
+        found = [
+            id for id in scheduler.doomed if id in scheduler.machines
+            and scheduler.machines[id].silent
+        ]  # fmt: skip
+        scheduler.doomed.intersection_update(found)
+        for id, expected in self.expected.items():
+            sku = scheduler.skus.get(expected.offer.type)
+            if sku is not None and now - expected.since > DEAD_BOOT * sku.boot_s + 10.0:
+                found.append(id)
+        for id, since in self.strange.items():
+            if now - since > 60.0:
+                found.append(id)
+        found += [m.id for m in scheduler.machines.values() if m.returning]
+        return found
+
+    def idle(self, now: Instant) -> list[Machine]:
+        """Machines to return: empty for long, or set aside and empty."""
+        scheduler = self.scheduler
+        patient = not scheduler.all_settled or bool(scheduler.lacking(now))
+        found = []
+        for machine in scheduler.machines.values():
+            if machine.held or machine.strays or not machine.settled or machine.returning:
+                continue
+            sku = scheduler.skus.get(machine.type)
+            quiet = now - max(machine.idle_since, machine.since)
+            longest = max(scheduler.operator.idle_seconds, 1.5 * sku.boot_s if sku else 0.0)
+            if machine.sick or (not patient and quiet > longest):
+                found.append(machine)
+        return found
+
+    def rentals(self, now: Instant) -> list[Rental]:
+        scheduler = self.scheduler
+        if not scheduler.loaded or now - scheduler.started < 2.0:
+            return []
+        skus = scheduler.skus
+        for id in scheduler.machines:
+            self.expected.pop(id, None)
+        # Room that exists or is on its way, to be filled on paper by what waits.
+        virtual: list[tuple[Offer, list[Amount]]] = []
+        for machine in scheduler.machines.values():
+            if machine.usable and machine.type in skus:
+                offer = Offer(machine.type, machine.zone, machine.spot)
+                virtual.append((offer, [machine.free(skus[machine.type])]))
+        for expected in self.expected.values():
+            sku = skus.get(expected.offer.type)
+            if sku is None or now - expected.since > LATE_BOOT * sku.boot_s + 5.0:
+                continue
+            virtual.append((expected.offer, [Amount(sku.cores, sku.accelerators, sku.mem_gb)]))
+        wanted: dict[Offer, int] = {}
+        for job, count in scheduler.lacking(now):
+            need = job.need
+            left = count
+            for offer, room in virtual:
+                if left <= 0:
+                    break
+                if not need.fits(room[0]) or not scheduler.allowed(job, *offer):
+                    continue
+                took = min(left, need.times_into(room[0]))
+                room[0] = room[0].minus(need, took)
+                left -= took
+            while left > 0:
+                best = self._cheapest(job, left, now, wanted)
+                if best is None:
+                    break
+                offer, each = best
+                sku = skus[offer.type]
+                machines = min(math.ceil(left / each), 10)
+                wanted[offer] = wanted.get(offer, 0) + machines
+                for _ in range(machines):
+                    took = min(left, each)
+                    left -= took
+                    whole = Amount(sku.cores, sku.accelerators, sku.mem_gb)
+                    virtual.append((offer, [whole.minus(need, took)]))
+                if wanted[offer] >= RENT_LIMIT:
+                    break
+        made = []
+        for offer, count in wanted.items():
+            self.claims += 1
+            claim = ClaimId(f"{self.prefix}-{self.claims}")
+            made.append(Rental(claim, offer, min(count, RENT_LIMIT)))
+        return made
+
+    def _cheapest(
+        self, job: Job, left: int, now: Instant, wanted: dict[Offer, int]
+    ) -> tuple[Offer, int] | None:
+        """The offer with the lowest price per task, and how many tasks one machine takes."""
+        scheduler = self.scheduler
+        best: tuple[float, Offer, int] | None = None
+        for sku in scheduler.skus.values():
+            whole = Amount(sku.cores, sku.accelerators, sku.mem_gb)
+            each = job.need.times_into(whole)
+            if each <= 0:
+                continue
+            for zone in sku.yards:
+                for spot in (True, False):
+                    offer = Offer(TypeName(sku.sku), ZoneName(zone), spot)
+                    if not scheduler.allowed(job, *offer):
+                        continue
+                    price = _price(sku, spot)
+                    until = self.refused.get(offer, (Instant(0.0), 0.0))[0]
+                    if price is None or until > now or wanted.get(offer, 0) >= RENT_LIMIT:
+                        continue
+                    cost = price * math.ceil(left / each) / left
+                    if best is None or cost < best[0]:
+                        best = (cost, offer, each)
+        return None if best is None else (best[1], best[2])
+
+
+def _price(sku: Sku, spot: bool) -> float | None:
+    if spot:
+        # A spot machine may be taken at any time, and the work on it is done again.
+        return None if sku.low_price is None else sku.low_price * 1.25
+    return sku.hourly
--- /dev/null
+++ b/umberward/quota.py
@@ -0,0 +1,48 @@
+"""Teams: what they may use at most and what is guaranteed to them. A figure of 0: none is set."""
+
+from __future__ import annotations
+
+from umberward.settings import Team
+from umberward.types import NOTHING, Amount, TeamName
+
+
+class Quota:
+    def __init__(self, teams: list[Team]) -> None:
+        self.teams = {TeamName(team.name): team for team in teams}
+        self.used: dict[TeamName, Amount] = {}
+
+    def take(self, team: TeamName, need: Amount) -> None:
+        self.used[team] = self.used.get(team, NOTHING).plus(need)
+
+    def give_back(self, team: TeamName, need: Amount) -> None:
+        self.used[team] = self.used.get(team, NOTHING).minus(need)
+
+    def room(self, team: TeamName, need: Amount, unsure: Amount = NOTHING) -> int:
+        """How many more tasks of this size the team's maximum admits."""
+        limits = self.teams.get(team)
+        if limits is None:
+            return 0
+        used = self.used.get(team, NOTHING).plus(unsure)
+        most = 1 << 30
+        for cap, taken, each in (
+            (limits.cpus_max, used.cores, need.cores),
+            (limits.gpus_max, used.accelerators, need.accelerators),
+        ):
+            if cap > 0 and each > 0:
+                most = min(most, int((cap - taken + 1e-6) / each))
+        return max(most, 0)
+
+    def exceeds(self, team: TeamName, need: Amount, times: int) -> bool:
+        """Whether so many tasks could never run at once."""
+        limits = self.teams[team]
+        return (0 < limits.cpus_max < need.cores * times - 1e-6) or (
+            0 < limits.gpus_max < need.accelerators * times - 1e-6
+        )
+
+    def within_guarantee(self, team: TeamName, need: Amount) -> bool:
+        """Whether one more task stays within what is guaranteed to the team."""
+        limits = self.teams.get(team)
+        if limits is None or (limits.cpus <= 0 and limits.gpus <= 0):
+            return False
+        used = self.used.get(team, NOTHING).plus(need)
+        return used.cores <= limits.cpus + 1e-6 and used.accelerators <= limits.gpus + 1e-6
--- /dev/null
+++ b/umberward/scheduler.py
@@ -0,0 +1,911 @@
+"""What a holder of machines decides. No I/O: reports and results come in, effects go out.
+
+The rules rest on one question: may a task still be on a machine? A `Placement` stands for "it
+may", from before its start is sent until one of these is known (docs/design.md, "Safety"):
+a newer report under our token does not list it and no start is in flight; the worker's session
+has changed; its lease has run out since the last answer it could have accepted; the cloud has
+deleted the machine.
+"""
+
+from __future__ import annotations
+
+import logging
+import random
+from collections.abc import Callable, Iterable
+from typing import Any, NamedTuple
+
+from umberward import preemption, state, wire
+from umberward.fleet import Machine
+from umberward.jobs import Job, Placement
+from umberward.placement import Room, best_fit
+from umberward.quota import Quota
+from umberward.settings import Settings
+from umberward.types import (
+    NOTHING,
+    Amount,
+    Attempt,
+    Epoch,
+    ImageName,
+    Instant,
+    JobId,
+    Key,
+    MachineId,
+    Serial,
+    Stamp,
+    TaskId,
+    TeamName,
+    Tenure,
+    TypeName,
+    WallTime,
+    ZoneName,
+    parse_task_id,
+)
+from umberward.wire import FORGET, KILL, START, JobRecord, Report, Sku
+
+log = logging.getLogger(__name__)
+
+LIVE = "jobs/live/"
+PAST = "jobs/past/"
+BLOCKS = "blocks/"
+DRIFT = 1.001
+MARGIN_S = 0.5
+INTERIM_S = 4.0  # how often the completions of an unfinished job are written
+SICK_AFTER = 2  # failed starts in a row that set a machine aside
+MISTAKEN_AFTER = 3  # machines on which a job must fail before the job is blamed
+
+
+class Command(NamedTuple):
+    """Send orders to a worker directly."""
+
+    machine: MachineId
+    address: str
+    epoch: Epoch
+    tenure: Tenure
+    orders: list[dict[str, Any]]
+
+
+class Probe(NamedTuple):
+    """Ask a worker for its report."""
+
+    machine: MachineId
+    address: str
+
+
+class Batch(NamedTuple):
+    """One transaction, and what to note when it is committed."""
+
+    conditions: list[tuple[Key, Stamp]]
+    writes: list[dict[str, Any]]
+    priority: int
+    jobs: list[tuple[Job, int, tuple[int, int], bool]]  # marked, completions, final
+    blocks: list[tuple[int, dict[str, tuple[str, str, str, bool]]]]
+
+
+class Scheduler:
+    def __init__(
+        self,
+        settings: Settings,
+        skus: dict[TypeName, Sku],
+        epoch: Epoch,
+        now: Instant,
+        wall: Callable[[], WallTime],
+        rng: random.Random,
+    ) -> None:
+        cluster = settings.platform.cluster
+        self.workers = cluster.workers
+        self.limits = cluster.state
+        self.value_limit = int(cluster.state.value_kb * 1024)
+        self.operator = settings.operator
+        self.skus = skus
+        self.quota = Quota(cluster.teams)
+        self.epoch = epoch
+        self.term = epoch
+        self.started = now
+        self.now = now
+        self.wall = wall
+        self.rng = rng
+        self.jobs: dict[JobId, Job] = {}
+        self.machines: dict[MachineId, Machine] = {}
+        self.gone: dict[MachineId, None] = {}  # deleted machines: late reports are ignored
+        self.blocks: dict[int, tuple[Stamp, set[MachineId]]] = {}
+        self.block_size = max(4, min(32, self.value_limit // 120))
+        self.dirty_blocks: set[int] = set()
+        self.pending_block: dict[MachineId, int] = {}
+        # Exited attempts whose start may still be under way, with the token it carries.
+        self.tainted_exits: dict[tuple[TaskId, int], int] = {}
+        self.touched: set[JobId] = set()  # jobs that may have something to write
+        self.attempts = 0
+        self.loaded = False
+        self.all_settled = False
+        self.want_pass = True
+        self.want_epoch = False
+        self.out: list[Command | Probe] = []
+        self.doomed: set[MachineId] = set()  # to be deleted as soon as the cloud answers
+        self.runtime: dict[str, float] = {}  # class -> seen run time by what was estimated
+
+    # ---- taking over -------------------------------------------------------------------
+
+    def load_block(self, number: int, record: wire.BlockRecord, stamp: Stamp, now: Instant) -> None:
+        names: set[MachineId] = set()
+        for name, (address, type_, zone, spot) in record.hosts.items():
+            machine = self._machine(
+                MachineId(name), address, TypeName(type_), ZoneName(zone), spot, now
+            )
+            machine.block = number
+            names.add(machine.id)
+            if not machine.met:
+                machine.probing = True
+                self.out.append(Probe(machine.id, address))
+        self.blocks[number] = (stamp, names)
+
+    def load_done(self) -> None:
+        self.loaded = True
+        for machine in self.machines.values():
+            if machine.settled:
+                self._adopt_tasks(machine)
+        self.want_pass = True
+        log.info(
+            "took over with token %d: %d machines, %d jobs",
+            self.epoch, len(self.machines), len(self.jobs),
+        )  # fmt: skip
+
+    def _machine(
+        self,
+        id: MachineId,
+        address: str,
+        type_: TypeName,
+        zone: ZoneName,
+        spot: bool,
+        now: Instant,
+    ) -> Machine:
+        machine = self.machines.get(id)
+        if machine is None:
+            machine = self.machines[id] = Machine(id, address, type_, zone, spot, now)
+        return machine
+
+    # ---- jobs --------------------------------------------------------------------------
+
+    def job_put(self, record: JobRecord, stamp: Stamp) -> None:
+        """A job's record was read or has come by the watch."""
+        id = JobId(record.spec.uid)
+        job = self.jobs.get(id)
+        if job is None:
+            self.jobs[id] = Job(record, stamp, self.value_limit)
+            self.want_pass = True
+
+    def job_gone(self, id: JobId) -> None:
+        """A job's live record is gone: it is done, or was cancelled by some controller."""
+        job = self.jobs.pop(id, None)
+        if job is None:
+            return
+        job.ended = True
+        for placement in list(job.placed.values()):
+            self._stop(placement, 0.0)
+        self.want_pass = True
+
+    # ---- reports -----------------------------------------------------------------------
+
+    def report(self, report: Report, now: Instant, hello: bool) -> list[dict[str, Any]] | None:
+        """Take in a worker's report; the orders for its response, or None: not ours to answer."""
+        self.now = now
+        id = MachineId(report.host)
+        if report.epoch > self.epoch:
+            return None
+        if id in self.gone:
+            return []
+        machine = self.machines.get(id)
+        if machine is None:
+            if TypeName(report.flavor) not in self.skus:
+                return []
+            machine = self._machine(
+                id, report.address, TypeName(report.flavor), ZoneName(report.yard),
+                report.reclaimable, now,
+            )  # fmt: skip
+            log.info("new machine %s (%s, %s)", id, report.flavor, report.yard)
+        if machine.returning:
+            return []
+        if report.tenure < machine.min_tenure:
+            return []
+        if (report.tenure, report.serial) <= (machine.tenure, machine.serial):
+            return []  # late: something newer was seen
+        machine.heard = now
+        machine.met = True
+        machine.silent = False
+        machine.address = report.address
+        if report.tenure > machine.tenure:
+            # A new session: the worker has killed and forgotten all it had.
+            if machine.tenure:
+                self._lose_tasks(machine, "session over")
+            machine.tenure = Tenure(report.tenure)
+        machine.serial = Serial(report.serial)
+        machine.epoch = Epoch(report.epoch)
+        if hello or machine.answered is None:
+            # Without an answer the worker's lease runs from the beginning of its session, which
+            # was before this report.
+            machine.answered = now
+        if report.reclaim_in_s is not None:
+            if machine.notice_at is None:
+                log.info("%s will be taken in %.0f s", id, report.reclaim_in_s)
+            machine.notice_at = Instant(now + report.reclaim_in_s)
+        if not machine.settled:
+            if report.epoch < self.term:
+                # A late command of a former holder could still be executed: raise the token first.
+                self.out.append(Command(id, machine.address, self.epoch, machine.tenure, []))
+                return []
+            machine.settled = True
+            self.want_pass = True
+        if machine.block is None:
+            self._assign_block(machine)
+        return self._reconcile(machine, report, now, hello)
+
+    def _reconcile(
+        self, machine: Machine, report: Report, now: Instant, hello: bool
+    ) -> list[dict[str, Any]]:
+        orders: list[dict[str, Any]] = []
+        listed: set[TaskId] = set()
+        machine.lingering.clear()
+        machine.strays = 0
+        for shard in report.shards:
+            task = parse_task_id(shard.shard)
+            if task is None:
+                continue
+            listed.add(task)
+            placement = machine.held.get(task)
+            if placement is not None and placement.attempt != shard.attempt:
+                placement = None
+            if shard.phase == wire.EXITED:
+                machine.lingering.add(task)
+                self._exited(machine, task, shard, placement, now)
+                if hello and self.loaded and self._may_forget(machine, task, shard):
+                    orders.append(wire.order(FORGET, shard.shard, shard.attempt))
+                continue
+            if placement is None:
+                placement = self._stray(machine, task, shard, now)
+                if placement is None:
+                    machine.strays += 1
+                    if self.loaded:
+                        orders.append(wire.order(KILL, shard.shard, shard.attempt, 0.0))
+                    continue
+            placement.seen = True
+            self._progress(machine, placement, shard.phase, now)
+            if placement.stop is not None:
+                orders.append(wire.order(KILL, shard.shard, shard.attempt, placement.stop))
+        for task, placement in list(machine.held.items()):
+            if task in listed or not placement.sent:
+                continue
+            if placement.tainted and placement.tainted < machine.epoch:
+                placement.tainted = 0  # late starts carry a token that is too low now
+            if placement.seen:
+                self._release(machine, placement)
+                continue
+            if placement.stop is None:
+                # The start may be lost; repeating it has no effect where it was executed.
+                if hello:
+                    placement.hello_serial = report.serial
+                    orders.append(wire.order(START, str(task), placement.attempt))
+            elif not placement.inflight and not placement.tainted:
+                if hello and report.serial > placement.hello_serial:
+                    self._release(machine, placement)
+            elif not placement.inflight and now - placement.stop_at > 2.0:
+                # An unanswered start may be executed at any time: only a higher token ends that.
+                self.want_epoch = True
+        return orders
+
+    def _exited(
+        self,
+        machine: Machine,
+        task: TaskId,
+        shard: wire.ShardReport,
+        placement: Placement | None,
+        now: Instant,
+    ) -> None:
+        job = self.jobs.get(task.job)
+        if placement is not None:
+            placement.seen = True
+            self._release(machine, placement, requeue=shard.cause != wire.DONE)
+        if job is None:
+            return
+        if shard.cause == wire.DONE:
+            machine.errors = 0
+            machine.error_jobs.clear()
+            job.ran_well = True
+            if placement is not None and placement.running_at is not None:
+                self._note_runtime(job, now - placement.running_at)
+            indices: Iterable[int] = (task.number,)
+            if job.gang and placement is not None:
+                indices = range(job.size)  # if one task of a gang is done, all are
+            for index in indices:
+                job.mark_done(index)
+                other = job.placed.get(index)
+                if other is not None and not job.gang:
+                    self._stop(other, 0.0)
+            self.touched.add(job.id)
+        elif placement is not None and shard.cause == "error":
+            self._failed(machine, job, now)
+        elif placement is not None:
+            log.debug("%s on %s exited: %s", task, machine.id, shard.cause)
+            if shard.cause in ("no_room", "in_use", "no_such"):
+                log.info("%s refused %s: %s", machine.id, task, shard.cause)
+                job.hold_until = max(job.hold_until, now + 0.5)
+
+    def _failed(self, machine: Machine, job: Job, now: Instant) -> None:
+        """Tell a faulty machine from a mistaken job: either fails in the same way."""
+        job.errors.add(machine.id)
+        if not job.ran_well and len(job.errors) >= MISTAKEN_AFTER:
+            job.holds += 1
+            job.hold_until = now + min(20.0, 0.5 * 2**job.holds)
+            for other in job.errors:
+                blamed = self.machines.get(other)
+                if blamed is not None and blamed.error_jobs <= {job.id}:
+                    blamed.errors = 0
+                    blamed.sick = False
+            return
+        machine.errors += 1
+        machine.error_jobs.add(job.id)
+        log.info("%s failed a task of %s (%d in a row)", machine.id, job.id, machine.errors)
+        if machine.errors >= SICK_AFTER and not machine.sick:
+            machine.sick = True
+            log.info("%s set aside: it fails what it starts", machine.id)
+
+    def _may_forget(self, machine: Machine, task: TaskId, shard: wire.ShardReport) -> bool:
+        """After a forget, a start that is still under way would start the task again."""
+        placement = machine.held.get(task)
+        if placement is not None and placement.attempt == shard.attempt:
+            return False
+        if self.tainted_exits.get((task, shard.attempt), -1) >= machine.epoch:
+            return False
+        self.tainted_exits.pop((task, shard.attempt), None)
+        job = self.jobs.get(task.job)
+        return job is None or shard.cause != wire.DONE or job.is_saved(task.number)
+
+    def _stray(
+        self, machine: Machine, task: TaskId, shard: wire.ShardReport, now: Instant
+    ) -> Placement | None:
+        """A task that a former holder started: ours from now on, unless it must go."""
+        job = self.jobs.get(task.job)
+        if not self.loaded or job is None or task.number >= job.size or job.is_done(task.number):
+            return None
+        if task in machine.held or task.number in job.placed:
+            return None
+        if task.number >= job.marked or job.gang and not self._same_attempt(job, shard.attempt):
+            return None
+        placement = Placement(task, Attempt(shard.attempt), machine.id, machine.zone, job, now)
+        placement.ready = placement.sent = placement.seen = True
+        self._hold(machine, job, placement)
+        job.unsure.discard(task.number)
+        if task.number in job.again:
+            job.again.remove(task.number)
+        return placement
+
+    @staticmethod
+    def _same_attempt(job: Job, attempt: int) -> bool:
+        return all(placement.attempt == attempt for placement in job.placed.values())
+
+    def _adopt_tasks(self, machine: Machine) -> None:
+        """A machine that reported before the jobs were read: ask it once more."""
+        machine.probing = True
+        self.out.append(Probe(machine.id, machine.address))
+
+    def _progress(self, machine: Machine, placement: Placement, phase: str, now: Instant) -> None:
+        if placement.phase == phase:
+            return
+        placement.phase = phase
+        job = self.jobs.get(placement.task.job)
+        if job is None:
+            return
+        if phase in (wire.RUNNING, wire.GATHERING):
+            spec = job.spec
+            room = self.skus[machine.type].local_gb if machine.type in self.skus else 0.0
+            machine.note_image(ImageName(spec.bundle), spec.pull_gb, room)
+        if phase == wire.RUNNING and placement.running_at is None:
+            placement.running_at = now
+
+    def _note_runtime(self, job: Job, seconds: float) -> None:
+        if job.spec.expect_s > 0:
+            ratio = min(max(seconds / job.spec.expect_s, 0.1), 10.0)
+            old = self.runtime.get(job.spec.jobclass, ratio)
+            self.runtime[job.spec.jobclass] = old + 0.05 * (ratio - old)
+
+    # ---- placements --------------------------------------------------------------------
+
+    def _hold(self, machine: Machine, job: Job, placement: Placement) -> None:
+        machine.held[placement.task] = placement
+        machine.booked = machine.booked.plus(placement.need)
+        job.placed[placement.task.number] = placement
+        self.quota.take(placement.team, placement.need)
+
+    def _release(self, machine: Machine, placement: Placement, requeue: bool = True) -> None:
+        """The attempt is surely gone from its machine."""
+        machine.held.pop(placement.task, None)
+        machine.booked = machine.booked.minus(placement.need) if machine.held else NOTHING
+        if not machine.held:
+            machine.idle_since = self.now
+        self.quota.give_back(placement.team, placement.need)
+        if placement.tainted >= machine.epoch and placement.tainted:
+            self.tainted_exits[(placement.task, placement.attempt)] = placement.tainted
+        self.want_pass = True
+        job = self.jobs.get(placement.task.job)
+        if job is None or job.ended:
+            return
+        if job.placed.get(placement.task.number) is placement:
+            del job.placed[placement.task.number]
+        if not requeue:
+            return
+        job.put_back(placement.task.number)
+        if job.gang:
+            # The rest of a gang is of no use without this task.
+            for other in list(job.placed.values()):
+                if other.stop is None:
+                    self._stop(other, 0.0)
+
+    def _lose_tasks(self, machine: Machine, why: str) -> None:
+        if machine.held:
+            log.info("%s: %d tasks lost (%s)", machine.id, len(machine.held), why)
+        for placement in list(machine.held.values()):
+            placement.tainted = 0
+            self._release(machine, placement)
+        machine.lingering.clear()
+        machine.strays = 0
+
+    def _stop(self, placement: Placement, grace: float) -> None:
+        if placement.stop is not None and placement.stop <= grace:
+            return
+        placement.stop = grace
+        machine = self.machines.get(placement.machine)
+        if machine is None:
+            return
+        placement.stop_at = self.now
+        if not placement.sent:
+            self._release(machine, placement)
+            return
+        order = wire.order(KILL, str(placement.task), placement.attempt, grace)
+        self._command(machine, [order])
+
+    def _command(self, machine: Machine, orders: list[dict[str, Any]]) -> None:
+        for item in self.out:
+            if isinstance(item, Command) and item.machine == machine.id:
+                item.orders.extend(orders)
+                return
+        self.out.append(
+            Command(machine.id, machine.address, self.epoch, machine.tenure, list(orders))
+        )
+
+    def _send(self, placement: Placement) -> None:
+        machine = self.machines[placement.machine]
+        placement.sent = True
+        placement.inflight += 1
+        order = wire.order(START, str(placement.task), placement.attempt)
+        self._command(machine, [order])
+
+    def commanded(
+        self, command: Command, report: Report | None, unknown: bool, now: Instant
+    ) -> None:
+        """A direct command was answered, or was not (`unknown`: it may still be executed)."""
+        machine = self.machines.get(command.machine)
+        if machine is None:
+            return
+        for made in command.orders:
+            task = parse_task_id(made["shard"])
+            placement = machine.held.get(task) if task is not None else None
+            if made["verb"] == START and placement is not None and placement.attempt == made["try"]:
+                placement.inflight -= 1
+                if unknown:
+                    placement.tainted = max(placement.tainted, command.epoch)
+        if report is not None:
+            self.report(report, now, hello=False)
+
+    def probed(self, probe: Probe, report: Report | None, now: Instant) -> None:
+        machine = self.machines.get(probe.machine)
+        if machine is None:
+            return
+        machine.probing = False
+        if report is not None:
+            if (report.tenure, report.serial) <= (machine.tenure, machine.serial):
+                machine.heard = now
+            self.report(report, now, hello=False)
+        elif now - machine.heard > self._silence():
+            if not machine.silent:
+                log.info("%s is silent for %.1f s", machine.id, now - machine.heard)
+            machine.silent = True
+
+    # ---- time --------------------------------------------------------------------------
+
+    def _silence(self) -> float:
+        return max(self.operator.silence_seconds, self.workers.report_s * 1.25 + 1.0)
+
+    def tick(self, now: Instant) -> None:
+        """Notice what time alone tells. To be called a few times a second."""
+        self.now = now
+        lease = self.workers.lease_s * DRIFT + MARGIN_S
+        takeover = self.workers.cancel_s * DRIFT + 2 * MARGIN_S
+        silence = self._silence()
+        for machine in self.machines.values():
+            quiet = now - machine.heard
+            if quiet > silence and not machine.probing and not machine.returning:
+                machine.probing = True
+                self.out.append(Probe(machine.id, machine.address))
+            if machine.settled:
+                if machine.answered is not None and now - machine.answered > lease:
+                    # Its lease has run out: it has killed all that it had.
+                    self._expire(machine)
+            elif not machine.cleared and now - self.started > takeover:
+                # A former holder may answer reports for cancel_s - lease_s after it last held its
+                # lease, which was before we took over; lease_s after that all is gone.
+                machine.cleared = True
+        if not self.all_settled and self.loaded:
+            waiting = [m for m in self.machines.values() if not (m.settled or m.cleared)]
+            if not waiting:
+                self.all_settled = True
+                for job in self.jobs.values():
+                    job.settle()
+                self.want_pass = True
+                log.info("all machines settled after %.1f s", now - self.started)
+        self._pick_doomed(now)
+
+    def _expire(self, machine: Machine) -> None:
+        self._lose_tasks(machine, "lease over")
+        machine.min_tenure = Tenure(machine.tenure + 1)
+        machine.answered = None
+        machine.silent = True
+
+    def _pick_doomed(self, now: Instant) -> None:
+        """Silent machines are deleted: that frees their tasks before the lease does.
+
+        Many silent ones at once mean that we are cut off, not that they are dead.
+        """
+        silent = [m for m in self.machines.values() if m.silent and not m.returning]
+        if not silent:
+            return
+        alive = sum(1 for m in self.machines.values() if now - m.heard < self._silence())
+        taken = [m for m in silent if m.notice_at is not None]
+        if len(silent) - len(taken) <= max(3, 0.7 * alive) and alive:
+            self.doomed.update(m.id for m in silent)
+        else:
+            self.doomed.update(m.id for m in taken)
+
+    def removed(self, ids: Iterable[MachineId], now: Instant) -> None:
+        """The cloud has deleted these machines, or they stopped by themselves."""
+        for id in ids:
+            self.doomed.discard(id)
+            machine = self.machines.get(id)
+            if machine is None:
+                continue
+            machine.returning = True
+            self._lose_tasks(machine, "machine gone")
+            del self.machines[id]
+            self.gone[id] = None
+            while len(self.gone) > 5000:
+                del self.gone[next(iter(self.gone))]
+            if machine.block is not None:
+                self.dirty_blocks.add(machine.block)
+                self.blocks[machine.block][1].discard(id)
+            self.pending_block.pop(id, None)
+        self.want_pass = True
+
+    def next_epoch(self, epoch: Epoch) -> None:
+        self.epoch = epoch
+        self.want_epoch = False
+
+    # ---- placing -----------------------------------------------------------------------
+
+    def _unsure_usage(self) -> dict[TeamName, Amount]:
+        """What tasks may use that a former holder placed and nobody has found yet."""
+        usage: dict[TeamName, Amount] = {}
+        if not self.all_settled:
+            for job in self.jobs.values():
+                if job.unsure:
+                    old = usage.get(job.team, NOTHING)
+                    usage[job.team] = old.plus(job.need, len(job.unsure))
+        return usage
+
+    def deadline(self, job: Job) -> float:
+        """The time by which the job must start; the sooner, the earlier it is served."""
+        spec = job.spec
+        if spec.due_s is None:
+            return job.at + 120.0
+        estimate = spec.expect_s * self.runtime.get(spec.jobclass, 1.0)
+        return job.at + spec.due_s - 1.3 * estimate
+
+    def waiting(self, now: Instant) -> list[Job]:
+        """Jobs with tasks to place, in the order in which they are served."""
+        ready = [
+            job
+            for job in self.jobs.values()
+            if (job.again or job.startable()) and job.hold_until <= now
+        ]
+        ready.sort(
+            key=lambda job: (
+                job.rank,
+                not self.quota.within_guarantee(job.team, job.need),
+                self.deadline(job),
+            )
+        )
+        return ready
+
+    def allowed(self, job: Job, type_: TypeName, zone: ZoneName, spot: bool) -> bool:
+        spec = job.spec
+        return (
+            (spec.flavors is None or type_ in spec.flavors)
+            and (spec.yard is None or zone == spec.yard)
+            and (spec.reclaimable or not spot)
+        )
+
+    def place(self, now: Instant) -> None:
+        """One pass over the waiting jobs."""
+        self.want_pass = False
+        if not self.loaded:
+            return
+        usable = [m for m in self.machines.values() if m.usable and m.type in self.skus]
+        free = {m.id: m.free(self.skus[m.type]) for m in usable}
+        unsure = self._unsure_usage()
+        for job in self.waiting(now):
+            need = job.need
+            count = min(
+                job.startable(),
+                self.quota.room(job.team, need, unsure.get(job.team, NOTHING)),
+            )
+            if count <= 0 or (job.gang and (count < job.size or job.placed or job.unsure)):
+                continue
+            chosen = self._choose(job, count, usable, free)
+            if len(chosen) < count and job.rank < 2:
+                self._preempt(job, count - len(chosen), usable, free, now)
+            if not chosen or (job.gang and len(chosen) < job.size):
+                continue
+            self.attempts += 1
+            attempt = Attempt((self.term << 20) + self.attempts)
+            for id in chosen:
+                index = job.take()
+                machine = self.machines[id]
+                task = TaskId(job.id, index)
+                if task in machine.held or task in machine.lingering:
+                    job.put_back(index)
+                    continue
+                placement = Placement(task, attempt, id, machine.zone, job, now)
+                placement.ready = index < job.marked
+                self._hold(machine, job, placement)
+                free[id] = free[id].minus(need)
+                if placement.ready:
+                    self._send(placement)
+                else:
+                    self.touched.add(job.id)
+
+    def _choose(
+        self, job: Job, count: int, usable: list[Machine], free: dict[MachineId, Amount]
+    ) -> list[MachineId]:
+        spec = job.spec
+        need = job.need
+        image = ImageName(spec.bundle)
+        zones: dict[ZoneName, int] = {}
+        for placement in job.placed.values():
+            zones[placement.zone] = zones.get(placement.zone, 0) + 1
+        if job.unsure and (spec.same_place or spec.apart):
+            return []  # a task of the job may be in a zone that we cannot name
+        rooms = [
+            Room(
+                m.id,
+                m.zone,
+                free[m.id],
+                (0.0 if image in m.images else 1.0, self._price(m), -m.booked.cores),
+            )
+            for m in usable
+            if need.fits(free[m.id])
+            and self.allowed(job, m.type, m.zone, m.spot)
+            and m.id not in job.errors
+        ]
+        if not rooms and job.errors:
+            rooms = [
+                Room(m.id, m.zone, free[m.id], (-m.booked.cores,))
+                for m in usable
+                if need.fits(free[m.id]) and self.allowed(job, m.type, m.zone, m.spot)
+            ]
+        if not rooms:
+            return []
+        if spec.same_place:
+            return self._choose_zone(job, count, rooms, set(zones))
+        left: Callable[[ZoneName], int] | None = None
+        distinct = 1
+        if spec.apart:
+            cap = (job.size + 1) // 2
+
+            def left(zone: ZoneName) -> int:
+                return cap - zones.get(zone, 0)
+
+        if job.service:
+            distinct = min(3, job.size) if spec.apart else 1
+        return best_fit(need, count, rooms, distinct, left)
+
+    def _choose_zone(
+        self, job: Job, count: int, rooms: list[Room], taken: set[ZoneName]
+    ) -> list[MachineId]:
+        """All tasks in one zone: where the others are, else where most fit."""
+        if len(taken) > 1:
+            return []
+        best: list[MachineId] = []
+        for zone in taken or sorted({room.zone for room in rooms}):
+            here = [room for room in rooms if room.zone == zone]
+            chosen = best_fit(job.need, count, here, 1)
+            if len(chosen) > len(best):
+                best = chosen
+        return best
+
+    def _price(self, machine: Machine) -> float:
+        """Small and cheap machines first for what fits there: accelerators stay free."""
+        sku = self.skus[machine.type]
+        return sku.accelerators
+
+    def _preempt(
+        self,
+        job: Job,
+        count: int,
+        usable: list[Machine],
+        free: dict[MachineId, Amount],
+        now: Instant,
+    ) -> None:
+        """Make room for work of a higher rank; the room is used once it is free."""
+        if job.gang and count < job.size or now - job.stopped_at < 1.5:
+            return
+        victims: list[Placement] = []
+        for _ in range(count):
+            options = [
+                (m.id, free[m.id], list(m.held.values()))
+                for m in usable
+                if self.allowed(job, m.type, m.zone, m.spot)
+            ]
+            found = preemption.choose(job.need, job.rank, options, now, set(map(id, victims)))
+            if not found:
+                break
+            victims += found
+        for victim in victims:
+            owner = self.jobs.get(victim.task.job)
+            grace = owner.spec.snapshot_cost_s if owner is not None else 0.0
+            log.info("%s stopped on %s for %s", victim.task, victim.machine, job.id)
+            told = owner.placed.values() if owner is not None and owner.gang else [victim]
+            for placement in list(told):  # a gang saves only if all of it is told in time
+                self._stop(placement, grace)
+            job.stopped_at = now
+
+    # ---- blocks ------------------------------------------------------------------------
+
+    def _assign_block(self, machine: Machine) -> None:
+        if machine.id in self.pending_block or not self.loaded:
+            return
+        number = 0
+        while True:
+            _, names = self.blocks.setdefault(number, (Stamp(0), set()))
+            if len(names) < self.block_size:
+                break
+            number += 1
+        names.add(machine.id)
+        self.pending_block[machine.id] = number
+        self.dirty_blocks.add(number)
+
+    # ---- writing -----------------------------------------------------------------------
+
+    def next_batch(self, now: Instant) -> Batch | None:
+        """The most urgent writes that are due, as one transaction."""
+        most = self.limits.txn_ops
+        batch = Batch([], [], state.URGENT, [], [])
+        size = 0
+        finals: list[Job] = []
+        marks: list[Job] = []
+        interim: list[Job] = []
+        for id in list(self.touched):
+            job = self.jobs.get(id)
+            if job is None:
+                self.touched.discard(id)
+            elif job.complete:
+                finals.append(job)
+            elif any(not p.ready for p in job.placed.values()):
+                marks.append(job)
+            elif not job.dirty:
+                self.touched.discard(id)
+            elif now - job.committed_at > INTERIM_S:
+                interim.append(job)
+        marks.sort(key=lambda job: job.rank)
+        for number in sorted(self.dirty_blocks):
+            if len(batch.writes) + 1 > most:
+                break
+            stamp, names = self.blocks[number]
+            hosts = {
+                str(id): (m.address, str(m.type), str(m.zone), m.spot)
+                for id in sorted(names)
+                if (m := self.machines.get(id)) is not None
+            }
+            key = Key(f"{BLOCKS}{number}")
+            batch.conditions.append((key, stamp))
+            batch.writes.append(state.put(key, wire.BlockRecord(hosts)))
+            batch.blocks.append((number, hosts))
+            size += wire.json_size(batch.writes[-1])
+        for job in finals + marks + interim:
+            ops = 2 if job.complete else 1
+            if len(batch.writes) + ops > most or size > 48 * 1024:
+                break
+            key = Key(LIVE + job.id)
+            batch.conditions.append((key, job.stamp))
+            if job.complete:
+                past = wire.FinalRecord(wire.DONE, job.size)
+                batch.writes.append(state.put(Key(PAST + job.id), past))
+                batch.writes.append(state.delete(key))
+                batch.jobs.append((job, job.marked, (job.base, job.bits), True))
+            else:
+                marked = max([job.marked, *(index + 1 for index in job.placed)])
+                if marked > job.marked:
+                    # Few jobs grow task by task: mark ahead, so that an array costs few writes.
+                    marked = min(job.size, max(marked, 2 * job.marked))
+                record = job.record(marked)
+                batch.writes.append(state.put(key, record))
+                batch.jobs.append((job, marked, (job.base, job.bits), False))
+            size += wire.json_size(batch.writes[-1])
+        return batch if batch.writes else None
+
+    def committed(self, batch: Batch, stamp: Stamp, now: Instant) -> None:
+        for number, hosts in batch.blocks:
+            _, names = self.blocks[number]
+            self.blocks[number] = (stamp, names)
+            self._block_stored(number, {MachineId(name) for name in hosts})
+        for job, marked, saved, final in batch.jobs:
+            if job.ended:
+                continue
+            if final:
+                log.info("%s is done", job.id)
+                self.job_gone(job.id)
+                continue
+            job.stamp = stamp
+            job.marked = marked
+            job.saved = saved
+            job.committed_at = now
+            self._marked(job)
+        self.want_pass = True
+
+    def _block_stored(self, number: int, stored: set[MachineId]) -> None:
+        names = self.blocks[number][1]
+        if stored == names:
+            self.dirty_blocks.discard(number)
+        for id in stored & names:
+            self.pending_block.pop(id, None)
+            machine = self.machines.get(id)
+            if machine is not None:
+                machine.block = number
+
+    def _marked(self, job: Job) -> None:
+        for index, placement in list(job.placed.items()):
+            if index < job.marked and not placement.ready:
+                placement.ready = True
+                if placement.stop is None and placement.machine in self.machines:
+                    self._send(placement)
+
+    def reread(self, key: Key, found: state.Got | None) -> None:
+        """What the state service has after a conflict or an unknown outcome."""
+        if key.startswith(BLOCKS):
+            number = int(key[len(BLOCKS) :])
+            if number in self.blocks:
+                names = self.blocks[number][1]
+                if found is None:
+                    self.blocks[number] = (Stamp(0), names)
+                else:
+                    record = wire.converted(found.data, wire.BlockRecord)
+                    self.blocks[number] = (found.stamp, names)
+                    self._block_stored(number, {MachineId(name) for name in record.hosts})
+            return
+        id = JobId(key[len(LIVE) :])
+        job = self.jobs.get(id)
+        if job is None:
+            return
+        if found is None:
+            self.job_gone(id)
+            return
+        job.adopt(wire.converted(found.data, JobRecord), found.stamp)
+        self._marked(job)
+
+    # ---- what the provisioner asks -----------------------------------------------------
+
+    def lacking(self, now: Instant) -> list[tuple[Job, int]]:
+        """Jobs with tasks for which there is no room, in the order of service."""
+        found = []
+        for job in self.waiting(now):
+            count = min(job.startable(), self.quota.room(job.team, job.need))
+            if job.gang and (job.placed or count < job.size):
+                continue
+            if count > 0:
+                found.append((job, count))
+        return found
--- /dev/null
+++ b/umberward/state.py
@@ -0,0 +1,230 @@
+"""Client of the state service, within this controller's part of its request limits."""
+
+from __future__ import annotations
+
+import logging
+import time
+from collections.abc import Iterable
+from typing import Any
+from urllib.parse import quote
+
+import curio
+import msgspec
+
+from umberward import wire
+from umberward.http import Client, NoAnswer, NotSent, Response
+from umberward.settings import StateLimits
+from umberward.types import Address, Key, LeaseId, Revision, Stamp
+
+log = logging.getLogger(__name__)
+
+URGENT, COMMON, LAZY = 0, 1, 2  # priorities under the limits
+
+
+class Unavailable(Exception):
+    """The request was certainly not executed."""
+
+
+class OverBudget(Unavailable):
+    """Our own part of the limits is used up for `wait` seconds."""
+
+    def __init__(self, wait: float) -> None:
+        super().__init__(f"over budget for {wait:.2f} s")
+        self.wait = wait
+
+
+class Unknown(Exception):
+    """The request may have been executed, or may be executed later."""
+
+
+class Conflict(Exception):
+    """A condition failed."""
+
+
+class NoLease(Exception):
+    """The lease is over."""
+
+
+class TooOld(Exception):
+    """The service no longer keeps the changes asked for."""
+
+
+class Budget:
+    """A token bucket of one second's worth. Lower priorities leave some for the higher ones."""
+
+    RESERVE = (0.0, 0.15, 0.4)
+
+    def __init__(self, rate: float) -> None:
+        self.rate = rate
+        self.tokens = rate
+        self.at = time.monotonic()
+
+    def set_rate(self, rate: float) -> None:
+        self._fill()
+        self.rate = rate
+
+    def _fill(self) -> None:
+        now = time.monotonic()
+        self.tokens = min(self.rate, self.tokens + (now - self.at) * self.rate)
+        self.at = now
+
+    def wait(self, count: int, priority: int) -> float:
+        """Seconds until `count` may be taken; 0: now."""
+        self._fill()
+        need = min(count, self.rate) + self.RESERVE[priority] * self.rate
+        # Never ask for more than the bucket can hold.
+        need = min(need, self.rate)
+        return max(0.0, (need - self.tokens) / self.rate)
+
+    async def take(self, count: int, priority: int, patience: float) -> None:
+        deadline = time.monotonic() + patience
+        while True:
+            wait = self.wait(count, priority)
+            if wait <= 0:
+                self.tokens -= count
+                return
+            if time.monotonic() + wait > deadline:
+                raise OverBudget(wait)
+            await curio.sleep(wait + 0.001)
+
+
+class Got(msgspec.Struct):
+    data: Any
+    stamp: Stamp
+
+
+class State:
+    def __init__(self, address: Address, limits: StateLimits, client: Client) -> None:
+        self.address = address
+        self.limits = limits
+        self.client = client
+        self.calls = Budget(limits.rps * 0.3)
+        self.writes = Budget(limits.write_rps * 0.2)
+        self._entry = wire.decoder(wire.Entry)
+        self._listing = wire.decoder(wire.Listing)
+        self._news = wire.decoder(wire.News)
+        self._generation = wire.decoder(wire.Generation)
+        self._lease = wire.decoder(wire.Lease)
+
+    def share(self, leading: bool) -> None:
+        """The leader writes most; the three parts together stay below the limits."""
+        self.calls.set_rate(self.limits.rps * (0.38 if leading else 0.3))
+        self.writes.set_rate(self.limits.write_rps * (0.58 if leading else 0.2))
+
+    async def _call(
+        self,
+        method: str,
+        target: str,
+        body: Any = None,
+        timeout: float = 2.0,
+        priority: int = COMMON,
+        patience: float = 1.0,
+    ) -> Response:
+        await self.calls.take(1, priority, patience)
+        data = b"" if body is None else wire.encode(body)
+        try:
+            response = await self.client.request(self.address, method, target, data, timeout)
+        except NotSent as error:
+            raise Unavailable(str(error)) from None
+        except NoAnswer as error:
+            raise Unknown(str(error)) from None
+        if response.status in (429, 503):
+            raise Unavailable(f"{method} {target}: {response.status}")
+        return response
+
+    async def get(
+        self, key: Key, priority: int = COMMON, timeout: float = 1.5, patience: float = 0.5
+    ) -> Got | None:
+        response = await self._call("GET", f"/kv/{key}", None, timeout, priority, patience)
+        if response.status == 404:
+            return None
+        if response.status != 200:
+            raise Unavailable(f"get {key}: {response.status}")
+        entry = self._entry(response.body)
+        return Got(entry.data, Stamp(entry.stamp))
+
+    async def entries(self, prefix: str) -> tuple[list[wire.Entry], Revision]:
+        """All entries, and a revision from which a watch misses no change of them."""
+        found: list[wire.Entry] = []
+        last = ""
+        revision: Revision | None = None
+        while True:
+            target = f"/kv?prefix={quote(prefix)}&most=200"
+            if last:
+                target += f"&from={quote(last)}"
+            response = await self._call("GET", target, timeout=3.0, priority=URGENT)
+            if response.status != 200:
+                raise Unavailable(f"list {prefix}: {response.status}")
+            page = self._listing(response.body)
+            # The first page's revision: changes behind the pages already read come by the watch.
+            if revision is None:
+                revision = Revision(page.generation)
+            found += page.entries
+            if not page.more or not page.entries:
+                return found, revision
+            last = page.entries[-1].path
+
+    async def commit(
+        self,
+        conditions: Iterable[tuple[Key, Stamp]],
+        writes: list[dict[str, Any]],
+        priority: int = COMMON,
+        patience: float = 1.0,
+        timeout: float = 2.0,
+    ) -> Revision:
+        """Raises Conflict, NoLease, Unavailable or Unknown."""
+        body = {"if": [{"path": key, "stamp": stamp} for key, stamp in conditions]}
+        if writes:
+            body["writes"] = writes
+            await self.writes.take(len(writes), priority, patience)
+        response = await self._call("POST", "/commit", body, timeout, priority, patience)
+        if response.status == 200:
+            return Revision(self._generation(response.body).generation)
+        if response.status == 409:
+            raise Conflict(repr(response.body[:200]))
+        if response.status == 400 and b"no such lease" in response.body:
+            raise NoLease
+        log.error("commit refused: %s %r", response.status, response.body[:300])
+        raise Unavailable(f"commit: {response.status}")
+
+    async def grant(self, ttl_s: float) -> LeaseId:
+        response = await self._call(
+            "POST", "/leases", {"ttl_ms": round(ttl_s * 1000)}, 1.0, priority=URGENT
+        )
+        if response.status != 200:
+            raise Unavailable(f"lease: {response.status}")
+        return LeaseId(self._lease(response.body).charter)
+
+    async def extend(self, lease: LeaseId, timeout: float) -> None:
+        target = f"/leases/{lease}/extend"
+        response = await self._call("POST", target, {}, timeout, priority=URGENT, patience=0.3)
+        if response.status == 404:
+            raise NoLease
+        if response.status != 200:
+            raise Unavailable(f"extend: {response.status}")
+
+    async def drop(self, lease: LeaseId) -> None:
+        await self._call("DELETE", f"/leases/{lease}", None, 1.0, priority=URGENT)
+
+    async def watch(
+        self, prefix: str, after: Revision, hold_s: float
+    ) -> tuple[list[wire.Change], Revision]:
+        target = f"/watch?prefix={quote(prefix)}&from={after}&hold_ms={round(hold_s * 1000)}"
+        response = await self._call("GET", target, None, hold_s + 2.0, priority=URGENT)
+        if response.status == 410:
+            raise TooOld
+        if response.status != 200:
+            raise Unavailable(f"watch: {response.status}")
+        news = self._news(response.body)
+        return news.news, Revision(news.generation)
+
+
+def put(key: Key, data: Any, lease: LeaseId | None = None) -> dict[str, Any]:
+    made: dict[str, Any] = {"write": key, "data": wire.builtins(data)}
+    if lease is not None:
+        made["charter"] = lease
+    return made
+
+
+def delete(key: Key) -> dict[str, Any]:
+    return {"delete": key}
--- /dev/null
+++ b/umberward/users.py
@@ -0,0 +1,201 @@
+"""What users ask of any controller: submit, poll, cancel. State is always read through."""
+
+from __future__ import annotations
+
+import logging
+import time
+from collections import OrderedDict
+
+import msgspec
+
+from umberward import state, wire
+from umberward.http import Response
+from umberward.quota import Quota
+from umberward.scheduler import LIVE, PAST
+from umberward.settings import Settings
+from umberward.state import Got, State
+from umberward.types import Amount, JobId, Key, Stamp, TeamName, TypeName, parse_job_id
+from umberward.wire import CANCELLED, FinalRecord, JobRecord, Sku, Spec
+
+log = logging.getLogger(__name__)
+
+PATIENCE_S = 0.4  # how long a submission may wait for its turn under the limits
+RETRY_S = 1.0
+OUTAGE_RETRY_S = 2.0
+
+
+class Refused(Exception):
+    """The job can never run."""
+
+
+class Users:
+    def __init__(self, settings: Settings, store: State, skus: dict[TypeName, Sku]) -> None:
+        self.store = store
+        self.skus = skus
+        cluster = settings.platform.cluster
+        self.quota = Quota(cluster.teams)
+        self.value_limit = int(cluster.state.value_kb * 1024)
+        self.finals: OrderedDict[JobId, FinalRecord] = OrderedDict()
+        self.most_finals = settings.operator.poll_cache
+
+    # ---- requests ----------------------------------------------------------------------
+
+    async def submit(self, body: bytes) -> Response:
+        try:
+            return await self._submit(body)
+        except state.OverBudget as error:
+            return Response(429, retry_after=max(RETRY_S, error.wait))
+        except (state.Unavailable, state.Unknown) as error:
+            log.info("submission not taken: %s", error)
+            return Response(503, retry_after=OUTAGE_RETRY_S)
+
+    async def _submit(self, body: bytes) -> Response:
+        try:
+            spec = wire.decode_spec(body)
+            id = parse_job_id(spec.uid)
+            if id is None:
+                raise wire.Malformed("uid: not a job id")
+            record = JobRecord(spec, round(time.time(), 3))
+            if wire.json_size(record) > self.value_limit // 2:
+                raise wire.Malformed("the description is too long")
+        except wire.Malformed as error:
+            # The repeat of an accepted job gets its state, whatever its body says.
+            return await self._known(_any_id(body)) or _problem(400, str(error))
+        if id in self.finals:
+            return _state(id, self.finals[id].phase, self.finals[id].done)
+        if not self.skus:
+            return Response(503, retry_after=RETRY_S)
+        try:
+            self.check(spec)
+        except Refused as error:
+            return await self._known(id) or _problem(422, str(error))
+        conditions = [(Key(LIVE + id), Stamp(0)), (Key(PAST + id), Stamp(0))]
+        for last in (False, True):
+            try:
+                await self.store.commit(
+                    conditions, [state.put(Key(LIVE + id), record)], patience=PATIENCE_S
+                )
+                log.debug("%s accepted", id)
+                return _state(id, wire.PENDING, 0, status=201)
+            except (state.Conflict, state.Unknown):
+                # Known already, or the outcome is unknown: what can be read decides.
+                known = await self._known(id)
+                if known is not None:
+                    return known
+            except state.OverBudget:
+                raise
+            except state.Unavailable:
+                if last:
+                    raise
+        return Response(503, retry_after=RETRY_S)
+
+    async def poll(self, id: JobId) -> Response:
+        try:
+            return await self._known(id) or Response(404)
+        except (state.Unavailable, state.Unknown) as error:
+            log.debug("poll of %s: %s", id, error)
+            return Response(503, retry_after=RETRY_S)
+
+    async def cancel(self, id: JobId) -> Response:
+        try:
+            for _ in range(4):
+                response = await self._cancel(id)
+                if response is not None:
+                    return response
+        except state.OverBudget as error:
+            return Response(429, retry_after=max(RETRY_S, error.wait))
+        except (state.Unavailable, state.Unknown) as error:
+            log.info("cancellation of %s not taken: %s", id, error)
+        return Response(503, retry_after=RETRY_S)
+
+    async def _cancel(self, id: JobId) -> Response | None:
+        found = await self._read(id)
+        if found is None:
+            return Response(404)
+        live, final = found
+        if final is not None:
+            return _state(id, final.phase, final.done)
+        assert live is not None
+        record = wire.converted(live.data, JobRecord)
+        past = FinalRecord(CANCELLED, record.base + int(record.done, 16).bit_count())
+        writes = [state.put(Key(PAST + id), past), state.delete(Key(LIVE + id))]
+        try:
+            await self.store.commit([(Key(LIVE + id), live.stamp)], writes, priority=state.URGENT)
+        except (state.Conflict, state.Unknown):
+            return None  # read again what became of it
+        log.info("%s cancelled by its user", id)
+        self._keep(id, past)
+        return _state(id, CANCELLED, past.done)
+
+    # ---- parts -------------------------------------------------------------------------
+
+    async def _read(self, id: JobId) -> tuple[Got | None, FinalRecord | None] | None:
+        """The live record, or the final one. A job moves from live to past at once."""
+        final = self.finals.get(id)
+        if final is not None:
+            return None, final
+        live = await self.store.get(Key(LIVE + id))
+        if live is not None:
+            return live, None
+        past = await self.store.get(Key(PAST + id))
+        if past is None:
+            return None
+        final = wire.converted(past.data, FinalRecord)
+        self._keep(id, final)
+        return None, final
+
+    async def _known(self, id: JobId | None) -> Response | None:
+        if id is None:
+            return None
+        found = await self._read(id)
+        if found is None:
+            return None
+        live, final = found
+        if final is not None:
+            return _state(id, final.phase, final.done)
+        assert live is not None
+        record = wire.converted(live.data, JobRecord)
+        done = record.base + int(record.done, 16).bit_count()
+        if record.marked == 0:
+            return _state(id, wire.PENDING, done)
+        return _state(id, wire.RUNNING, done, running=max(0, record.marked - done))
+
+    def _keep(self, id: JobId, final: FinalRecord) -> None:
+        self.finals[id] = final
+        while len(self.finals) > self.most_finals:
+            self.finals.popitem(last=False)
+
+    def check(self, spec: Spec) -> None:
+        """Raises Refused for a job that can never run."""
+        team = TeamName(spec.owner)
+        if team not in self.quota.teams:
+            raise Refused(f"owner: no team {spec.owner}")
+        need = Amount(spec.cores, spec.accelerators, spec.mem_gb)
+        for name, sku in self.skus.items():
+            if spec.flavors is not None and name not in spec.flavors:
+                continue
+            if spec.yard is not None and spec.yard not in sku.yards:
+                continue
+            if need.fits(Amount(sku.cores, sku.accelerators, sku.mem_gb)):
+                break
+        else:
+            raise Refused("a task fits no allowed machine type")
+        if self.quota.exceeds(team, need, 1 if spec.shape == wire.ARRAY else spec.shards):
+            raise Refused("the job needs more than the team's maximum")
+
+
+def _any_id(body: bytes) -> JobId | None:
+    try:
+        data = msgspec.msgpack.decode(body)
+    except (msgspec.DecodeError, RecursionError, ValueError):
+        return None
+    return parse_job_id(data.get("uid")) if isinstance(data, dict) else None
+
+
+def _state(id: JobId, phase: str, done: int, running: int = 0, status: int = 200) -> Response:
+    body = {"uid": id, "phase": phase, "done": done, "running": running}
+    return Response(status, wire.encode(body))
+
+
+def _problem(status: int, text: str) -> Response:
+    return Response(status, wire.encode({"error": text}))
