--- /dev/null
+++ b/tests/guards.py
@@ -0,0 +1,133 @@
+"""Each guard of the rules, and how it is taken out: the scenario that names it must fail then."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from umberward import placement, scheduler
+from umberward.jobs import Job
+from umberward.quota import Quota
+from umberward.scheduler import Scheduler
+
+Patch = Callable[[pytest.MonkeyPatch], None]
+
+
+def lease_wait(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(scheduler, "MARGIN_S", -8.0)
+
+
+def settle_first(patch: pytest.MonkeyPatch) -> None:
+    whole = Scheduler.load_done
+
+    def load_done(self: Scheduler) -> None:
+        whole(self)
+        self.all_settled = True
+        for job in self.jobs.values():
+            job.settle()
+
+    patch.setattr(Scheduler, "load_done", load_done)
+
+
+def token_first(patch: pytest.MonkeyPatch) -> None:
+    whole = Scheduler.__init__
+
+    def init(self: Scheduler, *args: Any) -> None:
+        whole(self, *args)
+        self.term = 0  # type: ignore[assignment]
+
+    patch.setattr(Scheduler, "__init__", init)
+
+
+def forget_after_commit(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(Job, "is_saved", lambda self, index: True)
+
+
+def unanswered_start(patch: pytest.MonkeyPatch) -> None:
+    whole = Scheduler.commanded
+
+    def commanded(self: Scheduler, command: Any, report: Any, unknown: bool, now: Any) -> None:
+        whole(self, command, report, False, now)
+
+    patch.setattr(Scheduler, "commanded", commanded)
+
+
+def quota_room(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(Quota, "room", lambda *_: 1000)
+
+
+def quota_unsure(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(Scheduler, "_unsure_usage", lambda _: {})
+
+
+def allowed(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(Scheduler, "allowed", lambda *_: True)
+
+
+def apart(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(
+        scheduler,
+        "best_fit",
+        lambda need, count, rooms, distinct, left=None: placement.best_fit(
+            need, count, rooms, distinct
+        ),
+    )
+
+
+def same_place(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(
+        Scheduler,
+        "_choose_zone",
+        lambda self, job, count, rooms, taken: placement.best_fit(job.need, count, rooms, 1),
+    )
+
+
+def kill_cancelled(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(Scheduler, "job_gone", lambda *_: None)
+
+
+def complete_first(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(Job, "complete", property(lambda self: self.done >= self.size - 1))
+
+
+def mark_first(patch: pytest.MonkeyPatch) -> None:
+    def job_marked(self: Scheduler, batch: Any, *_: Any) -> None:
+        # The start goes out, but its mark never reaches the state service.
+        for job, marked, _, final in batch.jobs:
+            if not final:
+                job.marked = marked
+                self._marked(job)
+        for number, hosts in batch.blocks:
+            self._block_stored(number, set(hosts))  # type: ignore[arg-type]
+
+    patch.setattr(Scheduler, "committed", job_marked)
+
+    from world import FakeState
+
+    async def commit(self: FakeState, conditions: Any, writes: Any, **_: Any) -> Any:
+        kept = [w for w in writes if not str(w.get("write", "")).startswith("jobs/live")]
+        if "0" not in [str(stamp) for _, stamp in conditions]:
+            writes = kept
+        self.apply([], writes)
+        return self.revision
+
+    patch.setattr(FakeState, "commit", commit)
+
+
+GUARDS: dict[str, Patch] = {
+    "lease-wait": lease_wait,
+    "settle-first": settle_first,
+    "token-first": token_first,
+    "forget-after-commit": forget_after_commit,
+    "unanswered-start": unanswered_start,
+    "quota-room": quota_room,
+    "quota-unsure": quota_unsure,
+    "allowed": allowed,
+    "apart": apart,
+    "same-place": same_place,
+    "kill-cancelled": kill_cancelled,
+    "complete-first": complete_first,
+    "mark-first": mark_first,
+}
--- /dev/null
+++ b/tests/test_scenarios.py
@@ -0,0 +1,196 @@
+"""The one runner: plays each text file of tests/scenarios.
+
+A line is a verb with its words; '#' starts a comment. A file that begins with `guard NAME` is
+played a second time with that guard taken out of the code, and must fail then.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+from guards import GUARDS
+from world import Worker, World
+
+FILES = sorted((Path(__file__).parent / "scenarios").glob("*.txt"))
+
+
+class Failed(Exception):
+    pass
+
+
+def _value(text: str) -> Any:
+    if text in ("true", "false"):
+        return text == "true"
+    if text == "null":
+        return None
+    try:
+        number = float(text)
+    except ValueError:
+        return text.split(",") if "," in text else text
+    return int(text) if text.lstrip("-").isdecimal() else number
+
+
+def _pairs(words: list[str]) -> dict[str, Any]:
+    return {name: _value(value) for name, _, value in (word.partition("=") for word in words)}
+
+
+class Play:
+    def __init__(self) -> None:
+        self.world = World()
+        self.last: Any = None
+        self.defaults: dict[str, Any] = {}
+
+    def line(self, text: str) -> None:
+        verb, *words = text.split()
+        method: Callable[..., None] = getattr(self, f"do_{verb}")
+        method(*words)
+
+    # ---- the world ---------------------------------------------------------------------
+
+    def do_guard(self, _: str) -> None:
+        pass
+
+    def do_team(self, *words: str) -> None:
+        self.world = World(**{k: float(v) for k, v in _pairs(list(words)).items()})
+
+    def do_machine(self, name: str, flavor: str, zone: str, *kind: str) -> None:
+        now = self.world.now
+        self.world.workers[name] = Worker(name, flavor, zone, "spot" in kind, now, now)
+
+    def do_lead(self) -> None:
+        self.world.takeover()
+
+    def do_crash(self) -> None:
+        self.world.crash()
+
+    def do_run(self, seconds: str) -> None:
+        self.world.run(float(seconds))
+
+    def do_set(self, name: str, flag: str) -> None:
+        worker = self.world.workers[name]
+        clear = flag.startswith("not-")
+        flag = flag.removeprefix("not-")
+        if flag not in ("sick", "dead", "cut", "holding", "deaf"):
+            raise ValueError(flag)
+        if flag == "dead":
+            worker.tasks.clear()
+        setattr(worker, flag, not clear)
+
+    def do_notice(self, name: str, seconds: str) -> None:
+        self.world.workers[name].notice = self.world.now + float(seconds)
+
+    def do_release(self, name: str) -> None:
+        self.world.release(name)
+
+    def do_state(self, mode: str) -> None:
+        self.world.store.mode = mode
+
+    def do_late(self) -> None:
+        self.world.store.deliver_late()
+
+    def do_cloud(self, mode: str) -> None:
+        self.world.cloud_up = mode == "up"
+
+    # ---- users -------------------------------------------------------------------------
+
+    def _spec(self, id: str, words: tuple[str, ...]) -> dict[str, Any]:
+        spec: dict[str, Any] = {
+            "uid": id, "jobclass": "x", "owner": "red", "shape": "batch", "rank": "normal",
+            "shards": 1, "cores": 2.0, "accelerators": 0.0, "mem_gb": 1.0, "bundle": "img",
+            "pull_gb": 1.0, "flavors": None, "yard": None, "same_place": False, "apart": False,
+            "reclaimable": False, "expect_s": 10.0, "snapshot_every_s": 0.0,
+            "snapshot_cost_s": 0.0, "due_s": None, "_runs": 10.0,
+        }  # fmt: skip
+        given = _pairs(list(words))
+        spec.update({k.replace("runs", "_runs").replace("mistaken", "_mistaken"): v
+                     for k, v in given.items()})  # fmt: skip
+        if spec["shape"] == "service":
+            spec["_runs"] = 1e9
+        if isinstance(spec["flavors"], str) and spec["flavors"] != "-":
+            spec["flavors"] = [spec["flavors"]]
+        for name in [name for name, value in spec.items() if value == "-"]:
+            del spec[name]
+        return spec
+
+    def do_submit(self, id: str, *words: str) -> None:
+        self.last = self.world.submit(self._spec(id, words))
+
+    def do_raw(self, text: str) -> None:
+        self.last = self.world.submit(bytes.fromhex(text))
+
+    def do_poll(self, id: str) -> None:
+        self.last = self.world.poll(id)
+
+    def do_cancel(self, id: str) -> None:
+        self.last = self.world.cancel(id)
+
+    # ---- expectations ------------------------------------------------------------------
+
+    def do_expect(self, what: str, *words: str) -> None:
+        found = getattr(self, f"see_{what.replace('-', '_')}")(*words[:-1])
+        if str(found) != words[-1]:
+            raise Failed(f"expect {what} {' '.join(words)}: found {found}")
+
+    def see_status(self) -> int:
+        return self.last.status
+
+    def see_phase(self) -> str:
+        return str(msgspec.msgpack.decode(self.last.body)["phase"])
+
+    def see_retry_after(self) -> bool:
+        return self.last.retry_after is not None
+
+    def see_running(self, id: str) -> int:
+        return len(self.world.running(id))
+
+    def see_where(self, id: str) -> str:
+        return ",".join(sorted(host for _, host in self.world.running(id)))
+
+    def see_starts(self, task: str) -> int:
+        return self.world.starts.get(task, 0)
+
+    def see_machines(self) -> int:
+        return len(self.world.workers)
+
+    def see_sick(self, name: str) -> bool:
+        assert self.world.scheduler is not None
+        return self.world.scheduler.machines[name].sick  # type: ignore[index]
+
+
+def play(path: Path) -> None:
+    game = Play()
+    for number, line in enumerate(path.read_text().splitlines(), 1):
+        text = line.partition("#")[0].strip()
+        if not text:
+            continue
+        try:
+            game.line(text)
+        except Failed as error:
+            raise Failed(f"{path.name}:{number}: {error}") from None
+    if game.world.broken:
+        raise Failed(f"{path.name}: {game.world.broken[0]}")
+
+
+def _guard(path: Path) -> str | None:
+    for line in path.read_text().splitlines():
+        if line.startswith("guard "):
+            return line.split()[1]
+    return None
+
+
+@pytest.mark.parametrize("path", FILES, ids=lambda path: path.stem)
+def test_scenario(path: Path) -> None:
+    play(path)
+
+
+@pytest.mark.parametrize("path", [p for p in FILES if _guard(p)], ids=lambda path: path.stem)
+def test_fails_without_its_guard(path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    name = _guard(path)
+    assert name is not None
+    GUARDS[name](monkeypatch)
+    with pytest.raises(Failed):
+        play(path)
