--- a/tests/guards.py
+++ b/tests/guards.py
@@ -92,6 +92,10 @@
     patch.setattr(Job, "complete", property(lambda self: self.done >= self.size - 1))
 
 
+def standing(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(Quota, "fits_guarantee", lambda *_: False)
+
+
 def mark_first(patch: pytest.MonkeyPatch) -> None:
     def job_marked(self: Scheduler, batch: Any, *_: Any) -> None:
         # The start goes out, but its mark never reaches the state service.
@@ -130,4 +134,5 @@
     "kill-cancelled": kill_cancelled,
     "complete-first": complete_first,
     "mark-first": mark_first,
+    "standing": standing,
 }
--- a/umberward/holder.py
+++ b/umberward/holder.py
@@ -163,6 +163,11 @@
             self._load_jobs(message)
         elif isinstance(message, Tick):
             scheduler.tick(now)
+            if scheduler.cut_off(now) and self.membership.leading():
+                # The state service answers and the workers do not: another node may reach them.
+                await curio.spawn(
+                    self.membership.step_down, "hardly any worker is heard", daemon=True
+                )
             if scheduler.want_epoch and self.membership.leading():
                 scheduler.want_epoch = False
                 await curio.spawn(self._raise_epoch, daemon=True)
--- a/umberward/jobs.py
+++ b/umberward/jobs.py
@@ -28,7 +28,8 @@
 
     __slots__ = (
         "task", "attempt", "machine", "zone", "need", "team", "rank", "at", "sent", "seen",
-        "inflight", "tainted", "hello_serial", "phase", "running_at", "stop", "stop_at", "ready",
+        "inflight", "tainted", "hello_serial", "phase", "running_at", "saves_every", "stop",
+        "stop_at", "ready",
     )  # fmt: skip
 
     def __init__(
@@ -56,6 +57,7 @@
         self.hello_serial = -1  # the report whose response last carried the start
         self.phase = ""
         self.running_at: Instant | None = None
+        self.saves_every = job.spec.snapshot_every_s
         self.stop: float | None = None  # grace with which it is being stopped
         self.stop_at = at
 
@@ -91,6 +93,7 @@
         self.holds = 0
         self.ran_well = False
         self.stopped_at = 0.0
+        self.standing = (1, self.rank)  # the smaller, the earlier it is served
 
     def is_done(self, index: int) -> bool:
         return index < self.base or bool(self.bits >> (index - self.base) & 1)
--- a/umberward/quota.py
+++ b/umberward/quota.py
@@ -39,10 +39,9 @@
             0 < limits.gpus_max < need.accelerators * times - 1e-6
         )
 
-    def within_guarantee(self, team: TeamName, need: Amount) -> bool:
-        """Whether one more task stays within what is guaranteed to the team."""
+    def fits_guarantee(self, team: TeamName, total: Amount) -> bool:
+        """Whether jobs of this size together are within what is guaranteed to the team."""
         limits = self.teams.get(team)
         if limits is None or (limits.cpus <= 0 and limits.gpus <= 0):
             return False
-        used = self.used.get(team, NOTHING).plus(need)
-        return used.cores <= limits.cpus + 1e-6 and used.accelerators <= limits.gpus + 1e-6
+        return total.cores <= limits.cpus + 1e-6 and total.accelerators <= limits.gpus + 1e-6
--- a/umberward/scheduler.py
+++ b/umberward/scheduler.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import logging
+import math
 import random
 from collections.abc import Callable, Iterable
 from typing import Any, NamedTuple
@@ -50,6 +51,9 @@
 DRIFT = 1.001
 MARGIN_S = 0.5
 INTERIM_S = 4.0  # how often the completions of an unfinished job are written
+ACCEL_FADE_S = 120.0  # the peak of accelerated work fades by one task in so long
+PREEMPT_PAUSE_S = 1.5  # a job does not stop others again before the last ones are gone
+CLEARED_S = 12.0  # how long cleared room is kept
 SICK_AFTER = 2  # failed starts in a row that set a machine aside
 MISTAKEN_AFTER = 3  # machines on which a job must fail before the job is blamed
 
@@ -71,6 +75,14 @@
     address: str
 
 
+class Cleared(NamedTuple):
+    """Room on a machine that is being cleared for a job."""
+
+    job: JobId
+    room: Amount
+    until: Instant
+
+
 class Batch(NamedTuple):
     """One transaction, and what to note when it is committed."""
 
@@ -113,9 +125,15 @@
         self.pending_block: dict[MachineId, int] = {}
         # Exited attempts whose start may still be under way, with the token it carries.
         self.tainted_exits: dict[tuple[TaskId, int], int] = {}
+        self.cleared: dict[MachineId, Cleared] = {}
+        self.accel_need = NOTHING  # the largest accelerated task seen
+        self.accel_running = 0
+        self.accel_peak = 0.0
+        self.accel_at = now
         self.touched: set[JobId] = set()  # jobs that may have something to write
         self.attempts = 0
         self.loaded = False
+        self.want_grades = True
         self.all_settled = False
         self.want_pass = True
         self.want_epoch = False
@@ -171,6 +189,7 @@
         job = self.jobs.get(id)
         if job is None:
             self.jobs[id] = Job(record, stamp, self.value_limit)
+            self.want_grades = True
             self.want_pass = True
 
     def job_gone(self, id: JobId) -> None:
@@ -179,6 +198,7 @@
         if job is None:
             return
         job.ended = True
+        self.want_grades = True
         for placement in list(job.placed.values()):
             self._stop(placement, 0.0)
         self.want_pass = True
@@ -542,6 +562,14 @@
                 log.info("all machines settled after %.1f s", now - self.started)
         self._pick_doomed(now)
 
+    def cut_off(self, now: Instant) -> bool:
+        """Whether the workers seem to be out of our reach, all but a few."""
+        met = [m for m in self.machines.values() if m.met]
+        if len(met) < 4 or now - self.started < 2 * self._silence():
+            return False
+        heard = sum(1 for m in met if not m.silent and now - m.heard < self._silence() + 1.0)
+        return heard < 0.25 * len(met)
+
     def _expire(self, machine: Machine) -> None:
         self._lose_tasks(machine, "lease over")
         machine.min_tenure = Tenure(machine.tenure + 1)
@@ -615,13 +643,31 @@
         ]
         ready.sort(
             key=lambda job: (
-                job.rank,
-                not self.quota.within_guarantee(job.team, job.need),
+                job.standing,
                 self.deadline(job),
             )
         )
         return ready
 
+    def _grade(self) -> None:
+        """Each job's standing: who is served first and who may be stopped for whom.
+
+        A job is guaranteed if it fits its team's guarantee together with the team's earlier
+        unfinished jobs. That only ever changes from no to yes, and only work of a strictly lower
+        standing is stopped: so two jobs never take turns in stopping each other.
+        """
+        self.want_grades = False
+        totals: dict[TeamName, Amount] = {}
+        for job in sorted(self.jobs.values(), key=lambda job: (job.at, job.id)):
+            total = totals.get(job.team, NOTHING).plus(job.need, job.size)
+            totals[job.team] = total
+            if job.rank == 0:
+                job.standing = (0, 0)
+            elif self.quota.fits_guarantee(job.team, total):
+                job.standing = (0, job.rank)
+            else:
+                job.standing = (1, job.rank)
+
     def allowed(self, job: Job, type_: TypeName, zone: ZoneName, spot: bool) -> bool:
         spec = job.spec
         return (
@@ -638,7 +684,17 @@
         usable = [m for m in self.machines.values() if m.usable and m.type in self.skus]
         free = {m.id: m.free(self.skus[m.type]) for m in usable}
         unsure = self._unsure_usage()
-        for job in self.waiting(now):
+        if self.want_grades:
+            self._grade()
+        waiting = self.waiting(now)
+        self._note_accelerated(waiting, now)
+        # Room that is being cleared for a job is kept for it: its victims would come back first.
+        for id, cleared in list(self.cleared.items()):
+            if cleared.until < now or cleared.job not in self.jobs:
+                del self.cleared[id]
+            elif id in free:
+                free[id] = free[id].minus(cleared.room)
+        for job in waiting:
             need = job.need
             count = min(
                 job.startable(),
@@ -646,28 +702,81 @@
             )
             if count <= 0 or (job.gang and (count < job.size or job.placed or job.unsure)):
                 continue
+            for id, cleared in self.cleared.items():
+                if cleared.job == job.id and id in free:
+                    free[id] = free[id].plus(cleared.room)
             chosen = self._choose(job, count, usable, free)
-            if len(chosen) < count and job.rank < 2:
+            if job.gang and len(chosen) < job.size:
+                chosen = []
+            for id in [id for id, c in self.cleared.items() if c.job == job.id]:
+                if id in chosen or len(chosen) == count:
+                    del self.cleared[id]
+                elif id in free:
+                    free[id] = free[id].minus(self.cleared[id].room)
+            if len(chosen) < count:
                 self._preempt(job, count - len(chosen), usable, free, now)
-            if not chosen or (job.gang and len(chosen) < job.size):
+            self._start(job, chosen, free, now)
+
+    def _start(
+        self, job: Job, chosen: list[MachineId], free: dict[MachineId, Amount], now: Instant
+    ) -> None:
+        if not chosen:
+            return
+        self.attempts += 1
+        attempt = Attempt((self.term << 20) + self.attempts)
+        for id in chosen:
+            index = job.take()
+            machine = self.machines[id]
+            task = TaskId(job.id, index)
+            if task in machine.held or task in machine.lingering:
+                job.put_back(index)
                 continue
-            self.attempts += 1
-            attempt = Attempt((self.term << 20) + self.attempts)
-            for id in chosen:
-                index = job.take()
-                machine = self.machines[id]
-                task = TaskId(job.id, index)
-                if task in machine.held or task in machine.lingering:
-                    job.put_back(index)
-                    continue
-                placement = Placement(task, attempt, id, machine.zone, job, now)
-                placement.ready = index < job.marked
-                self._hold(machine, job, placement)
-                free[id] = free[id].minus(need)
-                if placement.ready:
-                    self._send(placement)
-                else:
-                    self.touched.add(job.id)
+            placement = Placement(task, attempt, id, machine.zone, job, now)
+            placement.ready = index < job.marked
+            self._hold(machine, job, placement)
+            free[id] = free[id].minus(job.need)
+            if placement.ready:
+                self._send(placement)
+            else:
+                self.touched.add(job.id)
+
+    # ---- accelerators ------------------------------------------------------------------
+
+    def _note_accelerated(self, waiting: list[Job], now: Instant) -> None:
+        """How much accelerated work there is at once; a peak is forgotten in some minutes."""
+        tasks = 0
+        largest = self.accel_need
+        for machine in self.machines.values():
+            for placement in machine.held.values():
+                if placement.need.accelerators > 0:
+                    tasks += 1
+                    if placement.need.accelerators >= largest.accelerators:
+                        largest = placement.need
+        self.accel_running = tasks
+        for job in waiting:
+            if job.need.accelerators > 0:
+                tasks += job.startable()
+                if job.need.accelerators >= largest.accelerators:
+                    largest = job.need
+        self.accel_need = largest
+        faded = self.accel_peak - (now - self.accel_at) / ACCEL_FADE_S
+        self.accel_at = now
+        self.accel_peak = max(faded, float(tasks), 0.0)
+
+    def accel_reserve(self) -> int:
+        """How many machines to keep open for accelerated work that is likely to come."""
+        if self.accel_need.accelerators <= 0:
+            return 0
+        return max(1, math.ceil(self.accel_peak) - self.accel_running)
+
+    def _spare(self, usable: list[Machine], free: dict[MachineId, Amount]) -> set[MachineId]:
+        """Machines whose room for accelerated work must stay open."""
+        need = self.accel_need
+        if need.accelerators <= 0:
+            return set()
+        opened = [m for m in usable if need.fits(free[m.id])]
+        opened.sort(key=lambda m: (m.booked.cores, m.id))
+        return {m.id for m in opened[: self.accel_reserve()]}
 
     def _choose(
         self, job: Job, count: int, usable: list[Machine], free: dict[MachineId, Amount]
@@ -680,6 +789,14 @@
             zones[placement.zone] = zones.get(placement.zone, 0) + 1
         if job.unsure and (spec.same_place or spec.apart):
             return []  # a task of the job may be in a zone that we cannot name
+        if need.accelerators <= 0:
+            # Ordinary work leaves the accelerated machines usable for what needs them.
+            kept = self._spare(usable, free)
+            if kept:
+                free = {
+                    id: room.minus(self.accel_need) if id in kept else room
+                    for id, room in free.items()
+                }
         rooms = [
             Room(
                 m.id,
@@ -741,28 +858,46 @@
         free: dict[MachineId, Amount],
         now: Instant,
     ) -> None:
-        """Make room for work of a higher rank; the room is used once it is free."""
-        if job.gang and count < job.size or now - job.stopped_at < 1.5:
+        """Make room for work of a higher rank, or for what is guaranteed to a team."""
+        if now - job.stopped_at < PREEMPT_PAUSE_S:
             return
-        victims: list[Placement] = []
-        for _ in range(count):
-            options = [
-                (m.id, free[m.id], list(m.held.values()))
-                for m in usable
-                if self.allowed(job, m.type, m.zone, m.spot)
-            ]
-            found = preemption.choose(job.need, job.rank, options, now, set(map(id, victims)))
-            if not found:
-                break
-            victims += found
-        for victim in victims:
+        if job.gang and job.size > 1:
+            return  # clearing several machines at once for a gang is not worth what it stops
+
+        def may_stop(victim: Placement) -> bool:
             owner = self.jobs.get(victim.task.job)
-            grace = owner.spec.snapshot_cost_s if owner is not None else 0.0
-            log.info("%s stopped on %s for %s", victim.task, victim.machine, job.id)
-            told = owner.placed.values() if owner is not None and owner.gang else [victim]
-            for placement in list(told):  # a gang saves only if all of it is told in time
-                self._stop(placement, grace)
+            return owner is not None and owner.standing > job.standing
+
+        image = ImageName(job.spec.bundle)
+        zones = [placement.zone for placement in job.placed.values()]
+        taken: set[int] = set()
+        options = [
+            preemption.Option(m.id, free[m.id], list(m.held.values()), image in m.images)
+            for m in usable
+            if m.id not in self.cleared
+            and self.allowed(job, m.type, m.zone, m.spot)
+            and (not job.spec.apart or zones.count(m.zone) < (job.size + 1) // 2)
+            and (not job.spec.same_place or all(zone == m.zone for zone in zones))
+        ]
+        for _ in range(min(count, 8)):
+            found = preemption.choose(job.need, may_stop, options, now, taken)
+            if found is None:
+                return
+            machine, victims = found
+            options = [option for option in options if option.machine != machine]
+            self.cleared[machine] = Cleared(job.id, job.need, Instant(now + CLEARED_S))
             job.stopped_at = now
+            for victim in victims:
+                owner = self.jobs.get(victim.task.job)
+                grace = 0.0
+                if owner is not None and not job.service:
+                    grace = owner.spec.snapshot_cost_s
+                log.debug("%s stopped on %s for %s", victim.task, machine, job.id)
+                told = owner.placed.values() if owner is not None and owner.gang else [victim]
+                for placement in list(told):  # a gang saves only if all of it is told in time
+                    self._stop(placement, grace)
+                    taken.add(id(placement))
+            log.info("%d tasks stopped on %s for %s", len(victims), machine, job.id)
 
     # ---- blocks ------------------------------------------------------------------------
 
