--- a/umberward/provision.py
+++ b/umberward/provision.py
@@ -21,6 +21,8 @@
 
 log = logging.getLogger(__name__)
 
+FAIR_PRICE = 3.0  # up to so many times the lowest price, machines are rented at once
+PATIENT_PART = 0.3  # ... and dearer ones when so much of the time to the start is over
 REFUSED_S = 15.0  # how long a refused type, zone and kind is left alone at first
 LATE_BOOT = 2.5  # a machine booting for so many times boot_s is no longer counted on
 DEAD_BOOT = 5.0  # ... and is returned after so many
@@ -156,6 +158,7 @@
                 continue
             virtual.append((expected.offer, [Amount(sku.cores, sku.accelerators, sku.mem_gb)]))
         wanted: dict[Offer, int] = {}
+        self._reserve(virtual, wanted, now)
         for job, count in scheduler.lacking(now):
             need = job.need
             left = count
@@ -195,6 +198,9 @@
         """The offer with the lowest price per task, and how many tasks one machine takes."""
         scheduler = self.scheduler
         best: tuple[float, Offer, int] | None = None
+        waited = scheduler.wall() - job.at
+        patience = PATIENT_PART * (scheduler.deadline(job) - job.at)
+        fair = math.inf if waited > patience else FAIR_PRICE * self._fair(job)
         for sku in scheduler.skus.values():
             whole = Amount(sku.cores, sku.accelerators, sku.mem_gb)
             each = job.need.times_into(whole)
@@ -209,11 +215,53 @@
                     until = self.refused.get(offer, (Instant(0.0), 0.0))[0]
                     if price is None or until > now or wanted.get(offer, 0) >= RENT_LIMIT:
                         continue
+                    if price / each > fair:
+                        continue  # dear: the job waits for cheap room while it has time
                     cost = price * math.ceil(left / each) / left
                     if best is None or cost < best[0]:
                         best = (cost, offer, each)
         return None if best is None else (best[1], best[2])
 
+    def _fair(self, job: Job) -> float:
+        """The lowest ordinary price for which a task of the job could run."""
+        fair = math.inf
+        for sku in self.scheduler.skus.values():
+            each = job.need.times_into(Amount(sku.cores, sku.accelerators, sku.mem_gb))
+            names = job.spec.flavors
+            if each > 0 and (names is None or sku.sku in names):
+                fair = min(fair, sku.hourly / each)
+        return fair
+
+    def _reserve(
+        self, virtual: list[tuple[Offer, list[Amount]]], wanted: dict[Offer, int], now: Instant
+    ) -> None:
+        """Rent ahead for accelerated work, if a machine rented on demand would come too late."""
+        scheduler = self.scheduler
+        need, spec = scheduler.accel_need, scheduler.accel_class
+        if spec is None or scheduler.operator.rent_spare <= 0:
+            return
+        wait, _ = scheduler.aims.get(spec.jobclass, (None, None))
+        if wait is None:
+            return
+        lacking = round(scheduler.accel_reserve() * scheduler.operator.rent_spare)
+        lacking -= sum(1 for _, room in virtual if need.fits(room[0]))
+        best: tuple[float, Offer] | None = None
+        for sku in scheduler.skus.values():
+            whole = Amount(sku.cores, sku.accelerators, sku.mem_gb)
+            if not need.fits(whole) or sku.boot_s + spec.pull_gb / sku.fetch_gb_per_s <= wait:
+                continue
+            for zone in sku.yards:
+                offer = Offer(TypeName(sku.sku), ZoneName(zone), False)
+                if self.refused.get(offer, (Instant(0.0), 0.0))[0] > now:
+                    continue
+                if best is None or sku.hourly < best[0]:
+                    best = (sku.hourly, offer)
+        if best is not None and lacking > 0:
+            wanted[best[1]] = lacking
+            sku = scheduler.skus[best[1].type]
+            whole = Amount(sku.cores, sku.accelerators, sku.mem_gb)
+            virtual.extend((best[1], [whole]) for _ in range(lacking))
+
 
 def _price(sku: Sku, spot: bool) -> float | None:
     if spot:
--- a/umberward/scheduler.py
+++ b/umberward/scheduler.py
@@ -51,7 +51,9 @@
 DRIFT = 1.001
 MARGIN_S = 0.5
 INTERIM_S = 4.0  # how often the completions of an unfinished job are written
+DEFAULT_WAIT_S = 120.0  # when a job should start for which nothing is said
 ACCEL_FADE_S = 120.0  # the peak of accelerated work fades by one task in so long
+LASTING = 20.0  # a replica keeps its room so many times longer than a task
 PREEMPT_PAUSE_S = 1.5  # a job does not stop others again before the last ones are gone
 CLEARED_S = 12.0  # how long cleared room is kept
 SICK_AFTER = 2  # failed starts in a row that set a machine aside
@@ -110,6 +112,16 @@
         self.operator = settings.operator
         self.skus = skus
         self.quota = Quota(cluster.teams)
+        # class -> (within how many seconds its tasks should start, its jobs be finished)
+        self.aims: dict[str, tuple[float | None, float | None]] = {}
+        for aim in cluster.objectives:
+            if aim.job_class is not None and aim.within_s:
+                wait, finished = self.aims.get(aim.job_class, (None, None))
+                if aim.kind == "wait":
+                    wait = min(wait or aim.within_s, aim.within_s)
+                elif aim.kind == "finished":
+                    finished = min(finished or aim.within_s, aim.within_s)
+                self.aims[aim.job_class] = (wait, finished)
         self.epoch = epoch
         self.term = epoch
         self.started = now
@@ -127,6 +139,8 @@
         self.tainted_exits: dict[tuple[TaskId, int], int] = {}
         self.cleared: dict[MachineId, Cleared] = {}
         self.accel_need = NOTHING  # the largest accelerated task seen
+        self.accel_class: wire.Spec | None = None  # the latest accelerated job
+        self.accel_rank = 0  # the least rank of accelerated work seen
         self.accel_running = 0
         self.accel_peak = 0.0
         self.accel_at = now
@@ -627,12 +641,21 @@
         return usage
 
     def deadline(self, job: Job) -> float:
-        """The time by which the job must start; the sooner, the earlier it is served."""
+        """The time by which the job should start; the sooner, the earlier it is served.
+
+        It follows from the job's own deadline and from what the operators aim at for its class.
+        """
         spec = job.spec
-        if spec.due_s is None:
-            return job.at + 120.0
-        estimate = spec.expect_s * self.runtime.get(spec.jobclass, 1.0)
-        return job.at + spec.due_s - 1.3 * estimate
+        estimate = 1.3 * spec.expect_s * self.runtime.get(spec.jobclass, 1.0)
+        start_by = job.at + DEFAULT_WAIT_S
+        wait, finished = self.aims.get(spec.jobclass, (None, None))
+        if wait is not None:
+            start_by = job.at + wait
+        if finished is not None:
+            start_by = min(start_by, job.at + finished - estimate)
+        if spec.due_s is not None:
+            start_by = job.at + spec.due_s - estimate
+        return start_by
 
     def waiting(self, now: Instant) -> list[Job]:
         """Jobs with tasks to place, in the order in which they are served."""
@@ -756,6 +779,8 @@
         for job in waiting:
             if job.need.accelerators > 0:
                 tasks += job.startable()
+                self.accel_rank = max(self.accel_rank, job.rank)
+                self.accel_class = job.spec
                 if job.need.accelerators >= largest.accelerators:
                     largest = job.need
         self.accel_need = largest
@@ -770,13 +795,27 @@
         return max(1, math.ceil(self.accel_peak) - self.accel_running)
 
     def _spare(self, usable: list[Machine], free: dict[MachineId, Amount]) -> set[MachineId]:
-        """Machines whose room for accelerated work must stay open."""
+        """Machines whose room for accelerated work must stay open, or is to become so.
+
+        Where none is open, those that will be soonest are left to run empty: else short tasks
+        that come and go would keep accelerated work out for ever.
+        """
         need = self.accel_need
         if need.accelerators <= 0:
             return set()
-        opened = [m for m in usable if need.fits(free[m.id])]
-        opened.sort(key=lambda m: (m.booked.cores, m.id))
-        return {m.id for m in opened[: self.accel_reserve()]}
+        able = []
+        for machine in usable:
+            sku = self.skus[machine.type]
+            whole = Amount(sku.cores, sku.accelerators, sku.mem_gb)
+            if not need.fits(whole) or free[machine.id].accelerators < need.accelerators:
+                continue
+            is_open = need.fits(free[machine.id])
+            weight = sum(
+                p.need.cores * (LASTING if p.rank == 0 else 1.0) for p in machine.held.values()
+            )
+            able.append((not is_open, weight, machine.id))
+        able.sort()
+        return {id for _, _, id in able[: self.accel_reserve()]}
 
     def _choose(
         self, job: Job, count: int, usable: list[Machine], free: dict[MachineId, Amount]
@@ -789,8 +828,10 @@
             zones[placement.zone] = zones.get(placement.zone, 0) + 1
         if job.unsure and (spec.same_place or spec.apart):
             return []  # a task of the job may be in a zone that we cannot name
-        if need.accelerators <= 0:
-            # Ordinary work leaves the accelerated machines usable for what needs them.
+        filler = spec.snapshot_every_s > 0 and job.rank > self.accel_rank
+        if need.accelerators <= 0 and not filler:
+            # Work that keeps its progress may fill them, it is stopped when they are needed. Other
+            # ordinary work leaves the accelerated machines usable for what needs them.
             kept = self._spare(usable, free)
             if kept:
                 free = {
@@ -866,7 +907,14 @@
 
         def may_stop(victim: Placement) -> bool:
             owner = self.jobs.get(victim.task.job)
-            return owner is not None and owner.standing > job.standing
+            if owner is None:
+                return False
+            # Accelerated work is never stopped for ordinary work, whatever their standing: so it
+            # may stop ordinary work of lower rank, and the two cannot take turns.
+            mine, theirs = job.need.accelerators > 0, victim.need.accelerators > 0
+            if mine != theirs:
+                return mine and (victim.rank > job.rank or owner.standing > job.standing)
+            return owner.standing > job.standing
 
         image = ImageName(job.spec.bundle)
         zones = [placement.zone for placement in job.placed.values()]
