--- a/umberward/scheduler.py
+++ b/umberward/scheduler.py
@@ -717,6 +717,7 @@
                 del self.cleared[id]
             elif id in free:
                 free[id] = free[id].minus(cleared.room)
+        kept, able = self._spare(usable, free)
         for job in waiting:
             need = job.need
             count = min(
@@ -728,7 +729,8 @@
             for id, cleared in self.cleared.items():
                 if cleared.job == job.id and id in free:
                     free[id] = free[id].plus(cleared.room)
-            chosen = self._choose(job, count, usable, free)
+            lasting = job.service and need.accelerators <= 0
+            chosen = self._choose(job, count, usable, free, able if lasting else kept)
             if job.gang and len(chosen) < job.size:
                 chosen = []
             for id in [id for id, c in self.cleared.items() if c.job == job.id]:
@@ -736,9 +738,15 @@
                     del self.cleared[id]
                 elif id in free:
                     free[id] = free[id].minus(self.cleared[id].room)
+            coming = 0
             if len(chosen) < count:
-                self._preempt(job, count - len(chosen), usable, free, now)
+                coming = self._preempt(job, count - len(chosen), usable, free, now)
+            if lasting and len(chosen) + coming < count and now - job.stopped_at > PREEMPT_PAUSE_S:
+                # Replicas stay long: they take accelerated machines only if nothing else is left.
+                chosen = self._choose(job, count, usable, free, kept)
             self._start(job, chosen, free, now)
+            if need.accelerators > 0 and chosen:
+                kept, able = self._spare(usable, free)
 
     def _start(
         self, job: Job, chosen: list[MachineId], free: dict[MachineId, Amount], now: Instant
@@ -794,15 +802,18 @@
             return 0
         return max(1, math.ceil(self.accel_peak) - self.accel_running)
 
-    def _spare(self, usable: list[Machine], free: dict[MachineId, Amount]) -> set[MachineId]:
-        """Machines whose room for accelerated work must stay open, or is to become so.
+    def _spare(
+        self, usable: list[Machine], free: dict[MachineId, Amount]
+    ) -> tuple[set[MachineId], set[MachineId]]:
+        """Machines whose room for accelerated work must stay open, or is to become so; and all
+        that could do such work.
 
         Where none is open, those that will be soonest are left to run empty: else short tasks
         that come and go would keep accelerated work out for ever.
         """
         need = self.accel_need
         if need.accelerators <= 0:
-            return set()
+            return set(), set()
         able = []
         for machine in usable:
             sku = self.skus[machine.type]
@@ -815,10 +826,16 @@
             )
             able.append((not is_open, weight, machine.id))
         able.sort()
-        return {id for _, _, id in able[: self.accel_reserve()]}
+        names = [id for _, _, id in able]
+        return set(names[: self.accel_reserve()]), set(names)
 
     def _choose(
-        self, job: Job, count: int, usable: list[Machine], free: dict[MachineId, Amount]
+        self,
+        job: Job,
+        count: int,
+        usable: list[Machine],
+        free: dict[MachineId, Amount],
+        kept: set[MachineId],
     ) -> list[MachineId]:
         spec = job.spec
         need = job.need
@@ -832,12 +849,9 @@
         if need.accelerators <= 0 and not filler:
             # Work that keeps its progress may fill them, it is stopped when they are needed. Other
             # ordinary work leaves the accelerated machines usable for what needs them.
-            kept = self._spare(usable, free)
-            if kept:
-                free = {
-                    id: room.minus(self.accel_need) if id in kept else room
-                    for id, room in free.items()
-                }
+            free = {
+                id: room.minus(self.accel_need) if id in kept else room for id, room in free.items()
+            }
         rooms = [
             Room(
                 m.id,
@@ -898,12 +912,12 @@
         usable: list[Machine],
         free: dict[MachineId, Amount],
         now: Instant,
-    ) -> None:
-        """Make room for work of a higher rank, or for what is guaranteed to a team."""
+    ) -> int:
+        """Make room for work of a higher standing; for how many tasks room is on its way."""
         if now - job.stopped_at < PREEMPT_PAUSE_S:
-            return
+            return sum(1 for cleared in self.cleared.values() if cleared.job == job.id)
         if job.gang and job.size > 1:
-            return  # clearing several machines at once for a gang is not worth what it stops
+            return 0  # clearing several machines at once for a gang is not worth what it stops
 
         def may_stop(victim: Placement) -> bool:
             owner = self.jobs.get(victim.task.job)
@@ -927,11 +941,13 @@
             and (not job.spec.apart or zones.count(m.zone) < (job.size + 1) // 2)
             and (not job.spec.same_place or all(zone == m.zone for zone in zones))
         ]
-        for _ in range(min(count, 8)):
+        made = 0
+        while made < min(count, 8):
             found = preemption.choose(job.need, may_stop, options, now, taken)
             if found is None:
-                return
+                break
             machine, victims = found
+            made += 1
             options = [option for option in options if option.machine != machine]
             self.cleared[machine] = Cleared(job.id, job.need, Instant(now + CLEARED_S))
             job.stopped_at = now
@@ -946,6 +962,7 @@
                     self._stop(placement, grace)
                     taken.add(id(placement))
             log.info("%d tasks stopped on %s for %s", len(victims), machine, job.id)
+        return made
 
     # ---- blocks ------------------------------------------------------------------------
 
