--- a/tests/world.py
+++ b/tests/world.py
@@ -166,7 +166,7 @@
         self.placing = True
         self.watching = True
         self.cloud_up = True
-        self.users = Users(self.settings, self.store, SKUS)  # type: ignore[arg-type]
+        self.users = Users(self.settings, self.store, SKUS, lambda: WallTime(self.now))  # type: ignore
         self.rng = random.Random(7)
         self.former: list[Scheduler] = []
 
--- a/umberward/node.py
+++ b/umberward/node.py
@@ -17,7 +17,7 @@
 from umberward.membership import Membership
 from umberward.settings import Settings
 from umberward.state import State
-from umberward.types import Epoch, Key, TypeName, parse_job_id
+from umberward.types import Epoch, Key, TypeName, WallTime, parse_job_id
 from umberward.users import Users
 from umberward.wire import Flavors, Sku
 
@@ -40,7 +40,7 @@
         self.store = State(settings.state, cluster.state, self.client)
         self.cloud = Cloud(settings.cloud, cluster.cloud.rps, self.client)
         self.skus: dict[TypeName, Sku] = {}
-        self.users = Users(settings, self.store, self.skus)
+        self.users = Users(settings, self.store, self.skus, _wall)
         self.membership = Membership(settings, self.store, self.rng, self._elected, self._lost)
         self.holder: Holder | None = None
         self.holder_task: Any = None
@@ -185,6 +185,10 @@
                     continue
 
 
+def _wall() -> WallTime:
+    return WallTime(time.time())
+
+
 async def _forever(part: Any) -> None:
     while True:
         try:
--- a/umberward/scheduler.py
+++ b/umberward/scheduler.py
@@ -114,7 +114,10 @@
         self.quota = Quota(cluster.teams)
         # class -> (within how many seconds its tasks should start, its jobs be finished)
         self.aims: dict[str, tuple[float | None, float | None]] = {}
+        self.guarantee_s: float | None = None  # how soon guaranteed work should start
         for aim in cluster.objectives:
+            if aim.kind == "guarantee" and aim.within_s:
+                self.guarantee_s = aim.within_s
             if aim.job_class is not None and aim.within_s:
                 wait, finished = self.aims.get(aim.job_class, (None, None))
                 if aim.kind == "wait":
@@ -657,6 +660,12 @@
             start_by = job.at + spec.due_s - estimate
         return start_by
 
+    def _patience(self, job: Job) -> float:
+        """How long an array waits for room before others are stopped for it."""
+        if self.guarantee_s is not None:
+            return 0.5 * self.guarantee_s
+        return 0.3 * (self.deadline(job) - job.at)
+
     def waiting(self, now: Instant) -> list[Job]:
         """Jobs with tasks to place, in the order in which they are served."""
         ready = [
@@ -916,6 +925,8 @@
         """Make room for work of a higher standing; for how many tasks room is on its way."""
         if now - job.stopped_at < PREEMPT_PAUSE_S:
             return sum(1 for cleared in self.cleared.values() if cleared.job == job.id)
+        if not (job.service or job.gang) and self.wall() - job.at < self._patience(job):
+            return 0  # tasks end all the time: the next free room is this job's anyway
         if job.gang and job.size > 1:
             return 0  # clearing several machines at once for a gang is not worth what it stops
 
--- a/umberward/users.py
+++ b/umberward/users.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import logging
-import time
 from collections import OrderedDict
+from collections.abc import Callable
 
 import msgspec
 
@@ -14,7 +14,7 @@
 from umberward.scheduler import LIVE, PAST
 from umberward.settings import Settings
 from umberward.state import Got, State
-from umberward.types import Amount, JobId, Key, Stamp, TeamName, TypeName, parse_job_id
+from umberward.types import Amount, JobId, Key, Stamp, TeamName, TypeName, WallTime, parse_job_id
 from umberward.wire import CANCELLED, FinalRecord, JobRecord, Sku, Spec
 
 log = logging.getLogger(__name__)
@@ -29,9 +29,16 @@
 
 
 class Users:
-    def __init__(self, settings: Settings, store: State, skus: dict[TypeName, Sku]) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        store: State,
+        skus: dict[TypeName, Sku],
+        wall: Callable[[], WallTime],
+    ) -> None:
         self.store = store
         self.skus = skus
+        self.wall = wall
         cluster = settings.platform.cluster
         self.quota = Quota(cluster.teams)
         self.value_limit = int(cluster.state.value_kb * 1024)
@@ -55,7 +62,7 @@
             id = parse_job_id(spec.uid)
             if id is None:
                 raise wire.Malformed("uid: not a job id")
-            record = JobRecord(spec, round(time.time(), 3))
+            record = JobRecord(spec, round(self.wall(), 3))
             if wire.json_size(record) > self.value_limit // 2:
                 raise wire.Malformed("the description is too long")
         except wire.Malformed as error:
