Cleared room is its job's own everywhere; replicas apart get room in both zones

Room was cleared for them on accelerated machines, from which they were then barred, or all of it in one zone. Ruled out: take-overs, state limits, image fetches.

--- a/umberward/scheduler.py
+++ b/umberward/scheduler.py
@@ -738,21 +738,25 @@
             for id, cleared in self.cleared.items():
                 if cleared.job == job.id and id in free:
                     free[id] = free[id].plus(cleared.room)
+            # Room that was cleared for the job is its own everywhere, else it would clear it again.
+            mine = {id for id, cleared in self.cleared.items() if cleared.job == job.id}
+            # Replicas stay long: they take accelerated machines only if nothing else is left.
             lasting = job.service and need.accelerators <= 0
-            chosen = self._choose(job, count, usable, free, able if lasting else kept)
+            barred = self._barred(job, able if lasting else kept) - mine
+            chosen = self._choose(job, count, usable, free, barred)
+            coming = 0
+            if len(chosen) < count:
+                coming = self._preempt(job, count - len(chosen), usable, free, mine, now)
+            for wider in (kept - mine, set()) if lasting else ():
+                if len(chosen) + coming < count:
+                    chosen = self._choose(job, count, usable, free, wider)
             if job.gang and len(chosen) < job.size:
                 chosen = []
-            for id in [id for id, c in self.cleared.items() if c.job == job.id]:
+            for id in mine:
                 if id in chosen or len(chosen) == count:
                     del self.cleared[id]
                 elif id in free:
                     free[id] = free[id].minus(self.cleared[id].room)
-            coming = 0
-            if len(chosen) < count:
-                coming = self._preempt(job, count - len(chosen), usable, free, now)
-            if lasting and len(chosen) + coming < count and now - job.stopped_at > PREEMPT_PAUSE_S:
-                # Replicas stay long: they take accelerated machines only if nothing else is left.
-                chosen = self._choose(job, count, usable, free, kept)
             self._start(job, chosen, free, now)
             if need.accelerators > 0 and chosen:
                 kept, able = self._spare(usable, free)
@@ -838,13 +842,21 @@
         names = [id for _, _, id in able]
         return set(names[: self.accel_reserve()]), set(names)
 
+    def _barred(self, job: Job, kept: set[MachineId]) -> set[MachineId]:
+        """The machines among `kept` of which the job may only use what accelerated work leaves.
+
+        Work that keeps its progress may fill them: it is stopped when they are needed.
+        """
+        filler = job.spec.snapshot_every_s > 0 and job.rank > self.accel_rank
+        return set() if job.need.accelerators > 0 or filler else kept
+
     def _choose(
         self,
         job: Job,
         count: int,
         usable: list[Machine],
         free: dict[MachineId, Amount],
-        kept: set[MachineId],
+        barred: set[MachineId],
     ) -> list[MachineId]:
         spec = job.spec
         need = job.need
@@ -854,12 +866,10 @@
             zones[placement.zone] = zones.get(placement.zone, 0) + 1
         if job.unsure and (spec.same_place or spec.apart):
             return []  # a task of the job may be in a zone that we cannot name
-        filler = spec.snapshot_every_s > 0 and job.rank > self.accel_rank
-        if need.accelerators <= 0 and not filler:
-            # Work that keeps its progress may fill them, it is stopped when they are needed. Other
-            # ordinary work leaves the accelerated machines usable for what needs them.
+        if barred:
             free = {
-                id: room.minus(self.accel_need) if id in kept else room for id, room in free.items()
+                id: room.minus(self.accel_need) if id in barred else room
+                for id, room in free.items()
             }
         rooms = [
             Room(
@@ -920,6 +930,7 @@
         count: int,
         usable: list[Machine],
         free: dict[MachineId, Amount],
+        barred: set[MachineId],
         now: Instant,
     ) -> int:
         """Make room for work of a higher standing; for how many tasks room is on its way."""
@@ -948,6 +959,7 @@
             preemption.Option(m.id, free[m.id], list(m.held.values()), image in m.images)
             for m in usable
             if m.id not in self.cleared
+            and m.id not in barred
             and self.allowed(job, m.type, m.zone, m.spot)
             and (not job.spec.apart or zones.count(m.zone) < (job.size + 1) // 2)
             and (not job.spec.same_place or all(zone == m.zone for zone in zones))
@@ -959,7 +971,16 @@
                 break
             machine, victims = found
             made += 1
-            options = [option for option in options if option.machine != machine]
+            # Room in one zone is of no use beyond what the job may have there.
+            zone = self.machines[machine].zone
+            zones.append(zone)
+            full = job.spec.apart and zones.count(zone) >= (job.size + 1) // 2
+            options = [
+                option
+                for option in options
+                if option.machine != machine
+                and not (full and self.machines[option.machine].zone == zone)
+            ]
             self.cleared[machine] = Cleared(job.id, job.need, Instant(now + CLEARED_S))
             job.stopped_at = now
             for victim in victims:
