--- a/tests/guards.py
+++ b/tests/guards.py
@@ -7,10 +7,12 @@
 
 import pytest
 
-from umberward import placement, scheduler
+from umberward import placement, scheduler, users
 from umberward.jobs import Job
 from umberward.quota import Quota
 from umberward.scheduler import Scheduler
+from umberward.types import JobId, Key
+from umberward.users import Users
 
 Patch = Callable[[pytest.MonkeyPatch], None]
 
@@ -96,6 +98,23 @@
     patch.setattr(Quota, "fits_guarantee", lambda *_: False)
 
 
+def past_lookup(patch: pytest.MonkeyPatch) -> None:
+    async def read(self: Users, id: Any) -> Any:
+        live = await self.store.get(Key(scheduler.LIVE + id))
+        return None if live is None else (live, None)
+
+    patch.setattr(Users, "_read", read)
+
+
+def known_first(patch: pytest.MonkeyPatch) -> None:
+    """Every job is taken for one that was submitted."""
+
+    async def known(self: Users, id: Any) -> Any:
+        return users._state(id or JobId("req-0"), "pending", 0)
+
+    patch.setattr(Users, "_known", known)
+
+
 def mark_first(patch: pytest.MonkeyPatch) -> None:
     def job_marked(self: Scheduler, batch: Any, *_: Any) -> None:
         # The start goes out, but its mark never reaches the state service.
@@ -135,4 +154,6 @@
     "complete-first": complete_first,
     "mark-first": mark_first,
     "standing": standing,
+    "past-lookup": past_lookup,
+    "known-first": known_first,
 }
