The reserve is of machines that accelerated work may use, fades, and is not returned to be rented again

Cause (the new log lines of the fleet): the machines kept open on both deployments were spot ones, which the gangs may not use, while ordinary ones ran full; the peak that sets the reserve fell by one task in two minutes, so that 30 to 40 empty accelerated machines stayed rented for ten minutes after the last gang; nothing was returned as long as anything waited; the reserve was returned when idle and rented again. Ruled out: boots and image fetches (60 s and 10 s of some 300 s), repeated work (550 tasks of 19,000). Changed: reserve.py owns all of it; the peak falls by two thirds in a minute, to none; a machine is kept while something that waits could run on it, or while it is the reserve.

--- a/umberward/provision.py
+++ b/umberward/provision.py
@@ -127,15 +127,30 @@
     def idle(self, now: Instant) -> list[Machine]:
         """Machines to return: empty for long, or set aside and empty."""
         scheduler = self.scheduler
-        patient = not scheduler.all_settled or bool(scheduler.lacking(now))
+        if not scheduler.all_settled:
+            return []
         found = []
+        lacking = {job.kind: job for job, _ in scheduler.lacking(now)}.values()
+        reserved = scheduler.reserve.size() if scheduler.operator.rent_spare > 0 else 0
         for machine in scheduler.machines.values():
             if machine.held or machine.strays or not machine.settled or machine.returning:
                 continue
+            if machine.sick:
+                found.append(machine)
+                continue
+            if reserved > 0 and scheduler.reserve.could_run(machine):
+                reserved -= 1  # returned, it would be rented again
+                continue
             sku = scheduler.skus.get(machine.type)
             quiet = now - max(machine.idle_since, machine.since)
-            longest = max(scheduler.operator.idle_seconds, 1.5 * sku.boot_s if sku else 0.0)
-            if machine.sick or (not patient and quiet > longest):
+            if quiet <= max(scheduler.operator.idle_seconds, 1.5 * sku.boot_s if sku else 0.0):
+                continue
+            # A gang may wait for more machines than this one.
+            if sku is None or not any(
+                job.need.fits(Amount(sku.cores, sku.accelerators, sku.mem_gb))
+                and scheduler.allowed(job, machine.type, machine.zone, machine.spot)
+                for job in lacking
+            ):
                 found.append(machine)
         return found
 
@@ -242,14 +257,18 @@
     ) -> None:
         """Rent ahead for accelerated work, if a machine rented on demand would come too late."""
         scheduler = self.scheduler
-        need, spec = scheduler.accel_need, scheduler.accel_class
+        need, spec = scheduler.reserve.need, scheduler.reserve.spec
         if spec is None or scheduler.operator.rent_spare <= 0:
             return
         wait, _ = scheduler.aims.get(spec.jobclass, (None, None))
         if wait is None:
             return
-        lacking = round(scheduler.accel_reserve() * scheduler.operator.rent_spare)
-        lacking -= sum(1 for _, room in virtual if need.fits(room[0]))
+        lacking = round(scheduler.reserve.size() * scheduler.operator.rent_spare)
+        lacking -= sum(
+            1
+            for offer, room in virtual
+            if need.fits(room[0]) and (spec.reclaimable or not offer.spot)
+        )
         best: tuple[float, Offer] | None = None
         for sku in scheduler.skus.values():
             whole = Amount(sku.cores, sku.accelerators, sku.mem_gb)
--- /dev/null
+++ b/umberward/reserve.py
@@ -0,0 +1,110 @@
+"""The room that is kept open for accelerated work. No I/O.
+
+Accelerated machines are few, dear and slow to come, and their work needs nearly all of one. So as
+many of them as such work needed lately are kept open or run empty, for other work uses only what
+an accelerated task leaves over; and none is kept when no such work comes any more.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+
+from umberward.fleet import Machine
+from umberward.jobs import Job, Placement
+from umberward.types import NOTHING, Amount, Instant, MachineId, TypeName
+from umberward.wire import Sku, Spec
+
+FADE_S = 60.0  # the peak falls by two thirds of the way to the present need in so long
+LASTING = 20.0  # a replica keeps its room so many times longer than a task
+
+
+class Reserve:
+    def __init__(self, skus: dict[TypeName, Sku], now: Instant) -> None:
+        self.skus = skus
+        self.need = NOTHING  # the largest accelerated task seen
+        self.job: Job | None = None  # the latest accelerated job: where such work may run
+        self.rank = 0  # the least rank of accelerated work seen
+        self.running = 0  # accelerated tasks that have a place
+        self.peak = 0.0  # how many there were at once, waiting ones included
+        self.at = now
+
+    @property
+    def spec(self) -> Spec | None:
+        return None if self.job is None else self.job.spec
+
+    def placed(self, placement: Placement) -> None:
+        if placement.need.accelerators > 0:
+            self.running += 1
+            if placement.need.accelerators >= self.need.accelerators:
+                self.need = placement.need
+
+    def released(self, placement: Placement) -> None:
+        if placement.need.accelerators > 0:
+            self.running -= 1
+
+    def note(self, waiting: Iterable[Job], now: Instant) -> None:
+        """How much accelerated work there is at once."""
+        tasks = self.running
+        for job in waiting:
+            if job.need.accelerators > 0:
+                tasks += job.startable()
+                self.rank = max(self.rank, job.rank)
+                self.job = job
+                if job.need.accelerators >= self.need.accelerators:
+                    self.need = job.need
+        faded = tasks + (self.peak - tasks) * math.exp((self.at - now) / FADE_S)
+        self.at = now
+        self.peak = max(faded, float(tasks))
+
+    def size(self) -> int:
+        """How many tasks' room to keep open for accelerated work that is likely to come."""
+        if self.need.accelerators <= 0:
+            return 0
+        return max(0, round(self.peak) - self.running)
+
+    def could_run(self, machine: Machine) -> bool:
+        """Whether accelerated work may run there at all, were the machine empty."""
+        if self.job is None:
+            return False
+        spec, sku = self.job.spec, self.skus.get(machine.type)
+        return (
+            sku is not None
+            and self.need.fits(Amount(sku.cores, sku.accelerators, sku.mem_gb))
+            and (spec.flavors is None or machine.type in spec.flavors)
+            and (spec.yard is None or machine.zone == spec.yard)
+            and (spec.reclaimable or not machine.spot)
+        )
+
+    def split(
+        self, usable: Iterable[Machine], free: dict[MachineId, Amount]
+    ) -> tuple[set[MachineId], set[MachineId]]:
+        """Machines whose room for accelerated work must stay open, or is to become so; and all
+        that could do such work.
+
+        Where none is open, those that will be soonest are left to run empty: else short tasks
+        that come and go would keep accelerated work out for ever.
+        """
+        need = self.need
+        if need.accelerators <= 0:
+            return set(), set()
+        able = []
+        for machine in usable:
+            room = free[machine.id]
+            if room.accelerators < need.accelerators or not self.could_run(machine):
+                continue
+            weight = sum(
+                p.need.cores * (LASTING if p.rank == 0 else 1.0) for p in machine.held.values()
+            )
+            able.append((not need.fits(room), weight, machine.id))
+        able.sort()
+        names = [id for _, _, id in able]
+        return set(names[: self.size()]), set(names)
+
+    def barred(self, job: Job, kept: set[MachineId]) -> set[MachineId]:
+        """The machines among `kept` of which the job may only use what accelerated work leaves.
+
+        Work that keeps its progress may fill them: it is stopped when they are needed.
+        """
+        filler = job.spec.snapshot_every_s > 0 and job.rank > self.rank
+        return set() if job.need.accelerators > 0 or filler else kept
--- a/umberward/scheduler.py
+++ b/umberward/scheduler.py
@@ -10,7 +10,6 @@
 from __future__ import annotations
 
 import logging
-import math
 import random
 from collections.abc import Callable, Iterable
 from typing import Any, NamedTuple
@@ -20,6 +19,7 @@
 from umberward.jobs import Job, Placement
 from umberward.placement import Room, best_fit
 from umberward.quota import Quota
+from umberward.reserve import Reserve
 from umberward.settings import Settings
 from umberward.types import (
     MAX_TASKS,
@@ -50,8 +50,6 @@
 MARGIN_S = 0.5
 INTERIM_S = 4.0  # how often the completions of an unfinished job are written
 DEFAULT_WAIT_S = 120.0  # when a job should start for which nothing is said
-ACCEL_FADE_S = 120.0  # the peak of accelerated work fades by one task in so long
-LASTING = 20.0  # a replica keeps its room so many times longer than a task
 PREEMPT_EVERY_S = 0.25  # the search for work to stop looks at all that runs: not in every pass
 PREEMPT_PAUSE_S = 1.5  # a job does not stop others again before the last ones are gone
 CLEARED_S = 12.0  # how long cleared room is kept
@@ -188,12 +186,7 @@
         # Exited attempts whose start may still be under way, with the token it carries.
         self.tainted_exits: dict[tuple[TaskId, int], int] = {}
         self.cleared: dict[MachineId, Cleared] = {}
-        self.accel_need = NOTHING  # the largest accelerated task seen
-        self.accel_class: wire.Spec | None = None  # the latest accelerated job
-        self.accel_rank = 0  # the least rank of accelerated work seen
-        self.accel_running = 0
-        self.accel_peak = 0.0
-        self.accel_at = now
+        self.reserve = Reserve(skus, now)
         self.touched: set[JobId] = set()  # jobs with completions to write by and by
         self.urgent: set[JobId] = set()  # jobs with a mark or their end to write
         self.interim_at = now
@@ -552,10 +545,7 @@
     def _hold(self, machine: Machine, job: Job, placement: Placement) -> None:
         machine.calm = None
         machine.held[placement.task] = placement
-        if placement.need.accelerators > 0:
-            self.accel_running += 1
-            if placement.need.accelerators >= self.accel_need.accelerators:
-                self.accel_need = placement.need
+        self.reserve.placed(placement)
         if not placement.ready:
             job.unready += 1
             self.urgent.add(job.id)
@@ -567,8 +557,7 @@
         """The attempt is surely gone from its machine."""
         machine.calm = None
         machine.held.pop(placement.task, None)
-        if placement.need.accelerators > 0:
-            self.accel_running -= 1
+        self.reserve.released(placement)
         machine.booked = machine.booked.minus(placement.need) if machine.held else NOTHING
         if not machine.held:
             machine.idle_since = self.now
@@ -837,14 +826,14 @@
         if self.want_grades:
             self._grade()
         waiting = self.waiting(now)
-        self._note_accelerated(waiting, now)
+        self.reserve.note(waiting, now)
         # Room that is being cleared for a job is kept for it: its victims would come back first.
         for id, cleared in list(self.cleared.items()):
             if cleared.until < now or cleared.job not in self.jobs:
                 del self.cleared[id]
             elif id in free:
                 free[id] = free[id].minus(cleared.room)
-        kept, able = self._spare(usable, free)
+        kept, able = self.reserve.split(usable, free)
         # Kinds of jobs for which nothing is left in this pass: thousands of tasks may wait.
         full: set[Any] = set()
         stoppable = self._stoppable(now)
@@ -866,7 +855,7 @@
                     free[id] = free[id].plus(self.cleared[id].room)
             # Replicas stay long: they take accelerated machines only if nothing else is left.
             lasting = job.service and need.accelerators <= 0
-            barred = self._barred(job, able if lasting else kept) - mine
+            barred = self.reserve.barred(job, able if lasting else kept) - mine
             kind = (job.kind, lasting, bool(barred))
             chosen: list[MachineId] = []
             if mine or kind not in full:
@@ -890,7 +879,7 @@
                     free[id] = free[id].minus(self.cleared[id].room)
             self._start(job, chosen, free, now)
             if need.accelerators > 0 and chosen:
-                kept, able = self._spare(usable, free)
+                kept, able = self.reserve.split(usable, free)
 
     def _start(
         self, job: Job, chosen: list[MachineId], free: dict[MachineId, Amount], now: Instant
@@ -913,65 +902,6 @@
             if placement.ready:
                 self._send(placement)
 
-    # ---- accelerators ------------------------------------------------------------------
-
-    def _note_accelerated(self, waiting: list[Job], now: Instant) -> None:
-        """How much accelerated work there is at once; a peak is forgotten in some minutes."""
-        tasks = self.accel_running
-        largest = self.accel_need
-        for job in waiting:
-            if job.need.accelerators > 0:
-                tasks += job.startable()
-                self.accel_rank = max(self.accel_rank, job.rank)
-                self.accel_class = job.spec
-                if job.need.accelerators >= largest.accelerators:
-                    largest = job.need
-        self.accel_need = largest
-        faded = self.accel_peak - (now - self.accel_at) / ACCEL_FADE_S
-        self.accel_at = now
-        self.accel_peak = max(faded, float(tasks), 0.0)
-
-    def accel_reserve(self) -> int:
-        """How many machines to keep open for accelerated work that is likely to come."""
-        if self.accel_need.accelerators <= 0:
-            return 0
-        return max(1, math.ceil(self.accel_peak) - self.accel_running)
-
-    def _spare(
-        self, usable: list[Machine], free: dict[MachineId, Amount]
-    ) -> tuple[set[MachineId], set[MachineId]]:
-        """Machines whose room for accelerated work must stay open, or is to become so; and all
-        that could do such work.
-
-        Where none is open, those that will be soonest are left to run empty: else short tasks
-        that come and go would keep accelerated work out for ever.
-        """
-        need = self.accel_need
-        if need.accelerators <= 0:
-            return set(), set()
-        able = []
-        for machine in usable:
-            sku = self.skus[machine.type]
-            whole = Amount(sku.cores, sku.accelerators, sku.mem_gb)
-            if not need.fits(whole) or free[machine.id].accelerators < need.accelerators:
-                continue
-            is_open = need.fits(free[machine.id])
-            weight = sum(
-                p.need.cores * (LASTING if p.rank == 0 else 1.0) for p in machine.held.values()
-            )
-            able.append((not is_open, weight, machine.id))
-        able.sort()
-        names = [id for _, _, id in able]
-        return set(names[: self.accel_reserve()]), set(names)
-
-    def _barred(self, job: Job, kept: set[MachineId]) -> set[MachineId]:
-        """The machines among `kept` of which the job may only use what accelerated work leaves.
-
-        Work that keeps its progress may fill them: it is stopped when they are needed.
-        """
-        filler = job.spec.snapshot_every_s > 0 and job.rank > self.accel_rank
-        return set() if job.need.accelerators > 0 or filler else kept
-
     def _choose(
         self,
         job: Job,
@@ -991,7 +921,7 @@
             return []  # a task of the job may be in a zone that we cannot name
         if barred:
             free = {
-                id: room.minus(self.accel_need) if id in barred else room
+                id: room.minus(self.reserve.need) if id in barred else room
                 for id, room in free.items()
             }
         rooms = [
