Lower work fills kept machines, gangs clear their whole room at once, arrays take spot machines first

Changed: work of lower rank than the accelerated may fill kept machines, as it is stopped at once; a gang stops others only where its whole room can be had in one go, so that no two gangs hold parts against each other; renting counts such room for gangs; arrays that may use spot machines take them before ordinary ones; a gang is not started short of a task whose last attempt is still listed.

--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -15,6 +15,8 @@
 from guards import GUARDS
 from world import Worker, World
 
+from umberward.types import Instant
+
 FILES = sorted((Path(__file__).parent / "scenarios").glob("*.txt"))
 
 
@@ -183,6 +185,11 @@
     def see_machines(self) -> int:
         return len(self.world.workers)
 
+    def see_returning(self) -> int:
+        """How many machines would be returned now."""
+        assert self.world.provisioner is not None
+        return len(self.world.provisioner.idle(Instant(self.world.now)))
+
     def see_sick(self, name: str) -> bool:
         assert self.world.scheduler is not None
         return self.world.scheduler.machines[name].sick  # type: ignore[index]
--- a/umberward/jobs.py
+++ b/umberward/jobs.py
@@ -29,7 +29,7 @@
     __slots__ = (
         "task", "attempt", "machine", "zone", "need", "team", "rank", "at", "sent", "seen",
         "inflight", "tainted", "hello_serial", "phase", "running_at", "saves_every", "stop",
-        "stop_at", "ready",
+        "stop_at", "ready", "adopted", "fetched",
     )  # fmt: skip
 
     def __init__(
@@ -50,6 +50,8 @@
         self.rank = job.rank
         self.at = at
         self.ready = False  # its mark is committed: it may be sent
+        self.adopted = False  # started by a former holder
+        self.fetched = False  # its worker had to fetch the image
         self.sent = False
         self.seen = False  # listed by its worker
         self.inflight = 0  # direct commands that start it and are not answered yet
--- a/umberward/provision.py
+++ b/umberward/provision.py
@@ -10,6 +10,7 @@
 from umberward.jobs import Job
 from umberward.scheduler import Scheduler
 from umberward.types import (
+    NOTHING,
     Amount,
     ClaimId,
     Instant,
@@ -48,6 +49,20 @@
         self.since = since
 
 
+class Paper:
+    """A machine that exists or is on its way, to be filled on paper with what waits."""
+
+    __slots__ = ("offer", "free", "yielding")
+
+    def __init__(self, offer: Offer, free: Amount, yielding: Amount = NOTHING) -> None:
+        self.offer = offer
+        self.free = free
+        self.yielding = yielding  # what accelerated work would find besides
+
+    def room(self, need: Amount) -> Amount:
+        return self.free.plus(self.yielding) if need.accelerators > 0 else self.free
+
+
 class Provisioner:
     def __init__(self, scheduler: Scheduler, prefix: str, now: Instant) -> None:
         self.scheduler = scheduler
@@ -138,7 +153,9 @@
             if machine.sick:
                 found.append(machine)
                 continue
-            if reserved > 0 and scheduler.reserve.could_run(machine):
+            if reserved > 0 and scheduler.reserve.could_run(
+                machine.type, machine.zone, machine.spot
+            ):
                 reserved -= 1  # returned, it would be rented again
                 continue
             sku = scheduler.skus.get(machine.type)
@@ -161,17 +178,21 @@
         skus = scheduler.skus
         for id in scheduler.machines:
             self.expected.pop(id, None)
-        # Room that exists or is on its way, to be filled on paper by what waits.
-        virtual: list[tuple[Offer, list[Amount]]] = []
+        virtual: list[Paper] = []
         for machine in scheduler.machines.values():
             if machine.usable and machine.type in skus:
                 offer = Offer(machine.type, machine.zone, machine.spot)
-                virtual.append((offer, [machine.free(skus[machine.type])]))
+                free = machine.free(skus[machine.type])
+                yielding = NOTHING
+                if scheduler.reserve.could_run(*offer):
+                    yielding = scheduler.reserve.yielding(machine)
+                virtual.append(Paper(offer, free, yielding))
         for expected in self.expected.values():
             sku = skus.get(expected.offer.type)
             if sku is None or now - expected.since > LATE_BOOT * sku.boot_s + 5.0:
                 continue
-            virtual.append((expected.offer, [Amount(sku.cores, sku.accelerators, sku.mem_gb)]))
+            whole = Amount(sku.cores, sku.accelerators, sku.mem_gb)
+            virtual.append(Paper(expected.offer, whole))
         wanted: dict[Offer, int] = {}
         self._reserve(virtual, wanted, now)
         # Up to where the room was found to be too small for a kind of job: it only gets less.
@@ -180,13 +201,14 @@
             need = job.need
             left = count
             start = searched.get(job.kind, 0)
-            for offer, room in virtual[start:]:
+            for paper in virtual[start:]:
                 if left <= 0:
                     break
-                if not need.fits(room[0]) or not scheduler.allowed(job, *offer):
+                room = paper.room(need)
+                if not need.fits(room) or not scheduler.allowed(job, *paper.offer):
                     continue
-                took = min(left, need.times_into(room[0]))
-                room[0] = room[0].minus(need, took)
+                took = min(left, need.times_into(room))
+                paper.free = paper.free.minus(need, took)
                 left -= took
             if left > 0:
                 searched[job.kind] = len(virtual)
@@ -202,7 +224,7 @@
                     took = min(left, each)
                     left -= took
                     whole = Amount(sku.cores, sku.accelerators, sku.mem_gb)
-                    virtual.append((offer, [whole.minus(need, took)]))
+                    virtual.append(Paper(offer, whole.minus(need, took)))
                 if wanted[offer] >= RENT_LIMIT:
                     break
         made = []
@@ -252,9 +274,7 @@
                 fair = min(fair, sku.hourly / each)
         return fair
 
-    def _reserve(
-        self, virtual: list[tuple[Offer, list[Amount]]], wanted: dict[Offer, int], now: Instant
-    ) -> None:
+    def _reserve(self, virtual: list[Paper], wanted: dict[Offer, int], now: Instant) -> None:
         """Rent ahead for accelerated work, if a machine rented on demand would come too late."""
         scheduler = self.scheduler
         need, spec = scheduler.reserve.need, scheduler.reserve.spec
@@ -266,8 +286,8 @@
         lacking = round(scheduler.reserve.size() * scheduler.operator.rent_spare)
         lacking -= sum(
             1
-            for offer, room in virtual
-            if need.fits(room[0]) and (spec.reclaimable or not offer.spot)
+            for paper in virtual
+            if need.fits(paper.room(need)) and scheduler.reserve.could_run(*paper.offer)
         )
         best: tuple[float, Offer] | None = None
         for sku in scheduler.skus.values():
@@ -284,7 +304,7 @@
             wanted[best[1]] = lacking
             sku = scheduler.skus[best[1].type]
             whole = Amount(sku.cores, sku.accelerators, sku.mem_gb)
-            virtual.extend((best[1], [whole]) for _ in range(lacking))
+            virtual.extend(Paper(best[1], whole) for _ in range(lacking))
 
 
 def _price(sku: Sku, spot: bool) -> float | None:
--- a/umberward/reserve.py
+++ b/umberward/reserve.py
@@ -12,7 +12,7 @@
 
 from umberward.fleet import Machine
 from umberward.jobs import Job, Placement
-from umberward.types import NOTHING, Amount, Instant, MachineId, TypeName
+from umberward.types import NOTHING, Amount, Instant, MachineId, TypeName, ZoneName
 from umberward.wire import Sku, Spec
 
 FADE_S = 60.0  # the peak falls by two thirds of the way to the present need in so long
@@ -63,17 +63,17 @@
             return 0
         return max(0, round(self.peak) - self.running)
 
-    def could_run(self, machine: Machine) -> bool:
-        """Whether accelerated work may run there at all, were the machine empty."""
+    def could_run(self, type_: TypeName, zone: ZoneName, spot: bool) -> bool:
+        """Whether accelerated work may run on such a machine, were it empty."""
         if self.job is None:
             return False
-        spec, sku = self.job.spec, self.skus.get(machine.type)
+        spec, sku = self.job.spec, self.skus.get(type_)
         return (
             sku is not None
             and self.need.fits(Amount(sku.cores, sku.accelerators, sku.mem_gb))
-            and (spec.flavors is None or machine.type in spec.flavors)
-            and (spec.yard is None or machine.zone == spec.yard)
-            and (spec.reclaimable or not machine.spot)
+            and (spec.flavors is None or type_ in spec.flavors)
+            and (spec.yard is None or zone == spec.yard)
+            and (spec.reclaimable or not spot)
         )
 
     def split(
@@ -91,20 +91,38 @@
         able = []
         for machine in usable:
             room = free[machine.id]
-            if room.accelerators < need.accelerators or not self.could_run(machine):
+            if room.accelerators < need.accelerators or not self.could_run(
+                machine.type, machine.zone, machine.spot
+            ):
                 continue
-            weight = sum(
-                p.need.cores * (LASTING if p.rank == 0 else 1.0) for p in machine.held.values()
-            )
+            weight = sum(self._weight(p) for p in machine.held.values())
             able.append((not need.fits(room), weight, machine.id))
         able.sort()
         names = [id for _, _, id in able]
         return set(names[: self.size()]), set(names)
 
+    def _weight(self, placement: Placement) -> float:
+        """How much the placement keeps accelerated work out."""
+        if self.yields(placement):
+            return 0.01 * placement.need.cores
+        return placement.need.cores * (LASTING if placement.rank == 0 else 1.0)
+
+    def yields(self, placement: Placement) -> bool:
+        """Whether it is stopped at once when accelerated work comes."""
+        return placement.rank > self.rank and placement.need.accelerators <= 0
+
+    def yielding(self, machine: Machine) -> Amount:
+        """How much room stopping such work would make."""
+        room = NOTHING
+        for placement in machine.held.values():
+            if self.yields(placement):
+                room = room.plus(placement.need)
+        return room
+
     def barred(self, job: Job, kept: set[MachineId]) -> set[MachineId]:
         """The machines among `kept` of which the job may only use what accelerated work leaves.
 
-        Work that keeps its progress may fill them: it is stopped when they are needed.
+        Work of lower rank may fill them, as it is stopped when they are needed: dear machines do
+        not stand idle meanwhile.
         """
-        filler = job.spec.snapshot_every_s > 0 and job.rank > self.rank
-        return set() if job.need.accelerators > 0 or filler else kept
+        return set() if job.need.accelerators > 0 or job.rank > self.rank else kept
--- a/umberward/scheduler.py
+++ b/umberward/scheduler.py
@@ -187,6 +187,7 @@
         self.tainted_exits: dict[tuple[TaskId, int], int] = {}
         self.cleared: dict[MachineId, Cleared] = {}
         self.reserve = Reserve(skus, now)
+        self.kept: set[MachineId] = set()  # the machines that the reserve is made of
         self.touched: set[JobId] = set()  # jobs with completions to write by and by
         self.urgent: set[JobId] = set()  # jobs with a mark or their end to write
         self.interim_at = now
@@ -504,7 +505,7 @@
         if task.number >= job.marked or job.gang and not self._same_attempt(job, shard.attempt):
             return None
         placement = Placement(task, Attempt(shard.attempt), machine.id, machine.zone, job, now)
-        placement.ready = placement.sent = placement.seen = True
+        placement.ready = placement.sent = placement.seen = placement.adopted = True
         self._hold(machine, job, placement)
         job.unsure.discard(task.number)
         if task.number in job.again:
@@ -524,6 +525,7 @@
         if placement.phase == phase:
             return
         placement.phase = phase
+        placement.fetched |= phase == wire.PULLING
         job = self.jobs.get(placement.task.job)
         if job is None:
             return
@@ -533,6 +535,19 @@
             machine.note_image(ImageName(spec.bundle), spec.pull_gb, room)
         if phase == wire.RUNNING and placement.running_at is None:
             placement.running_at = now
+            self._say_if_late(job, placement, now)
+
+    def _say_if_late(self, job: Job, placement: Placement, now: Instant) -> None:
+        """Where the time went, for work that its operators want to start sooner."""
+        wait, _ = self.aims.get(job.spec.jobclass, (None, None))
+        waited = self.wall() - job.at
+        if wait is None or waited <= wait or placement.adopted or placement.task.number:
+            return  # of a job, only the first task is told
+        log.info(
+            "%s (%s) runs %.1f s after its submission, %.1f s after it was given a place%s",
+            placement.task, job.spec.jobclass, waited, now - placement.at,
+            "; its image was fetched" if placement.fetched else "",
+        )  # fmt: skip
 
     def _note_runtime(self, job: Job, seconds: float) -> None:
         if job.spec.expect_s > 0:
@@ -834,6 +849,7 @@
             elif id in free:
                 free[id] = free[id].minus(cleared.room)
         kept, able = self.reserve.split(usable, free)
+        self.kept = kept
         # Kinds of jobs for which nothing is left in this pass: thousands of tasks may wait.
         full: set[Any] = set()
         stoppable = self._stoppable(now)
@@ -880,6 +896,7 @@
             self._start(job, chosen, free, now)
             if need.accelerators > 0 and chosen:
                 kept, able = self.reserve.split(usable, free)
+                self.kept = kept
 
     def _start(
         self, job: Job, chosen: list[MachineId], free: dict[MachineId, Amount], now: Instant
@@ -888,13 +905,25 @@
             return
         self.attempts += 1
         attempt = Attempt((self.term << 20) + self.attempts)
+        left = [job.take() for _ in chosen]
+        pairs: list[tuple[int, MachineId]] = []
         for id in chosen:
-            index = job.take()
+            machine = self.machines[id]
+            for index in left:
+                task = TaskId(job.id, index)
+                if task not in machine.held and task not in machine.lingering:
+                    left.remove(index)
+                    pairs.append((index, id))
+                    break
+        if job.gang and left:
+            # One task would be refused where its last attempt is still listed: not without it.
+            left += [index for index, _ in pairs]
+            pairs = []
+        for index in left:
+            job.put_back(index)
+        for index, id in pairs:
             machine = self.machines[id]
             task = TaskId(job.id, index)
-            if task in machine.held or task in machine.lingering:
-                job.put_back(index)
-                continue
             placement = Placement(task, attempt, id, machine.zone, job, now)
             placement.ready = index < job.marked
             self._hold(machine, job, placement)
@@ -925,12 +954,7 @@
                 for id, room in free.items()
             }
         rooms = [
-            Room(
-                m.id,
-                m.zone,
-                free[m.id],
-                (0.0 if image in m.images else 1.0, self._price(m), -m.booked.cores),
-            )
+            Room(m.id, m.zone, free[m.id], self._order(job, m, image))
             for m in usable
             if need.fits(free[m.id])
             and self.allowed(job, m.type, m.zone, m.spot)
@@ -972,10 +996,16 @@
                 best = chosen
         return best
 
-    def _price(self, machine: Machine) -> float:
-        """Small and cheap machines first for what fits there: accelerators stay free."""
-        sku = self.skus[machine.type]
-        return sku.accelerators
+    def _order(self, job: Job, machine: Machine, image: ImageName) -> tuple[float, ...]:
+        """Before the most cores booked come the image, where a replica's start waits for it;
+        spot machines, for work that may use them, as other work may not; and machines without
+        accelerators."""
+        fetch = 0.0 if image in machine.images else 1.0
+        scarce = 0.0 if machine.spot else 1.0
+        accelerators = self.skus[machine.type].accelerators
+        if job.service or job.gang:
+            return (fetch, accelerators, -machine.booked.cores)
+        return (float(machine.id in self.kept), scarce, accelerators, fetch, -machine.booked.cores)
 
     def _stoppable(self, now: Instant) -> Stoppable | None:
         """All that runs, by whom it may be stopped; None: it is too soon to look again."""
@@ -999,7 +1029,7 @@
         if not (job.service or job.gang) and self.wall() - job.at < self._patience(job):
             return 0  # tasks end all the time: the next free room is this job's anyway
         if job.gang and job.size > 1:
-            return 0  # clearing several machines at once for a gang is not worth what it stops
+            return self._clear_for_gang(job, stoppable, free, now)
         image = ImageName(job.spec.bundle)
         zones = [placement.zone for placement in job.placed.values()]
         cap = (job.size + 1) // 2 if job.spec.apart else MAX_TASKS
@@ -1027,22 +1057,72 @@
                 continue
             zones.append(zone)
             made += 1
-            self.cleared[machine] = Cleared(job.id, job.need, Instant(now + CLEARED_S))
-            job.stopped_at = now
-            for victim in victims:
-                owner = self.jobs.get(victim.task.job)
-                grace = 0.0
-                if owner is not None and not job.service:
-                    grace = owner.spec.snapshot_cost_s
-                log.debug("%s stopped on %s for %s", victim.task, machine, job.id)
-                told = owner.placed.values() if owner is not None and owner.gang else [victim]
-                for placement in list(told):  # a gang saves only if all of it is told in time
-                    self._stop(placement, grace)
-            log.info("%d tasks stopped on %s for %s", len(victims), machine, job.id)
+            self._clear(job, machine, 1, victims, now)
         if not made and job.plain:
             stoppable.futile.add(kind)
         return made
 
+    def _clear(
+        self, job: Job, machine: MachineId, tasks: int, victims: list[Placement], now: Instant
+    ) -> None:
+        """Stop the victims, and keep room for so many of the job's tasks."""
+        room = NOTHING.plus(job.need, tasks)
+        self.cleared[machine] = Cleared(job.id, room, Instant(now + CLEARED_S))
+        job.stopped_at = now
+        for victim in victims:
+            owner = self.jobs.get(victim.task.job)
+            grace = 0.0
+            if owner is not None and not job.service:
+                grace = owner.spec.snapshot_cost_s
+            log.debug("%s stopped on %s for %s", victim.task, machine, job.id)
+            told = owner.placed.values() if owner is not None and owner.gang else [victim]
+            for placement in list(told):  # a gang saves only if all of it is told in time
+                self._stop(placement, grace)
+        if victims:
+            log.info("%d tasks stopped on %s for %s", len(victims), machine, job.id)
+
+    def _clear_for_gang(
+        self, job: Job, stoppable: Stoppable, free: dict[MachineId, Amount], now: Instant
+    ) -> int:
+        """Room for a whole gang or none: half of a gang's room is of no use to anybody."""
+        image = ImageName(job.spec.bundle)
+        found: dict[ZoneName, list[tuple[int, float, MachineId, int, list[Placement]]]] = {}
+        for id, room in free.items():
+            machine = self.machines[id]
+            if id in self.cleared or not self.allowed(
+                job, machine.type, machine.zone, machine.spot
+            ):
+                continue
+            zone = machine.zone if job.spec.same_place else ZoneName("")
+            here = found.setdefault(zone, [])
+            fits = job.need.times_into(room)
+            if fits:
+                here.append((0, 0.0, id, fits, []))
+            elif job.need.fits(stoppable.most(machine, job, room)):
+                option = preemption.Option(
+                    id, room, stoppable.victims(machine, job), image in machine.images
+                )
+                for _, victims in preemption.plans(job.need, [option], now):
+                    loss = sum(preemption.loss(victim, now) for victim in victims)
+                    here.append((1, loss, id, 1, victims))
+        best: list[tuple[int, float, MachineId, int, list[Placement]]] = []
+        least = 0.0
+        for here in found.values():
+            here.sort(key=lambda entry: entry[:3])
+            picked: list[tuple[int, float, MachineId, int, list[Placement]]] = []
+            left = job.size
+            while left > 0 and len(picked) < len(here):
+                picked.append(here[len(picked)])
+                left -= picked[-1][3]
+            loss = sum(entry[1] for entry in picked)
+            if left <= 0 and (not best or loss < least):
+                best, least = picked, loss
+        left = job.size
+        for _, _, id, fits, victims in best:
+            self._clear(job, id, min(fits, left), victims, now)
+            left -= fits
+        return job.size if best else 0
+
     # ---- blocks ------------------------------------------------------------------------
 
     def _assign_block(self, machine: Machine) -> None:
