Replicas move off machines that gangs need

Changed: a replica on a machine of the reserve is stopped once room for it is kept elsewhere, with its image or in the place of lower work.

--- a/umberward/scheduler.py
+++ b/umberward/scheduler.py
@@ -52,6 +52,9 @@
 DEFAULT_WAIT_S = 120.0  # when a job should start for which nothing is said
 PREEMPT_EVERY_S = 0.25  # the search for work to stop looks at all that runs: not in every pass
 PREEMPT_PAUSE_S = 1.5  # a job does not stop others again before the last ones are gone
+MOVE_EVERY_S = 1.0
+MOVE_AT_ONCE = 4  # replicas that are moved at once: few are away at any time
+MOVE_AFTER_S = 35.0  # a start counts for its user if the replica then stays for 30 s
 CLEARED_S = 12.0  # how long cleared room is kept
 SICK_AFTER = 2  # failed starts in a row that set a machine aside
 MISTAKEN_AFTER = 3  # machines on which a job must fail before the job is blamed
@@ -192,6 +195,7 @@
         self.urgent: set[JobId] = set()  # jobs with a mark or their end to write
         self.interim_at = now
         self.preempt_at = now
+        self.move_at = now
         self.attempts = 0
         self.read = 0  # reports that were read in full
         self.searches = 0  # searches for room among all machines
@@ -883,7 +887,7 @@
                 coming = self._preempt(job, count - len(chosen), stoppable, free, mine, now)
             for step, wider in enumerate((kept - mine, set()) if lasting else ()):
                 if len(chosen) + coming < count and (mine or (kind, step) not in full):
-                    chosen = self._choose(job, count, usable, free, wider)
+                    chosen = self._choose(job, count, usable, free, wider, settle=True)
                     if not chosen and not mine and job.plain:
                         full.add((kind, step))
             if job.gang and len(chosen) < job.size:
@@ -897,6 +901,8 @@
             if need.accelerators > 0 and chosen:
                 kept, able = self.reserve.split(usable, free)
                 self.kept = kept
+        if stoppable is not None and self.all_settled:
+            self._move_replicas(kept, able, usable, free, stoppable, now)
 
     def _start(
         self, job: Job, chosen: list[MachineId], free: dict[MachineId, Amount], now: Instant
@@ -938,6 +944,7 @@
         usable: list[Machine],
         free: dict[MachineId, Amount],
         barred: set[MachineId],
+        settle: bool = False,
     ) -> list[MachineId]:
         self.searches += 1
         spec = job.spec
@@ -954,7 +961,7 @@
                 for id, room in free.items()
             }
         rooms = [
-            Room(m.id, m.zone, free[m.id], self._order(job, m, image))
+            Room(m.id, m.zone, free[m.id], self._order(job, m, image, settle))
             for m in usable
             if need.fits(free[m.id])
             and self.allowed(job, m.type, m.zone, m.spot)
@@ -996,13 +1003,18 @@
                 best = chosen
         return best
 
-    def _order(self, job: Job, machine: Machine, image: ImageName) -> tuple[float, ...]:
+    def _order(
+        self, job: Job, machine: Machine, image: ImageName, settle: bool
+    ) -> tuple[float, ...]:
         """Before the most cores booked come the image, where a replica's start waits for it;
         spot machines, for work that may use them, as other work may not; and machines without
         accelerators."""
         fetch = 0.0 if image in machine.images else 1.0
         scarce = 0.0 if machine.spot else 1.0
         accelerators = self.skus[machine.type].accelerators
+        if settle:
+            # Replicas stay for long: they go to few accelerated machines, with the image or not.
+            return (accelerators, -machine.booked.cores)
         if job.service or job.gang:
             return (fetch, accelerators, -machine.booked.cores)
         return (float(machine.id in self.kept), scarce, accelerators, fetch, -machine.booked.cores)
@@ -1081,6 +1093,55 @@
         if victims:
             log.info("%d tasks stopped on %s for %s", len(victims), machine, job.id)
 
+    def _move_replicas(
+        self,
+        kept: set[MachineId],
+        able: set[MachineId],
+        usable: list[Machine],
+        free: dict[MachineId, Amount],
+        stoppable: Stoppable,
+        now: Instant,
+    ) -> None:
+        """Replicas never leave by themselves: those that keep accelerated work out are moved.
+
+        One is stopped only when there is room for it elsewhere, with its image, so that it is
+        away for a moment only; and not when it has just started, for its user's sake.
+        """
+        if now < self.move_at:
+            return
+        self.move_at = Instant(now + MOVE_EVERY_S)
+        shut = [m for m in usable if m.id in kept and not self.reserve.need.fits(free[m.id])]
+        shut.sort(key=lambda m: (m.booked.cores, m.id))
+        for machine in shut:
+            moved = 0
+            for placement in list(machine.held.values()):
+                job = self.jobs.get(placement.task.job)
+                if (
+                    moved >= MOVE_AT_ONCE
+                    or job is None
+                    or not job.service
+                    or job.again
+                    or placement.stop is not None
+                    or placement.running_at is None
+                    or now - placement.running_at < MOVE_AFTER_S
+                    or now - job.stopped_at < PREEMPT_PAUSE_S
+                ):
+                    continue
+                image = ImageName(job.spec.bundle)
+                others = [m for m in usable if m.id not in able and image in m.images]
+                chosen = [id for id in self._choose(job, 1, others, free, set())
+                          if id not in self.cleared]  # fmt: skip
+                if chosen:
+                    self._clear(job, chosen[0], 1, [], now)
+                    free[chosen[0]] = free[chosen[0]].minus(job.need)
+                elif not self._preempt(job, 1, stoppable, free, able, now):
+                    continue
+                log.info("%s moves off %s", placement.task, machine.id)
+                self._stop(placement, 0.0)
+                moved += 1
+            if moved:
+                return  # one machine after the other: the first is open soonest
+
     def _clear_for_gang(
         self, job: Job, stoppable: Stoppable, free: dict[MachineId, Amount], now: Instant
     ) -> int:
