A machine settles only after the jobs are read; replicas start where their image is

The fault is as old as the code; a larger fleet takes longer to read. Ruled out: the moves of replicas. Now such machines count as unsettled until their next report. Test, which fails without the guard: takeover_report_before_jobs. Besides: where a replica would start too late for its image, arrays are stopped on a machine that has it (all late replicas of the logs had waited for an image). Test: replica_near_image.

--- a/tests/guards.py
+++ b/tests/guards.py
@@ -34,6 +34,18 @@
     patch.setattr(Scheduler, "load_done", load_done)
 
 
+def settle_again(patch: pytest.MonkeyPatch) -> None:
+    whole = Scheduler.load_done
+
+    def load_done(self: Scheduler) -> None:
+        settled = [machine for machine in self.machines.values() if machine.settled]
+        whole(self)
+        for machine in settled:
+            machine.settled = True
+
+    patch.setattr(Scheduler, "load_done", load_done)
+
+
 def token_first(patch: pytest.MonkeyPatch) -> None:
     whole = Scheduler.__init__
 
@@ -144,6 +156,7 @@
 GUARDS: dict[str, Patch] = {
     "lease-wait": lease_wait,
     "settle-first": settle_first,
+    "settle-again": settle_again,
     "token-first": token_first,
     "forget-after-commit": forget_after_commit,
     "unanswered-start": unanswered_start,
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -13,8 +13,9 @@
 import msgspec
 import pytest
 from guards import GUARDS
-from world import Worker, World
+from world import Worker, World, raw_settings
 
+from umberward.settings import Operator, SettingsError, check
 from umberward.types import Instant
 
 FILES = sorted((Path(__file__).parent / "scenarios").glob("*.txt"))
@@ -66,6 +67,19 @@
     def do_lead(self) -> None:
         self.world.takeover()
 
+    def do_read_blocks(self) -> None:
+        self.world.watching = False
+        self.world.take_blocks()
+
+    def do_read_jobs(self) -> None:
+        self.world.take_jobs()
+        self.world.watching = True
+
+    def do_aim(self, kind: str, job_class: str, within_s: str) -> None:
+        """What operators aim at; the leader of now knows it."""
+        assert kind == "wait" and self.world.scheduler is not None
+        self.world.scheduler.aims[job_class] = (float(within_s), None)
+
     def do_crash(self) -> None:
         self.world.crash()
 
@@ -97,6 +111,28 @@
     def do_cloud(self, mode: str) -> None:
         self.world.cloud_up = mode == "up"
 
+    # ---- settings ----------------------------------------------------------------------
+
+    def do_settings(self, field: str, value: str) -> None:
+        """The platform's file with this field (JSON) put in: is it refused, and how?"""
+        raw: Any = raw_settings()
+        *path, last = field.split(".")
+        place = raw
+        for name in path:
+            place = place[name]
+        place[last] = msgspec.json.decode(value)
+        try:
+            check(raw, Operator())
+        except SettingsError as error:
+            self.last = str(error)
+        else:
+            self.last = "settings: taken: "
+
+    def see_refused(self) -> str:
+        """The field that the message names, or `taken`."""
+        assert "\n" not in self.last
+        return str(self.last).split(": ")[1]
+
     # ---- users -------------------------------------------------------------------------
 
     def _spec(self, id: str, words: tuple[str, ...]) -> dict[str, Any]:
--- a/tests/world.py
+++ b/tests/world.py
@@ -26,35 +26,36 @@
 STEP = 0.1
 
 
-def settings(**teams: Any) -> Any:
-    return check(
-        {
-            "label": "n0",
-            "site": "a",
-            "listen": "127.0.0.1:1",
-            "peer_bind": "127.0.0.1:2",
-            "endpoints": {"cloud": "127.0.0.1:3", "state": "127.0.0.1:4"},
-            "cluster": {
-                "size": 3,
-                "zones": ["a", "b"],
-                "teams": [
-                    {"name": "red", **teams},
-                    {"name": "blue"},
-                ],
-                "workers": {
-                    "report_s": 1.0,
-                    "lease_s": 10.0,
-                    "gang_wait_s": 20.0,
-                    "gang_peer_s": 4.0,
-                    "cancel_s": 25.0,
-                },
-                "state": {"rps": 1000.0, "write_rps": 1000.0, "value_kb": 4.0, "txn_ops": 8},
-                "cloud": {"rps": 2.0, "list_lag_s": 5.0},
-                "machine_limits": {"cpu": 1.0, "memory_mb": 100.0, "sockets": 100},
+def raw_settings(**teams: Any) -> dict[str, Any]:
+    return {
+        "label": "n0",
+        "site": "a",
+        "listen": "127.0.0.1:1",
+        "peer_bind": "127.0.0.1:2",
+        "endpoints": {"cloud": "127.0.0.1:3", "state": "127.0.0.1:4"},
+        "cluster": {
+            "size": 3,
+            "zones": ["a", "b"],
+            "teams": [
+                {"name": "red", **teams},
+                {"name": "blue"},
+            ],
+            "workers": {
+                "report_s": 1.0,
+                "lease_s": 10.0,
+                "gang_wait_s": 20.0,
+                "gang_peer_s": 4.0,
+                "cancel_s": 25.0,
             },
+            "state": {"rps": 1000.0, "write_rps": 1000.0, "value_kb": 4.0, "txn_ops": 8},
+            "cloud": {"rps": 2.0, "list_lag_s": 5.0},
+            "machine_limits": {"cpu": 1.0, "memory_mb": 100.0, "sockets": 100},
         },
-        Operator(),
-    )
+    }
+
+
+def settings(**teams: Any) -> Any:
+    return check(raw_settings(**teams), Operator())
 
 
 SKUS = {
@@ -203,6 +204,10 @@
 
     def takeover(self) -> None:
         """A controller becomes the leader: a new token, then blocks and jobs are read."""
+        self.take_blocks()
+        self.take_jobs()
+
+    def take_blocks(self) -> None:
         self.store.apply([], [state.put(Key("leader"), {"node": "n", "nonce": "x"})])
         self.epoch = self.store.revision
         if self.scheduler is not None:
@@ -221,6 +226,10 @@
             if key.startswith(BLOCKS):
                 record = wire.converted(got.data, wire.BlockRecord)
                 made.load_block(int(key[len(BLOCKS) :]), record, got.stamp, Instant(self.now))
+
+    def take_jobs(self) -> None:
+        made = self.scheduler
+        assert made is not None
         for key, got in list(self.store.keys.items()):
             if key.startswith(LIVE):
                 made.job_put(wire.converted(got.data, JobRecord), got.stamp)
--- a/umberward/scheduler.py
+++ b/umberward/scheduler.py
@@ -50,7 +50,7 @@
 MARGIN_S = 0.5
 INTERIM_S = 4.0  # how often the completions of an unfinished job are written
 DEFAULT_WAIT_S = 120.0  # when a job should start for which nothing is said
-PREEMPT_EVERY_S = 0.25  # the search for work to stop looks at all that runs: not in every pass
+PREEMPT_EVERY_S = 0.1  # the search for work to stop looks at all that runs: not in every pass
 PREEMPT_PAUSE_S = 1.5  # a job does not stop others again before the last ones are gone
 MOVE_EVERY_S = 1.0
 MOVE_AT_ONCE = 4  # replicas that are moved at once: few are away at any time
@@ -227,7 +227,12 @@
         self.loaded = True
         for machine in self.machines.values():
             if machine.settled:
-                self._adopt_tasks(machine)
+                # It reported before the jobs were read, so its tasks could not be told: until it
+                # has reported once more, they may run there and must not start elsewhere.
+                machine.settled = False
+                machine.calm = None
+                machine.probing = True
+                self.out.append(Probe(machine.id, machine.address))
         self.want_pass = True
         log.info(
             "took over with token %d: %d machines, %d jobs",
@@ -509,6 +514,7 @@
         if task.number >= job.marked or job.gang and not self._same_attempt(job, shard.attempt):
             return None
         placement = Placement(task, Attempt(shard.attempt), machine.id, machine.zone, job, now)
+        job.ran = True
         placement.ready = placement.sent = placement.seen = placement.adopted = True
         self._hold(machine, job, placement)
         job.unsure.discard(task.number)
@@ -520,11 +526,6 @@
     def _same_attempt(job: Job, attempt: int) -> bool:
         return all(placement.attempt == attempt for placement in job.placed.values())
 
-    def _adopt_tasks(self, machine: Machine) -> None:
-        """A machine that reported before the jobs were read: ask it once more."""
-        machine.probing = True
-        self.out.append(Probe(machine.id, machine.address))
-
     def _progress(self, machine: Machine, placement: Placement, phase: str, now: Instant) -> None:
         if placement.phase == phase:
             return
@@ -540,13 +541,14 @@
         if phase == wire.RUNNING and placement.running_at is None:
             placement.running_at = now
             self._say_if_late(job, placement, now)
+            job.ran = True
 
     def _say_if_late(self, job: Job, placement: Placement, now: Instant) -> None:
         """Where the time went, for work that its operators want to start sooner."""
         wait, _ = self.aims.get(job.spec.jobclass, (None, None))
         waited = self.wall() - job.at
-        if wait is None or waited <= wait or placement.adopted or placement.task.number:
-            return  # of a job, only the first task is told
+        if wait is None or waited <= wait or placement.adopted or job.ran:
+            return
         log.info(
             "%s (%s) runs %.1f s after its submission, %.1f s after it was given a place%s",
             placement.task, job.spec.jobclass, waited, now - placement.at,
@@ -878,16 +880,23 @@
             barred = self.reserve.barred(job, able if lasting else kept) - mine
             kind = (job.kind, lasting, bool(barred))
             chosen: list[MachineId] = []
+            # Replicas wait for what is being cleared for them: it is gone in a moment.
+            coming = 0
+            if lasting:
+                coming = sum(1 for id in mine if id in free and not need.fits(free[id]))
+                if stoppable is not None and self._hurries(job):
+                    coming += self._near(job, count - coming, usable, free, able, stoppable, now)
             if mine or kind not in full:
-                chosen = self._choose(job, count, usable, free, barred)
+                chosen = self._choose(job, count - coming, usable, free, barred)
                 if not chosen and not mine and job.plain:
                     full.add(kind)
-            coming = 0
-            if len(chosen) < count and stoppable is not None:
-                coming = self._preempt(job, count - len(chosen), stoppable, free, mine, now)
+            if len(chosen) + coming < count and stoppable is not None:
+                coming += self._preempt(
+                    job, count - len(chosen) - coming, stoppable, free, mine, now
+                )
             for step, wider in enumerate((kept - mine, set()) if lasting else ()):
                 if len(chosen) + coming < count and (mine or (kind, step) not in full):
-                    chosen = self._choose(job, count, usable, free, wider, settle=True)
+                    chosen = self._choose(job, count - coming, usable, free, wider)
                     if not chosen and not mine and job.plain:
                         full.add((kind, step))
             if job.gang and len(chosen) < job.size:
@@ -904,6 +913,33 @@
         if stoppable is not None and self.all_settled:
             self._move_replicas(kept, able, usable, free, stoppable, now)
 
+    def _hurries(self, job: Job) -> bool:
+        """Whether its tasks would start too late if their image had to be fetched."""
+        wait, _ = self.aims.get(job.spec.jobclass, (None, None))
+        if wait is None:
+            return False
+        slowest = min((sku.fetch_gb_per_s for sku in self.skus.values()), default=1.0)
+        left = wait - (self.wall() - job.at)
+        return 0.0 < left < job.spec.pull_gb / slowest
+
+    def _near(
+        self,
+        job: Job,
+        count: int,
+        usable: list[Machine],
+        free: dict[MachineId, Amount],
+        able: set[MachineId],
+        stoppable: Stoppable,
+        now: Instant,
+    ) -> int:
+        """Room for replicas that is cleared where their image is, if there is too little free."""
+        image = ImageName(job.spec.bundle)
+        near = [m for m in usable if image in m.images]
+        lacking = count - len(self._choose(job, count, near, free, able))
+        if lacking <= 0 or not near:
+            return 0
+        return self._preempt(job, lacking, stoppable, free, able, now, near_image=True)
+
     def _start(
         self, job: Job, chosen: list[MachineId], free: dict[MachineId, Amount], now: Instant
     ) -> None:
@@ -944,7 +980,6 @@
         usable: list[Machine],
         free: dict[MachineId, Amount],
         barred: set[MachineId],
-        settle: bool = False,
     ) -> list[MachineId]:
         self.searches += 1
         spec = job.spec
@@ -961,7 +996,7 @@
                 for id, room in free.items()
             }
         rooms = [
-            Room(m.id, m.zone, free[m.id], self._order(job, m, image, settle))
+            Room(m.id, m.zone, free[m.id], self._order(job, m, image))
             for m in usable
             if need.fits(free[m.id])
             and self.allowed(job, m.type, m.zone, m.spot)
@@ -1003,18 +1038,13 @@
                 best = chosen
         return best
 
-    def _order(
-        self, job: Job, machine: Machine, image: ImageName, settle: bool
-    ) -> tuple[float, ...]:
+    def _order(self, job: Job, machine: Machine, image: ImageName) -> tuple[float, ...]:
         """Before the most cores booked come the image, where a replica's start waits for it;
         spot machines, for work that may use them, as other work may not; and machines without
         accelerators."""
         fetch = 0.0 if image in machine.images else 1.0
         scarce = 0.0 if machine.spot else 1.0
         accelerators = self.skus[machine.type].accelerators
-        if settle:
-            # Replicas stay for long: they go to few accelerated machines, with the image or not.
-            return (accelerators, -machine.booked.cores)
         if job.service or job.gang:
             return (fetch, accelerators, -machine.booked.cores)
         return (float(machine.id in self.kept), scarce, accelerators, fetch, -machine.booked.cores)
@@ -1034,10 +1064,11 @@
         free: dict[MachineId, Amount],
         barred: set[MachineId],
         now: Instant,
+        near_image: bool = False,
     ) -> int:
         """Make room for work of a higher standing; for how many tasks room is on its way."""
         if now - job.stopped_at < PREEMPT_PAUSE_S:
-            return len(barred)
+            return 0
         if not (job.service or job.gang) and self.wall() - job.at < self._patience(job):
             return 0  # tasks end all the time: the next free room is this job's anyway
         if job.gang and job.size > 1:
@@ -1054,6 +1085,7 @@
             if m.id not in self.cleared
             and m.id not in barred
             and (room := free.get(m.id)) is not None
+            and (not near_image or image in m.images)
             and job.need.fits(stoppable.most(m, job, room))
             and self.allowed(job, m.type, m.zone, m.spot)
             and zones.count(m.zone) < cap
@@ -1070,7 +1102,7 @@
             zones.append(zone)
             made += 1
             self._clear(job, machine, 1, victims, now)
-        if not made and job.plain:
+        if not made and job.plain and not near_image:
             stoppable.futile.add(kind)
         return made
 
--- a/umberward/settings.py
+++ b/umberward/settings.py
@@ -17,6 +17,9 @@
 Text = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
 
 
+LEAST_VALUE_KB = 2.0  # a job's description, its marks and some of its completions
+
+
 class SettingsError(Exception):
     """One line that names the field and says what is wrong with it."""
 
@@ -152,6 +155,16 @@
     workers = platform.cluster.workers
     if workers.cancel_s <= workers.lease_s:
         raise SettingsError(f"{source}: cluster.workers.cancel_s: must be above lease_s")
+    limits = platform.cluster.state
+    if limits.value_kb < LEAST_VALUE_KB:
+        raise SettingsError(
+            f"{source}: cluster.state.value_kb: {limits.value_kb:g} is too little for one record,"
+            f" at least {LEAST_VALUE_KB:g} are needed"
+        )
+    if limits.txn_ops < 2:
+        raise SettingsError(f"{source}: cluster.state.txn_ops: a job's end needs 2 changes at once")
+    if platform.label in [peer.label for peer in platform.peers]:
+        raise SettingsError(f"{source}: peers: {platform.label} is this controller itself")
     names = [team.name for team in platform.cluster.teams]
     for name in names:
         if names.count(name) > 1:
