--- a/umberward/scheduler.py
+++ b/umberward/scheduler.py
@@ -53,7 +53,7 @@
 PREEMPT_EVERY_S = 0.1  # the search for work to stop looks at all that runs: not in every pass
 PREEMPT_PAUSE_S = 1.5  # a job does not stop others again before the last ones are gone
 MOVE_EVERY_S = 1.0
-MOVE_AT_ONCE = 4  # replicas that are moved at once: few are away at any time
+MOVE_AT_ONCE = 8  # replicas that are looked at each time: few are away at any moment
 MOVE_AFTER_S = 35.0  # a start counts for its user if the replica then stays for 30 s
 CLEARED_S = 12.0  # how long cleared room is kept
 SICK_AFTER = 2  # failed starts in a row that set a machine aside
@@ -980,6 +980,7 @@
         usable: list[Machine],
         free: dict[MachineId, Amount],
         barred: set[MachineId],
+        leaving: Placement | None = None,
     ) -> list[MachineId]:
         self.searches += 1
         spec = job.spec
@@ -987,7 +988,8 @@
         image = ImageName(spec.bundle)
         zones: dict[ZoneName, int] = {}
         for placement in job.placed.values():
-            zones[placement.zone] = zones.get(placement.zone, 0) + 1
+            if placement is not leaving:
+                zones[placement.zone] = zones.get(placement.zone, 0) + 1
         if job.unsure and (spec.same_place or spec.apart):
             return []  # a task of the job may be in a zone that we cannot name
         if barred:
@@ -1065,6 +1067,7 @@
         barred: set[MachineId],
         now: Instant,
         near_image: bool = False,
+        leaving: Placement | None = None,
     ) -> int:
         """Make room for work of a higher standing; for how many tasks room is on its way."""
         if now - job.stopped_at < PREEMPT_PAUSE_S:
@@ -1074,7 +1077,7 @@
         if job.gang and job.size > 1:
             return self._clear_for_gang(job, stoppable, free, now)
         image = ImageName(job.spec.bundle)
-        zones = [placement.zone for placement in job.placed.values()]
+        zones = [placement.zone for placement in job.placed.values() if placement is not leaving]
         cap = (job.size + 1) // 2 if job.spec.apart else MAX_TASKS
         kind = (job.kind, job.standing, job.rank)
         if job.plain and kind in stoppable.futile:
@@ -1144,12 +1147,12 @@
         self.move_at = Instant(now + MOVE_EVERY_S)
         shut = [m for m in usable if m.id in kept and not self.reserve.need.fits(free[m.id])]
         shut.sort(key=lambda m: (m.booked.cores, m.id))
+        tries = 0
         for machine in shut:
-            moved = 0
             for placement in list(machine.held.values()):
                 job = self.jobs.get(placement.task.job)
                 if (
-                    moved >= MOVE_AT_ONCE
+                    tries >= MOVE_AT_ONCE
                     or job is None
                     or not job.service
                     or job.again
@@ -1159,20 +1162,21 @@
                     or now - job.stopped_at < PREEMPT_PAUSE_S
                 ):
                     continue
+                tries += 1
                 image = ImageName(job.spec.bundle)
                 others = [m for m in usable if m.id not in able and image in m.images]
-                chosen = [id for id in self._choose(job, 1, others, free, set())
-                          if id not in self.cleared]  # fmt: skip
+                chosen = [
+                    id
+                    for id in self._choose(job, 1, others, free, set(), placement)
+                    if id not in self.cleared
+                ]
                 if chosen:
                     self._clear(job, chosen[0], 1, [], now)
                     free[chosen[0]] = free[chosen[0]].minus(job.need)
-                elif not self._preempt(job, 1, stoppable, free, able, now):
+                elif not self._preempt(job, 1, stoppable, free, able, now, leaving=placement):
                     continue
                 log.info("%s moves off %s", placement.task, machine.id)
                 self._stop(placement, 0.0)
-                moved += 1
-            if moved:
-                return  # one machine after the other: the first is open soonest
 
     def _clear_for_gang(
         self, job: Job, stoppable: Stoppable, free: dict[MachineId, Amount], now: Instant
