--- /dev/null
+++ b/umberward/clearing.py
@@ -0,0 +1,330 @@
+"""Making room: whom to stop for whom, and the room that is kept for a job until it is free.
+
+The search reads the scheduler's jobs and machines; the room that is being cleared is its own.
+"""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+from umberward import preemption
+from umberward.fleet import Machine
+from umberward.jobs import Job, Placement
+from umberward.types import (
+    MAX_TASKS,
+    NOTHING,
+    Amount,
+    ImageName,
+    Instant,
+    JobId,
+    MachineId,
+    ZoneName,
+)
+
+if TYPE_CHECKING:
+    from umberward.scheduler import Scheduler
+
+log = logging.getLogger(__name__)
+
+PREEMPT_EVERY_S = 0.1  # the search for work to stop looks at all that runs: not in every pass
+PREEMPT_PAUSE_S = 1.5  # a job does not stop others again before the last ones are gone
+MOVE_EVERY_S = 1.0
+MOVE_AT_ONCE = 8  # replicas that are looked at each time: few are away at any moment
+MOVE_AFTER_S = 35.0  # a start counts for its user if the replica then stays for 30 s
+CLEARED_S = 12.0  # how long cleared room is kept
+
+
+class Cleared(NamedTuple):
+    """Room on a machine that is being cleared for a job."""
+
+    job: JobId
+    room: Amount
+    until: Instant
+
+
+class Stoppable:
+    """What runs on the machines, summed by standing, for one pass: who may be stopped for whom."""
+
+    def __init__(self, scheduler: Scheduler) -> None:
+        self.jobs = scheduler.jobs
+        self.machines = [m for m in scheduler.machines.values() if m.usable and m.held]
+        self.sums: dict[MachineId, dict[tuple[bool, int, tuple[int, int]], Amount]] = {}
+        self.futile: set[Any] = set()  # kinds of jobs for which nothing can be stopped
+
+    def most(self, machine: Machine, job: Job, room: Amount) -> Amount:
+        """How much room there would be if all that may be stopped for the job were."""
+        sums = self.sums.get(machine.id)
+        if sums is None:
+            sums = self.sums[machine.id] = {}
+            for placement in machine.held.values():
+                owner = self.jobs.get(placement.task.job)
+                if owner is not None and placement.stop is None:
+                    key = (placement.need.accelerators > 0, placement.rank, owner.standing)
+                    sums[key] = sums.get(key, NOTHING).plus(placement.need)
+        for (accelerated, rank, standing), amount in sums.items():
+            if self._may_stop(job, accelerated, rank, standing):
+                room = room.plus(amount)
+        return room
+
+    def victims(self, machine: Machine, job: Job) -> list[Placement]:
+        found = []
+        for placement in machine.held.values():
+            owner = self.jobs.get(placement.task.job)
+            if (
+                owner is not None
+                and placement.stop is None
+                and self._may_stop(
+                    job, placement.need.accelerators > 0, placement.rank, owner.standing
+                )
+            ):
+                found.append(placement)
+        return found
+
+    @staticmethod
+    def _may_stop(job: Job, accelerated: bool, rank: int, standing: tuple[int, int]) -> bool:
+        # Accelerated work is never stopped for ordinary work, whatever their standing: so it may
+        # stop ordinary work of lower rank, and the two cannot take turns.
+        mine = job.need.accelerators > 0
+        if mine != accelerated:
+            return mine and (rank > job.rank or standing > job.standing)
+        return standing > job.standing
+
+
+class Clearing:
+    def __init__(self, scheduler: Scheduler, now: Instant) -> None:
+        self.scheduler = scheduler
+        self.cleared: dict[MachineId, Cleared] = {}
+        self.preempt_at = now
+        self.move_at = now
+
+    # ---- room that is kept -------------------------------------------------------------
+
+    def keep(self, free: dict[MachineId, Amount], now: Instant) -> None:
+        """Take it out of what is free: the victims would come back first."""
+        for id, cleared in list(self.cleared.items()):
+            if cleared.until < now or cleared.job not in self.scheduler.jobs:
+                del self.cleared[id]
+            elif id in free:
+                free[id] = free[id].minus(cleared.room)
+
+    def give(self, job: Job, free: dict[MachineId, Amount]) -> set[MachineId]:
+        """The machines cleared for the job. Their room is its own everywhere, else it would clear
+        them again."""
+        mine = {id for id, cleared in self.cleared.items() if cleared.job == job.id}
+        for id in mine:
+            if id in free:
+                free[id] = free[id].plus(self.cleared[id].room)
+        return mine
+
+    def take_back(
+        self, used: set[MachineId], mine: set[MachineId], free: dict[MachineId, Amount]
+    ) -> None:
+        """What the job did not use is kept for it once more."""
+        for id in mine:
+            if id in used:
+                del self.cleared[id]
+            elif id in free:
+                free[id] = free[id].minus(self.cleared[id].room)
+
+    # ---- the search --------------------------------------------------------------------
+
+    def look(self, now: Instant) -> Stoppable | None:
+        """All that runs, by whom it may be stopped; None: it is too soon to look again."""
+        if now < self.preempt_at:
+            return None
+        self.preempt_at = Instant(now + PREEMPT_EVERY_S)
+        return Stoppable(self.scheduler)
+
+    def preempt(
+        self,
+        job: Job,
+        count: int,
+        stoppable: Stoppable,
+        free: dict[MachineId, Amount],
+        barred: set[MachineId],
+        now: Instant,
+        near_image: bool = False,
+        leaving: Placement | None = None,
+    ) -> int:
+        """Make room for work of a higher standing; for how many tasks room is on its way."""
+        if now - job.stopped_at < PREEMPT_PAUSE_S:
+            return 0
+        if not (
+            job.service or job.gang
+        ) and self.scheduler.wall() - job.at < self.scheduler.patience(job):
+            return 0  # tasks end all the time: the next free room is this job's anyway
+        if job.gang and job.size > 1:
+            return self._clear_for_gang(job, stoppable, free, now)
+        image = ImageName(job.spec.bundle)
+        zones = [placement.zone for placement in job.placed.values() if placement is not leaving]
+        cap = (job.size + 1) // 2 if job.spec.apart else MAX_TASKS
+        kind = (job.kind, job.standing, job.rank)
+        if job.plain and kind in stoppable.futile:
+            return 0
+        options = [
+            preemption.Option(m.id, room, stoppable.victims(m, job), image in m.images)
+            for m in stoppable.machines
+            if m.id not in self.cleared
+            and m.id not in barred
+            and (room := free.get(m.id)) is not None
+            and (not near_image or image in m.images)
+            and job.need.fits(stoppable.most(m, job, room))
+            and self.scheduler.allowed(job, m.type, m.zone, m.spot)
+            and zones.count(m.zone) < cap
+            and (not job.spec.same_place or all(zone == m.zone for zone in zones))
+        ]
+        made = 0
+        for machine, victims in preemption.plans(job.need, options, now):
+            if made >= min(count, 8):
+                break
+            # Room in one zone is of no use beyond what the job may have there.
+            zone = self.scheduler.machines[machine].zone
+            if zones.count(zone) >= cap or any(victim.stop is not None for victim in victims):
+                continue
+            zones.append(zone)
+            made += 1
+            self._clear(job, machine, 1, victims, now)
+        if not made and job.plain and not near_image:
+            stoppable.futile.add(kind)
+        return made
+
+    def _clear(
+        self, job: Job, machine: MachineId, tasks: int, victims: list[Placement], now: Instant
+    ) -> None:
+        """Stop the victims, and keep room for so many of the job's tasks."""
+        room = NOTHING.plus(job.need, tasks)
+        self.cleared[machine] = Cleared(job.id, room, Instant(now + CLEARED_S))
+        job.stopped_at = now
+        for victim in victims:
+            owner = self.scheduler.jobs.get(victim.task.job)
+            grace = 0.0
+            if owner is not None and not job.service:
+                grace = owner.spec.snapshot_cost_s
+            log.debug("%s stopped on %s for %s", victim.task, machine, job.id)
+            told = owner.placed.values() if owner is not None and owner.gang else [victim]
+            for placement in list(told):  # a gang saves only if all of it is told in time
+                self.scheduler.stop(placement, grace)
+        if victims:
+            log.info("%d tasks stopped on %s for %s", len(victims), machine, job.id)
+
+    def move_replicas(
+        self,
+        kept: set[MachineId],
+        able: set[MachineId],
+        usable: list[Machine],
+        free: dict[MachineId, Amount],
+        stoppable: Stoppable,
+        now: Instant,
+    ) -> None:
+        """Replicas never leave by themselves: those that keep accelerated work out are moved.
+
+        One is stopped only when there is room for it elsewhere, with its image, so that it is
+        away for a moment only; and not when it has just started, for its user's sake.
+        """
+        if now < self.move_at:
+            return
+        self.move_at = Instant(now + MOVE_EVERY_S)
+        shut = [
+            m for m in usable if m.id in kept and not self.scheduler.reserve.need.fits(free[m.id])
+        ]
+        shut.sort(key=lambda m: (m.booked.cores, m.id))
+        tries = 0
+        for machine in shut:
+            for placement in list(machine.held.values()):
+                job = self.scheduler.jobs.get(placement.task.job)
+                if (
+                    tries >= MOVE_AT_ONCE
+                    or job is None
+                    or not job.service
+                    or job.again
+                    or placement.stop is not None
+                    or placement.running_at is None
+                    or now - placement.running_at < MOVE_AFTER_S
+                    or now - job.stopped_at < PREEMPT_PAUSE_S
+                ):
+                    continue
+                tries += 1
+                image = ImageName(job.spec.bundle)
+                others = [m for m in usable if m.id not in able and image in m.images]
+                chosen = [
+                    id
+                    for id in self.scheduler.choose(job, 1, others, free, set(), placement)
+                    if id not in self.cleared
+                ]
+                if chosen:
+                    self._clear(job, chosen[0], 1, [], now)
+                    free[chosen[0]] = free[chosen[0]].minus(job.need)
+                elif not self.preempt(job, 1, stoppable, free, able, now, leaving=placement):
+                    continue
+                log.info("%s moves off %s", placement.task, machine.id)
+                self.scheduler.stop(placement, 0.0)
+
+    def _clear_for_gang(
+        self, job: Job, stoppable: Stoppable, free: dict[MachineId, Amount], now: Instant
+    ) -> int:
+        """Room for a whole gang or none: half of a gang's room is of no use to anybody."""
+        image = ImageName(job.spec.bundle)
+        found: dict[ZoneName, list[tuple[int, float, MachineId, int, list[Placement]]]] = {}
+        for id, room in free.items():
+            machine = self.scheduler.machines[id]
+            if id in self.cleared or not self.scheduler.allowed(
+                job, machine.type, machine.zone, machine.spot
+            ):
+                continue
+            zone = machine.zone if job.spec.same_place else ZoneName("")
+            here = found.setdefault(zone, [])
+            fits = job.need.times_into(room)
+            if fits:
+                here.append((0, 0.0, id, fits, []))
+            elif job.need.fits(stoppable.most(machine, job, room)):
+                option = preemption.Option(
+                    id, room, stoppable.victims(machine, job), image in machine.images
+                )
+                for _, victims in preemption.plans(job.need, [option], now):
+                    loss = sum(preemption.loss(victim, now) for victim in victims)
+                    here.append((1, loss, id, 1, victims))
+        best: list[tuple[int, float, MachineId, int, list[Placement]]] = []
+        least = 0.0
+        for here in found.values():
+            here.sort(key=lambda entry: entry[:3])
+            picked: list[tuple[int, float, MachineId, int, list[Placement]]] = []
+            left = job.size
+            while left > 0 and len(picked) < len(here):
+                picked.append(here[len(picked)])
+                left -= picked[-1][3]
+            loss = sum(entry[1] for entry in picked)
+            if left <= 0 and (not best or loss < least):
+                best, least = picked, loss
+        left = job.size
+        for _, _, id, fits, victims in best:
+            self._clear(job, id, min(fits, left), victims, now)
+            left -= fits
+        return job.size if best else 0
+
+    def hurries(self, job: Job) -> bool:
+        """Whether its tasks would start too late if their image had to be fetched."""
+        wait, _ = self.scheduler.aims.get(job.spec.jobclass, (None, None))
+        if wait is None:
+            return False
+        slowest = min((sku.fetch_gb_per_s for sku in self.scheduler.skus.values()), default=1.0)
+        left = wait - (self.scheduler.wall() - job.at)
+        return 0.0 < left < job.spec.pull_gb / slowest
+
+    def near_image(
+        self,
+        job: Job,
+        count: int,
+        usable: list[Machine],
+        free: dict[MachineId, Amount],
+        able: set[MachineId],
+        stoppable: Stoppable,
+        now: Instant,
+    ) -> int:
+        """Room for replicas that is cleared where their image is, if there is too little free."""
+        image = ImageName(job.spec.bundle)
+        near = [m for m in usable if image in m.images]
+        lacking = count - len(self.scheduler.choose(job, count, near, free, able))
+        if lacking <= 0 or not near:
+            return 0
+        return self.preempt(job, lacking, stoppable, free, able, now, near_image=True)
--- a/umberward/scheduler.py
+++ b/umberward/scheduler.py
@@ -14,7 +14,8 @@
 from collections.abc import Callable, Iterable
 from typing import Any, NamedTuple
 
-from umberward import preemption, state, wire
+from umberward import state, wire
+from umberward.clearing import Clearing
 from umberward.fleet import Machine
 from umberward.jobs import Job, Placement
 from umberward.placement import Room, best_fit
@@ -22,7 +23,6 @@
 from umberward.reserve import Reserve
 from umberward.settings import Settings
 from umberward.types import (
-    MAX_TASKS,
     NOTHING,
     Amount,
     Attempt,
@@ -50,12 +50,6 @@
 MARGIN_S = 0.5
 INTERIM_S = 4.0  # how often the completions of an unfinished job are written
 DEFAULT_WAIT_S = 120.0  # when a job should start for which nothing is said
-PREEMPT_EVERY_S = 0.1  # the search for work to stop looks at all that runs: not in every pass
-PREEMPT_PAUSE_S = 1.5  # a job does not stop others again before the last ones are gone
-MOVE_EVERY_S = 1.0
-MOVE_AT_ONCE = 8  # replicas that are looked at each time: few are away at any moment
-MOVE_AFTER_S = 35.0  # a start counts for its user if the replica then stays for 30 s
-CLEARED_S = 12.0  # how long cleared room is kept
 SICK_AFTER = 2  # failed starts in a row that set a machine aside
 MISTAKEN_AFTER = 3  # machines on which a job must fail before the job is blamed
 
@@ -77,14 +71,6 @@
     address: str
 
 
-class Cleared(NamedTuple):
-    """Room on a machine that is being cleared for a job."""
-
-    job: JobId
-    room: Amount
-    until: Instant
-
-
 class Batch(NamedTuple):
     """One transaction, and what to note when it is committed."""
 
@@ -95,54 +81,6 @@
     blocks: list[tuple[int, dict[str, tuple[str, str, str, bool]]]]
 
 
-class Stoppable:
-    """What runs on the machines, summed by standing, for one pass: who may be stopped for whom."""
-
-    def __init__(self, scheduler: Scheduler) -> None:
-        self.jobs = scheduler.jobs
-        self.machines = [m for m in scheduler.machines.values() if m.usable and m.held]
-        self.sums: dict[MachineId, dict[tuple[bool, int, tuple[int, int]], Amount]] = {}
-        self.futile: set[Any] = set()  # kinds of jobs for which nothing can be stopped
-
-    def most(self, machine: Machine, job: Job, room: Amount) -> Amount:
-        """How much room there would be if all that may be stopped for the job were."""
-        sums = self.sums.get(machine.id)
-        if sums is None:
-            sums = self.sums[machine.id] = {}
-            for placement in machine.held.values():
-                owner = self.jobs.get(placement.task.job)
-                if owner is not None and placement.stop is None:
-                    key = (placement.need.accelerators > 0, placement.rank, owner.standing)
-                    sums[key] = sums.get(key, NOTHING).plus(placement.need)
-        for (accelerated, rank, standing), amount in sums.items():
-            if self._may_stop(job, accelerated, rank, standing):
-                room = room.plus(amount)
-        return room
-
-    def victims(self, machine: Machine, job: Job) -> list[Placement]:
-        found = []
-        for placement in machine.held.values():
-            owner = self.jobs.get(placement.task.job)
-            if (
-                owner is not None
-                and placement.stop is None
-                and self._may_stop(
-                    job, placement.need.accelerators > 0, placement.rank, owner.standing
-                )
-            ):
-                found.append(placement)
-        return found
-
-    @staticmethod
-    def _may_stop(job: Job, accelerated: bool, rank: int, standing: tuple[int, int]) -> bool:
-        # Accelerated work is never stopped for ordinary work, whatever their standing: so it may
-        # stop ordinary work of lower rank, and the two cannot take turns.
-        mine = job.need.accelerators > 0
-        if mine != accelerated:
-            return mine and (rank > job.rank or standing > job.standing)
-        return standing > job.standing
-
-
 class Scheduler:
     def __init__(
         self,
@@ -188,14 +126,12 @@
         self.pending_block: dict[MachineId, int] = {}
         # Exited attempts whose start may still be under way, with the token it carries.
         self.tainted_exits: dict[tuple[TaskId, int], int] = {}
-        self.cleared: dict[MachineId, Cleared] = {}
         self.reserve = Reserve(skus, now)
+        self.clearing = Clearing(self, now)
         self.kept: set[MachineId] = set()  # the machines that the reserve is made of
         self.touched: set[JobId] = set()  # jobs with completions to write by and by
         self.urgent: set[JobId] = set()  # jobs with a mark or their end to write
         self.interim_at = now
-        self.preempt_at = now
-        self.move_at = now
         self.attempts = 0
         self.read = 0  # reports that were read in full
         self.searches = 0  # searches for room among all machines
@@ -272,7 +208,7 @@
         job.ended = True
         self.want_grades = True
         for placement in list(job.placed.values()):
-            self._stop(placement, 0.0)
+            self.stop(placement, 0.0)
         self.want_pass = True
 
     # ---- reports -----------------------------------------------------------------------
@@ -462,7 +398,7 @@
                 job.mark_done(index)
                 other = job.placed.get(index)
                 if other is not None and not job.gang:
-                    self._stop(other, 0.0)
+                    self.stop(other, 0.0)
             (self.urgent if job.complete else self.touched).add(job.id)
         elif placement is not None and shard.cause == "error":
             self._failed(machine, job, now)
@@ -600,7 +536,7 @@
             # The rest of a gang is of no use without this task.
             for other in list(job.placed.values()):
                 if other.stop is None:
-                    self._stop(other, 0.0)
+                    self.stop(other, 0.0)
 
     def _lose_tasks(self, machine: Machine, why: str) -> None:
         if machine.held:
@@ -611,7 +547,7 @@
         machine.lingering.clear()
         machine.strays = 0
 
-    def _stop(self, placement: Placement, grace: float) -> None:
+    def stop(self, placement: Placement, grace: float) -> None:
         if placement.stop is not None and placement.stop <= grace:
             return
         placement.stop = grace
@@ -788,7 +724,7 @@
             start_by = job.at + spec.due_s - estimate
         return start_by
 
-    def _patience(self, job: Job) -> float:
+    def patience(self, job: Job) -> float:
         """How long an array waits for room before others are stopped for it."""
         if self.guarantee_s is not None:
             return 0.5 * self.guarantee_s
@@ -848,20 +784,12 @@
             self._grade()
         waiting = self.waiting(now)
         self.reserve.note(waiting, now)
-        # Room that is being cleared for a job is kept for it: its victims would come back first.
-        for id, cleared in list(self.cleared.items()):
-            if cleared.until < now or cleared.job not in self.jobs:
-                del self.cleared[id]
-            elif id in free:
-                free[id] = free[id].minus(cleared.room)
+        self.clearing.keep(free, now)
         kept, able = self.reserve.split(usable, free)
         self.kept = kept
         # Kinds of jobs for which nothing is left in this pass: thousands of tasks may wait.
         full: set[Any] = set()
-        stoppable = self._stoppable(now)
-        cleared_for: dict[JobId, list[MachineId]] = {}
-        for id, cleared in self.cleared.items():
-            cleared_for.setdefault(cleared.job, []).append(id)
+        stoppable = self.clearing.look(now)
         for job in waiting:
             need = job.need
             count = min(
@@ -870,11 +798,7 @@
             )
             if count <= 0 or (job.gang and (count < job.size or job.placed or job.unsure)):
                 continue
-            # Room that was cleared for the job is its own everywhere, else it would clear it again.
-            mine = set(cleared_for.get(job.id, ()))
-            for id in mine:
-                if id in free:
-                    free[id] = free[id].plus(self.cleared[id].room)
+            mine = self.clearing.give(job, free)
             # Replicas stay long: they take accelerated machines only if nothing else is left.
             lasting = job.service and need.accelerators <= 0
             barred = self.reserve.barred(job, able if lasting else kept) - mine
@@ -884,61 +808,33 @@
             coming = 0
             if lasting:
                 coming = sum(1 for id in mine if id in free and not need.fits(free[id]))
-                if stoppable is not None and self._hurries(job):
-                    coming += self._near(job, count - coming, usable, free, able, stoppable, now)
+                if stoppable is not None and self.clearing.hurries(job):
+                    coming += self.clearing.near_image(
+                        job, count - coming, usable, free, able, stoppable, now
+                    )
             if mine or kind not in full:
-                chosen = self._choose(job, count - coming, usable, free, barred)
+                chosen = self.choose(job, count - coming, usable, free, barred)
                 if not chosen and not mine and job.plain:
                     full.add(kind)
             if len(chosen) + coming < count and stoppable is not None:
-                coming += self._preempt(
+                coming += self.clearing.preempt(
                     job, count - len(chosen) - coming, stoppable, free, mine, now
                 )
             for step, wider in enumerate((kept - mine, set()) if lasting else ()):
                 if len(chosen) + coming < count and (mine or (kind, step) not in full):
-                    chosen = self._choose(job, count - coming, usable, free, wider)
+                    chosen = self.choose(job, count - coming, usable, free, wider)
                     if not chosen and not mine and job.plain:
                         full.add((kind, step))
             if job.gang and len(chosen) < job.size:
                 chosen = []
-            for id in mine:
-                if id in chosen or len(chosen) == count:
-                    del self.cleared[id]
-                elif id in free:
-                    free[id] = free[id].minus(self.cleared[id].room)
+            used = mine if len(chosen) == count else mine.intersection(chosen)
+            self.clearing.take_back(used, mine, free)
             self._start(job, chosen, free, now)
             if need.accelerators > 0 and chosen:
                 kept, able = self.reserve.split(usable, free)
                 self.kept = kept
         if stoppable is not None and self.all_settled:
-            self._move_replicas(kept, able, usable, free, stoppable, now)
-
-    def _hurries(self, job: Job) -> bool:
-        """Whether its tasks would start too late if their image had to be fetched."""
-        wait, _ = self.aims.get(job.spec.jobclass, (None, None))
-        if wait is None:
-            return False
-        slowest = min((sku.fetch_gb_per_s for sku in self.skus.values()), default=1.0)
-        left = wait - (self.wall() - job.at)
-        return 0.0 < left < job.spec.pull_gb / slowest
-
-    def _near(
-        self,
-        job: Job,
-        count: int,
-        usable: list[Machine],
-        free: dict[MachineId, Amount],
-        able: set[MachineId],
-        stoppable: Stoppable,
-        now: Instant,
-    ) -> int:
-        """Room for replicas that is cleared where their image is, if there is too little free."""
-        image = ImageName(job.spec.bundle)
-        near = [m for m in usable if image in m.images]
-        lacking = count - len(self._choose(job, count, near, free, able))
-        if lacking <= 0 or not near:
-            return 0
-        return self._preempt(job, lacking, stoppable, free, able, now, near_image=True)
+            self.clearing.move_replicas(kept, able, usable, free, stoppable, now)
 
     def _start(
         self, job: Job, chosen: list[MachineId], free: dict[MachineId, Amount], now: Instant
@@ -973,7 +869,7 @@
             if placement.ready:
                 self._send(placement)
 
-    def _choose(
+    def choose(
         self,
         job: Job,
         count: int,
@@ -1051,175 +947,6 @@
             return (fetch, accelerators, -machine.booked.cores)
         return (float(machine.id in self.kept), scarce, accelerators, fetch, -machine.booked.cores)
 
-    def _stoppable(self, now: Instant) -> Stoppable | None:
-        """All that runs, by whom it may be stopped; None: it is too soon to look again."""
-        if now < self.preempt_at:
-            return None
-        self.preempt_at = Instant(now + PREEMPT_EVERY_S)
-        return Stoppable(self)
-
-    def _preempt(
-        self,
-        job: Job,
-        count: int,
-        stoppable: Stoppable,
-        free: dict[MachineId, Amount],
-        barred: set[MachineId],
-        now: Instant,
-        near_image: bool = False,
-        leaving: Placement | None = None,
-    ) -> int:
-        """Make room for work of a higher standing; for how many tasks room is on its way."""
-        if now - job.stopped_at < PREEMPT_PAUSE_S:
-            return 0
-        if not (job.service or job.gang) and self.wall() - job.at < self._patience(job):
-            return 0  # tasks end all the time: the next free room is this job's anyway
-        if job.gang and job.size > 1:
-            return self._clear_for_gang(job, stoppable, free, now)
-        image = ImageName(job.spec.bundle)
-        zones = [placement.zone for placement in job.placed.values() if placement is not leaving]
-        cap = (job.size + 1) // 2 if job.spec.apart else MAX_TASKS
-        kind = (job.kind, job.standing, job.rank)
-        if job.plain and kind in stoppable.futile:
-            return 0
-        options = [
-            preemption.Option(m.id, room, stoppable.victims(m, job), image in m.images)
-            for m in stoppable.machines
-            if m.id not in self.cleared
-            and m.id not in barred
-            and (room := free.get(m.id)) is not None
-            and (not near_image or image in m.images)
-            and job.need.fits(stoppable.most(m, job, room))
-            and self.allowed(job, m.type, m.zone, m.spot)
-            and zones.count(m.zone) < cap
-            and (not job.spec.same_place or all(zone == m.zone for zone in zones))
-        ]
-        made = 0
-        for machine, victims in preemption.plans(job.need, options, now):
-            if made >= min(count, 8):
-                break
-            # Room in one zone is of no use beyond what the job may have there.
-            zone = self.machines[machine].zone
-            if zones.count(zone) >= cap or any(victim.stop is not None for victim in victims):
-                continue
-            zones.append(zone)
-            made += 1
-            self._clear(job, machine, 1, victims, now)
-        if not made and job.plain and not near_image:
-            stoppable.futile.add(kind)
-        return made
-
-    def _clear(
-        self, job: Job, machine: MachineId, tasks: int, victims: list[Placement], now: Instant
-    ) -> None:
-        """Stop the victims, and keep room for so many of the job's tasks."""
-        room = NOTHING.plus(job.need, tasks)
-        self.cleared[machine] = Cleared(job.id, room, Instant(now + CLEARED_S))
-        job.stopped_at = now
-        for victim in victims:
-            owner = self.jobs.get(victim.task.job)
-            grace = 0.0
-            if owner is not None and not job.service:
-                grace = owner.spec.snapshot_cost_s
-            log.debug("%s stopped on %s for %s", victim.task, machine, job.id)
-            told = owner.placed.values() if owner is not None and owner.gang else [victim]
-            for placement in list(told):  # a gang saves only if all of it is told in time
-                self._stop(placement, grace)
-        if victims:
-            log.info("%d tasks stopped on %s for %s", len(victims), machine, job.id)
-
-    def _move_replicas(
-        self,
-        kept: set[MachineId],
-        able: set[MachineId],
-        usable: list[Machine],
-        free: dict[MachineId, Amount],
-        stoppable: Stoppable,
-        now: Instant,
-    ) -> None:
-        """Replicas never leave by themselves: those that keep accelerated work out are moved.
-
-        One is stopped only when there is room for it elsewhere, with its image, so that it is
-        away for a moment only; and not when it has just started, for its user's sake.
-        """
-        if now < self.move_at:
-            return
-        self.move_at = Instant(now + MOVE_EVERY_S)
-        shut = [m for m in usable if m.id in kept and not self.reserve.need.fits(free[m.id])]
-        shut.sort(key=lambda m: (m.booked.cores, m.id))
-        tries = 0
-        for machine in shut:
-            for placement in list(machine.held.values()):
-                job = self.jobs.get(placement.task.job)
-                if (
-                    tries >= MOVE_AT_ONCE
-                    or job is None
-                    or not job.service
-                    or job.again
-                    or placement.stop is not None
-                    or placement.running_at is None
-                    or now - placement.running_at < MOVE_AFTER_S
-                    or now - job.stopped_at < PREEMPT_PAUSE_S
-                ):
-                    continue
-                tries += 1
-                image = ImageName(job.spec.bundle)
-                others = [m for m in usable if m.id not in able and image in m.images]
-                chosen = [
-                    id
-                    for id in self._choose(job, 1, others, free, set(), placement)
-                    if id not in self.cleared
-                ]
-                if chosen:
-                    self._clear(job, chosen[0], 1, [], now)
-                    free[chosen[0]] = free[chosen[0]].minus(job.need)
-                elif not self._preempt(job, 1, stoppable, free, able, now, leaving=placement):
-                    continue
-                log.info("%s moves off %s", placement.task, machine.id)
-                self._stop(placement, 0.0)
-
-    def _clear_for_gang(
-        self, job: Job, stoppable: Stoppable, free: dict[MachineId, Amount], now: Instant
-    ) -> int:
-        """Room for a whole gang or none: half of a gang's room is of no use to anybody."""
-        image = ImageName(job.spec.bundle)
-        found: dict[ZoneName, list[tuple[int, float, MachineId, int, list[Placement]]]] = {}
-        for id, room in free.items():
-            machine = self.machines[id]
-            if id in self.cleared or not self.allowed(
-                job, machine.type, machine.zone, machine.spot
-            ):
-                continue
-            zone = machine.zone if job.spec.same_place else ZoneName("")
-            here = found.setdefault(zone, [])
-            fits = job.need.times_into(room)
-            if fits:
-                here.append((0, 0.0, id, fits, []))
-            elif job.need.fits(stoppable.most(machine, job, room)):
-                option = preemption.Option(
-                    id, room, stoppable.victims(machine, job), image in machine.images
-                )
-                for _, victims in preemption.plans(job.need, [option], now):
-                    loss = sum(preemption.loss(victim, now) for victim in victims)
-                    here.append((1, loss, id, 1, victims))
-        best: list[tuple[int, float, MachineId, int, list[Placement]]] = []
-        least = 0.0
-        for here in found.values():
-            here.sort(key=lambda entry: entry[:3])
-            picked: list[tuple[int, float, MachineId, int, list[Placement]]] = []
-            left = job.size
-            while left > 0 and len(picked) < len(here):
-                picked.append(here[len(picked)])
-                left -= picked[-1][3]
-            loss = sum(entry[1] for entry in picked)
-            if left <= 0 and (not best or loss < least):
-                best, least = picked, loss
-        left = job.size
-        for _, _, id, fits, victims in best:
-            self._clear(job, id, min(fits, left), victims, now)
-            left -= fits
-        return job.size if best else 0
-
     # ---- blocks ------------------------------------------------------------------------
 
     def _assign_block(self, machine: Machine) -> None:
