Kept connections give way to new ones when sockets run short

Connections kept to 538 workers took all of the 400 sockets for calls, and none was left for a new address. Changed: the connection least recently used is closed for a new one, and the state service and the cloud have sockets of their own.

--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -10,13 +10,15 @@
 from pathlib import Path
 from typing import Any
 
+import curio
 import msgspec
 import pytest
 from guards import GUARDS
 from world import Worker, World, raw_settings
 
+from umberward.http import Client, Request, Response, Server
 from umberward.settings import Operator, SettingsError, check
-from umberward.types import Instant
+from umberward.types import Address, Instant
 
 FILES = sorted((Path(__file__).parent / "scenarios").glob("*.txt"))
 
@@ -45,6 +47,7 @@
     def __init__(self) -> None:
         self.world = World()
         self.last: Any = None
+        self.answers = 0
         self.defaults: dict[str, Any] = {}
 
     def line(self, text: str) -> None:
@@ -111,6 +114,35 @@
     def do_cloud(self, mode: str) -> None:
         self.world.cloud_up = mode == "up"
 
+    # ---- sockets -----------------------------------------------------------------------
+
+    def do_ask_servers(self, servers: str, sockets: str) -> None:
+        """Ask so many servers twice over, with a budget of so many sockets."""
+
+        async def answer(_: Request) -> Response:
+            return Response(200)
+
+        async def ask() -> int:
+            addresses = [Address("127.0.0.1", 29340 + number) for number in range(int(servers))]
+            running = [
+                await curio.spawn(Server(address, answer, 8).run, daemon=True)
+                for address in addresses
+            ]
+            await curio.sleep(0.05)
+            client = Client(int(sockets))
+            count = 0
+            for address in addresses + addresses:
+                response = await client.request(address, "GET", "/", timeout=0.5)
+                count += response.status == 200
+            for task in running:
+                await task.cancel()
+            return count
+
+        self.answers = curio.run(ask)
+
+    def see_answers(self) -> int:
+        return self.answers
+
     # ---- settings ----------------------------------------------------------------------
 
     def do_settings(self, field: str, value: str) -> None:
--- a/umberward/http.py
+++ b/umberward/http.py
@@ -4,6 +4,7 @@
 
 import logging
 import time
+from collections import OrderedDict
 from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple
 
@@ -173,7 +174,8 @@
 
     def __init__(self, most: int) -> None:
         self.free = curio.Semaphore(most)
-        self.idle: dict[Address, list[tuple[Any, h11.Connection]]] = {}
+        # Kept connections, those to the address least recently used first.
+        self.idle: OrderedDict[Address, list[tuple[Any, h11.Connection]]] = OrderedDict()
 
     async def request(
         self,
@@ -195,10 +197,11 @@
         except BaseException:
             await self._close(sock)
             raise
-        kept = self.idle.setdefault(address, [])
+        kept = self.idle.get(address, [])
         if conn.our_state is h11.DONE and conn.their_state is h11.DONE and len(kept) < KEEP_IDLE:
             conn.start_next_cycle()
-            kept.append((sock, conn))
+            self.idle[address] = [*kept, (sock, conn)]
+            self.idle.move_to_end(address)
         else:
             await self._close(sock)
         return response
@@ -209,12 +212,16 @@
             await self._close(sock)
 
     async def _connection(self, address: Address, deadline: float, fresh: bool) -> Any:
-        kept = self.idle.get(address)
-        while kept and not fresh:
-            sock, conn = kept.pop()
+        while not fresh and address in self.idle:
+            sock, conn = self._kept(address, -1)
             if self._usable(sock):
                 return sock, conn
             await self._close(sock)
+        # Kept connections count: with more addresses than sockets, they would take them all and
+        # no new address could be reached any more.
+        while self.free.locked() and self.idle:
+            sock, _ = self._kept(next(iter(self.idle)), 0)
+            await self._close(sock)
         wait = max(deadline - time.monotonic(), 0.001)
         try:
             await curio.timeout_after(wait, self.free.acquire)
@@ -233,6 +240,13 @@
             raise
         return sock, h11.Connection(h11.CLIENT)
 
+    def _kept(self, address: Address, which: int) -> tuple[Any, h11.Connection]:
+        kept = self.idle[address]
+        found = kept.pop(which)
+        if not kept:
+            del self.idle[address]
+        return found
+
     @staticmethod
     def _usable(sock: Any) -> bool:
         """Nothing may come on an idle connection: data or an end both make it useless."""
--- a/umberward/node.py
+++ b/umberward/node.py
@@ -26,6 +26,7 @@
 
 FLAVORS = Key("flavors")
 JOBS = "/v1/jobs"
+UPSTREAM_SOCKETS = 24
 CONTACT_S = 2.5  # without the state service for so long, a node asks whether others have it
 
 
@@ -36,10 +37,12 @@
         limits = settings.platform.cluster.machine_limits
         # A third of the sockets is for what we open ourselves, some are spare.
         self.client = Client(max(16, limits.sockets // 3))
+        # Many workers must not keep us from the state service and the cloud.
+        self.upstream = Client(UPSTREAM_SOCKETS)
         self.serving = max(32, limits.sockets // 2)
         cluster = settings.platform.cluster
-        self.store = State(settings.state, cluster.state, cluster.size, self.client)
-        self.cloud = Cloud(settings.cloud, cluster.cloud.rps, self.client)
+        self.store = State(settings.state, cluster.state, cluster.size, self.upstream)
+        self.cloud = Cloud(settings.cloud, cluster.cloud.rps, self.upstream)
         self.skus: dict[TypeName, Sku] = {}
         self.mirror = Mirror(settings, self.store)
         self.users = Users(settings, self.store, self.mirror, self.skus, _wall)
