--- a/umberward/clearing.py
+++ b/umberward/clearing.py
@@ -231,7 +231,9 @@
         shut.sort(key=lambda m: (m.booked.cores, m.id))
         tries = 0
         for machine in shut:
-            for placement in list(machine.held.values()):
+            held = list(machine.held.values())
+            self.scheduler.rng.shuffle(held)  # those that find no room must not hide the others
+            for placement in held:
                 job = self.scheduler.jobs.get(placement.task.job)
                 if (
                     tries >= MOVE_AT_ONCE
@@ -255,7 +257,9 @@
                 if chosen:
                     self._clear(job, chosen[0], 1, [], now)
                     free[chosen[0]] = free[chosen[0]].minus(job.need)
-                elif not self.preempt(job, 1, stoppable, free, able, now, leaving=placement):
+                elif not self.preempt(
+                    job, 1, stoppable, free, able, now, near_image=True, leaving=placement
+                ):
                     continue
                 log.info("%s moves off %s", placement.task, machine.id)
                 self.scheduler.stop(placement, 0.0)
--- a/umberward/reserve.py
+++ b/umberward/reserve.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 from umberward.fleet import Machine
 from umberward.jobs import Job, Placement
@@ -77,7 +77,7 @@
         )
 
     def split(
-        self, usable: Iterable[Machine], free: dict[MachineId, Amount]
+        self, usable: Sequence[Machine], free: dict[MachineId, Amount]
     ) -> tuple[set[MachineId], set[MachineId]]:
         """Machines whose room for accelerated work must stay open, or is to become so; and all
         that could do such work.
@@ -88,6 +88,11 @@
         need = self.need
         if need.accelerators <= 0:
             return set(), set()
+        zones: dict[ZoneName, float] = {}
+        for machine in usable:
+            if not machine.spot:
+                cores = self.skus[machine.type].cores
+                zones[machine.zone] = zones.get(machine.zone, 0.0) + cores
         able = []
         for machine in usable:
             room = free[machine.id]
@@ -96,9 +101,10 @@
             ):
                 continue
             weight = sum(self._weight(p) for p in machine.held.values())
-            able.append((not need.fits(room), weight, machine.id))
+            # Work that must be spread needs as much of a small zone as of a large one.
+            able.append((not need.fits(room), -zones.get(machine.zone, 0.0), weight, machine.id))
         able.sort()
-        names = [id for _, _, id in able]
+        names = [id for *_, id in able]
         return set(names[: self.size()]), set(names)
 
     def _weight(self, placement: Placement) -> float:
--- a/umberward/scheduler.py
+++ b/umberward/scheduler.py
@@ -812,7 +812,7 @@
                     coming += self.clearing.near_image(
                         job, count - coming, usable, free, able, stoppable, now
                     )
-            if mine or kind not in full:
+            if coming < count and (mine or kind not in full):
                 chosen = self.choose(job, count - coming, usable, free, barred)
                 if not chosen and not mine and job.plain:
                     full.add(kind)
