Brief work fills kept machines while no accelerated work waits

Changed: tasks expected to take less than 30% of the time in which accelerated work should start may use kept machines while none waits.

--- a/umberward/reserve.py
+++ b/umberward/reserve.py
@@ -16,6 +16,7 @@
 from umberward.wire import Sku, Spec
 
 FADE_S = 60.0  # the peak falls by two thirds of the way to the present need in so long
+BRIEF = 0.3  # of the time in which accelerated work should start: a task may take so long
 LASTING = 20.0  # a replica keeps its room so many times longer than a task
 
 
@@ -26,6 +27,7 @@
         self.job: Job | None = None  # the latest accelerated job: where such work may run
         self.rank = 0  # the least rank of accelerated work seen
         self.running = 0  # accelerated tasks that have a place
+        self.waiting = 0  # ... and that wait for one
         self.peak = 0.0  # how many there were at once, waiting ones included
         self.at = now
 
@@ -45,14 +47,15 @@
 
     def note(self, waiting: Iterable[Job], now: Instant) -> None:
         """How much accelerated work there is at once."""
-        tasks = self.running
+        self.waiting = 0
         for job in waiting:
             if job.need.accelerators > 0:
-                tasks += job.startable()
+                self.waiting += job.startable()
                 self.rank = max(self.rank, job.rank)
                 self.job = job
                 if job.need.accelerators >= self.need.accelerators:
                     self.need = job.need
+        tasks = self.running + self.waiting
         faded = tasks + (self.peak - tasks) * math.exp((self.at - now) / FADE_S)
         self.at = now
         self.peak = max(faded, float(tasks))
@@ -125,10 +128,17 @@
                 room = room.plus(placement.need)
         return room
 
-    def barred(self, job: Job, kept: set[MachineId]) -> set[MachineId]:
+    def barred(
+        self, job: Job, kept: set[MachineId], takes_s: float, wait_s: float
+    ) -> set[MachineId]:
         """The machines among `kept` of which the job may only use what accelerated work leaves.
 
-        Work of lower rank may fill them, as it is stopped when they are needed: dear machines do
-        not stand idle meanwhile.
+        Work of lower rank may fill them, as it is stopped when they are needed; and, while no
+        accelerated work waits, tasks that are over long before such work must start. `takes_s`:
+        how long a task of the job is expected to take; `wait_s`: how soon accelerated work
+        should start. So dear and scarce machines do not stand idle meanwhile.
         """
-        return set() if job.need.accelerators > 0 or job.rank > self.rank else kept
+        if job.need.accelerators > 0 or job.rank > self.rank:
+            return set()
+        brief = not job.service and not self.waiting and 0 < takes_s <= BRIEF * wait_s
+        return set() if brief else kept
--- a/umberward/scheduler.py
+++ b/umberward/scheduler.py
@@ -713,7 +713,7 @@
         It follows from the job's own deadline and from what the operators aim at for its class.
         """
         spec = job.spec
-        estimate = 1.3 * spec.expect_s * self.runtime.get(spec.jobclass, 1.0)
+        estimate = 1.3 * self.estimate(job)
         start_by = job.at + DEFAULT_WAIT_S
         wait, finished = self.aims.get(spec.jobclass, (None, None))
         if wait is not None:
@@ -724,6 +724,15 @@
             start_by = job.at + spec.due_s - estimate
         return start_by
 
+    def estimate(self, job: Job) -> float:
+        """How long a task of the job takes, by its owner's word and what was seen of its class."""
+        return job.spec.expect_s * self.runtime.get(job.spec.jobclass, 1.0)
+
+    def barred(self, job: Job, kept: set[MachineId]) -> set[MachineId]:
+        spec = self.reserve.spec
+        wait = None if spec is None else self.aims.get(spec.jobclass, (None, None))[0]
+        return self.reserve.barred(job, kept, self.estimate(job), wait or DEFAULT_WAIT_S)
+
     def patience(self, job: Job) -> float:
         """How long an array waits for room before others are stopped for it."""
         if self.guarantee_s is not None:
@@ -801,7 +810,7 @@
             mine = self.clearing.give(job, free)
             # Replicas stay long: they take accelerated machines only if nothing else is left.
             lasting = job.service and need.accelerators <= 0
-            barred = self.reserve.barred(job, able if lasting else kept) - mine
+            barred = self.barred(job, able if lasting else kept) - mine
             kind = (job.kind, lasting, bool(barred))
             chosen: list[MachineId] = []
             # Replicas wait for what is being cleared for them: it is gone in a moment.
