--- a/tests/guards.py
+++ b/tests/guards.py
@@ -14,6 +14,7 @@
 from umberward.scheduler import Scheduler
 from umberward.types import JobId
 from umberward.users import Users
+from umberward.writer import Writer
 
 Patch = Callable[[pytest.MonkeyPatch], None]
 
@@ -130,16 +131,16 @@
 
 
 def mark_first(patch: pytest.MonkeyPatch) -> None:
-    def job_marked(self: Scheduler, batch: Any, *_: Any) -> None:
+    def job_marked(self: Writer, batch: Any, *_: Any) -> None:
         # The start goes out, but its mark never reaches the state service.
         for job, marked, _, final in batch.jobs:
             if not final:
                 job.marked = marked
-                self._marked(job)
+                self.marked(job)
         for number, hosts in batch.blocks:
-            self._block_stored(number, set(hosts))  # type: ignore[arg-type]
+            self.block_stored(number, set(hosts))  # type: ignore[arg-type]
 
-    patch.setattr(Scheduler, "committed", job_marked)
+    patch.setattr(Writer, "committed", job_marked)
 
     from world import FakeState
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -345,7 +345,7 @@
 
     def _write(self, scheduler: Scheduler) -> None:
         for _ in range(5):
-            batch = scheduler.next_batch(Instant(self.now))
+            batch = scheduler.writer.next_batch(Instant(self.now))
             if batch is None or self.store.mode == "down":
                 return
             assert len(batch.writes) <= 8
@@ -353,9 +353,9 @@
                 revision = curio.run(self.store.commit, batch.conditions, batch.writes)
             except (state.Conflict, state.Unknown):
                 for key, _ in batch.conditions:
-                    scheduler.reread(key, self.store.keys.get(key))
+                    scheduler.writer.reread(key, self.store.keys.get(key))
                 return
-            scheduler.committed(batch, Stamp(revision), Instant(self.now))
+            scheduler.writer.committed(batch, Stamp(revision), Instant(self.now))
 
     def _flush(self, scheduler: Scheduler) -> None:
         for _ in range(6):
--- a/umberward/holder.py
+++ b/umberward/holder.py
@@ -15,7 +15,7 @@
 from umberward.http import Client, NoAnswer, NotSent
 from umberward.membership import Membership
 from umberward.provision import Provisioner
-from umberward.scheduler import Batch, Command, Probe, Scheduler
+from umberward.scheduler import Command, Probe, Scheduler
 from umberward.settings import Settings
 from umberward.state import State
 from umberward.types import (
@@ -31,6 +31,7 @@
     parse_task_id,
 )
 from umberward.wire import BLOCKS, LIVE, JobRecord, Report, Sku
+from umberward.writer import Batch
 
 log = logging.getLogger(__name__)
 
@@ -223,7 +224,7 @@
                 self.queued.setdefault(item.machine, []).append(item)
             else:
                 await self._start_command(item)
-        if self.scheduler.writes_due(_now()):
+        if self.scheduler.writer.due(_now()):
             await self.to_write.set()
 
     async def _next_command(self, machine: MachineId) -> None:
@@ -306,7 +307,7 @@
             await curio.ignore_after(0.5, self.to_write.wait)
             self.to_write.clear()
             while self.membership.leading():
-                batch = self.scheduler.next_batch(_now())
+                batch = self.scheduler.writer.next_batch(_now())
                 if batch is None:
                     break
                 if not await self._commit(batch):
@@ -328,12 +329,12 @@
                 if not self.membership.leading():
                     return False
                 try:
-                    self.scheduler.reread(key, await self.store.get(key, state.URGENT))
+                    self.scheduler.writer.reread(key, await self.store.get(key, state.URGENT))
                 except (state.Unavailable, state.Unknown) as error:
                     log.debug("read %s: %s", key, error)
                     return False
             return False
-        self.scheduler.committed(batch, Stamp(revision), _now())
+        self.scheduler.writer.committed(batch, Stamp(revision), _now())
         return True
 
     # ---- the cloud ---------------------------------------------------------------------
--- a/umberward/scheduler.py
+++ b/umberward/scheduler.py
@@ -14,7 +14,7 @@
 from collections.abc import Callable, Iterable
 from typing import Any, NamedTuple
 
-from umberward import state, wire
+from umberward import wire
 from umberward.clearing import Clearing
 from umberward.fleet import Machine
 from umberward.jobs import Job, Placement
@@ -30,7 +30,6 @@
     ImageName,
     Instant,
     JobId,
-    Key,
     MachineId,
     Serial,
     Stamp,
@@ -42,13 +41,13 @@
     ZoneName,
     parse_task_id,
 )
-from umberward.wire import BLOCKS, FORGET, KILL, LIVE, PAST, START, JobRecord, Report, Sku
+from umberward.wire import FORGET, KILL, START, JobRecord, Report, Sku
+from umberward.writer import Writer
 
 log = logging.getLogger(__name__)
 
 DRIFT = 1.001
 MARGIN_S = 0.5
-INTERIM_S = 4.0  # how often the completions of an unfinished job are written
 DEFAULT_WAIT_S = 120.0  # when a job should start for which nothing is said
 SICK_AFTER = 2  # failed starts in a row that set a machine aside
 MISTAKEN_AFTER = 3  # machines on which a job must fail before the job is blamed
@@ -71,16 +70,6 @@
     address: str
 
 
-class Batch(NamedTuple):
-    """One transaction, and what to note when it is committed."""
-
-    conditions: list[tuple[Key, Stamp]]
-    writes: list[dict[str, Any]]
-    priority: int
-    jobs: list[tuple[Job, int, tuple[int, int], bool]]  # marked, completions, final
-    blocks: list[tuple[int, dict[str, tuple[str, str, str, bool]]]]
-
-
 class Scheduler:
     def __init__(
         self,
@@ -93,7 +82,6 @@
     ) -> None:
         cluster = settings.platform.cluster
         self.workers = cluster.workers
-        self.limits = cluster.state
         self.value_limit = int(cluster.state.value_kb * 1024)
         self.operator = settings.operator
         self.skus = skus
@@ -120,18 +108,12 @@
         self.jobs: dict[JobId, Job] = {}
         self.machines: dict[MachineId, Machine] = {}
         self.gone: dict[MachineId, None] = {}  # deleted machines: late reports are ignored
-        self.blocks: dict[int, tuple[Stamp, set[MachineId]]] = {}
-        self.block_size = max(4, min(32, self.value_limit // 120))
-        self.dirty_blocks: set[int] = set()
-        self.pending_block: dict[MachineId, int] = {}
         # Exited attempts whose start may still be under way, with the token it carries.
         self.tainted_exits: dict[tuple[TaskId, int], int] = {}
         self.reserve = Reserve(skus, now)
         self.clearing = Clearing(self, now)
+        self.writer = Writer(self, cluster.state.txn_ops, self.value_limit, now)
         self.kept: set[MachineId] = set()  # the machines that the reserve is made of
-        self.touched: set[JobId] = set()  # jobs with completions to write by and by
-        self.urgent: set[JobId] = set()  # jobs with a mark or their end to write
-        self.interim_at = now
         self.attempts = 0
         self.read = 0  # reports that were read in full
         self.searches = 0  # searches for room among all machines
@@ -157,7 +139,7 @@
             if not machine.met:
                 machine.probing = True
                 self.out.append(Probe(machine.id, address))
-        self.blocks[number] = (stamp, names)
+        self.writer.blocks[number] = (stamp, names)
 
     def load_done(self) -> None:
         self.loaded = True
@@ -314,8 +296,8 @@
                 return []
             machine.settled = True
             self.want_pass = True
-        if machine.block is None:
-            self._assign_block(machine)
+        if machine.block is None and self.loaded:
+            self.writer.assign_block(machine)
         return self._reconcile(machine, report, now, hello)
 
     def _reconcile(
@@ -399,7 +381,7 @@
                 other = job.placed.get(index)
                 if other is not None and not job.gang:
                     self.stop(other, 0.0)
-            (self.urgent if job.complete else self.touched).add(job.id)
+            self.writer.completions(job)
         elif placement is not None and shard.cause == "error":
             self._failed(machine, job, now)
         elif placement is not None:
@@ -505,7 +487,7 @@
         self.reserve.placed(placement)
         if not placement.ready:
             job.unready += 1
-            self.urgent.add(job.id)
+            self.writer.urgent.add(job.id)
         machine.booked = machine.booked.plus(placement.need)
         job.placed[placement.task.number] = placement
         self.quota.take(placement.team, placement.need)
@@ -571,7 +553,7 @@
             Command(machine.id, machine.address, self.epoch, machine.tenure, list(orders))
         )
 
-    def _send(self, placement: Placement) -> None:
+    def send(self, placement: Placement) -> None:
         machine = self.machines[placement.machine]
         placement.sent = True
         placement.inflight += 1
@@ -685,10 +667,7 @@
             self.gone[id] = None
             while len(self.gone) > 5000:
                 del self.gone[next(iter(self.gone))]
-            if machine.block is not None:
-                self.dirty_blocks.add(machine.block)
-                self.blocks[machine.block][1].discard(id)
-            self.pending_block.pop(id, None)
+            self.writer.drop(machine)
         self.want_pass = True
 
     def next_epoch(self, epoch: Epoch) -> None:
@@ -876,7 +855,7 @@
             self._hold(machine, job, placement)
             free[id] = free[id].minus(job.need)
             if placement.ready:
-                self._send(placement)
+                self.send(placement)
 
     def choose(
         self,
@@ -956,150 +935,6 @@
             return (fetch, accelerators, -machine.booked.cores)
         return (float(machine.id in self.kept), scarce, accelerators, fetch, -machine.booked.cores)
 
-    # ---- blocks ------------------------------------------------------------------------
-
-    def _assign_block(self, machine: Machine) -> None:
-        if machine.id in self.pending_block or not self.loaded:
-            return
-        number = 0
-        while True:
-            _, names = self.blocks.setdefault(number, (Stamp(0), set()))
-            if len(names) < self.block_size:
-                break
-            number += 1
-        names.add(machine.id)
-        self.pending_block[machine.id] = number
-        self.dirty_blocks.add(number)
-
-    # ---- writing -----------------------------------------------------------------------
-
-    def writes_due(self, now: Instant) -> bool:
-        return bool(self.urgent or self.dirty_blocks or (self.touched and now >= self.interim_at))
-
-    def next_batch(self, now: Instant) -> Batch | None:
-        """The most urgent writes that are due, as one transaction."""
-        most = self.limits.txn_ops
-        batch = Batch([], [], state.URGENT, [], [])
-        size = 0
-        finals: list[Job] = []
-        marks: list[Job] = []
-        interim: list[Job] = []
-        for id in list(self.urgent):
-            job = self.jobs.get(id)
-            if job is not None and job.complete:
-                finals.append(job)
-            elif job is not None and job.unready:
-                marks.append(job)
-            else:
-                self.urgent.discard(id)
-                if job is not None and job.dirty:
-                    self.touched.add(id)
-        if now >= self.interim_at:
-            for id in list(self.touched):
-                job = self.jobs.get(id)
-                if job is None or not job.dirty:
-                    self.touched.discard(id)
-                elif now - job.committed_at > INTERIM_S:
-                    interim.append(job)
-            if not interim:
-                self.interim_at = Instant(now + 0.25)
-        marks.sort(key=lambda job: job.rank)
-        for number in sorted(self.dirty_blocks):
-            if len(batch.writes) + 1 > most:
-                break
-            stamp, names = self.blocks[number]
-            hosts = {
-                str(id): (m.address, str(m.type), str(m.zone), m.spot)
-                for id in sorted(names)
-                if (m := self.machines.get(id)) is not None
-            }
-            key = Key(f"{BLOCKS}{number}")
-            batch.conditions.append((key, stamp))
-            batch.writes.append(state.put(key, wire.BlockRecord(hosts)))
-            batch.blocks.append((number, hosts))
-            size += wire.json_size(batch.writes[-1])
-        for job in finals + marks + interim:
-            ops = 2 if job.complete else 1
-            if len(batch.writes) + ops > most or size > 48 * 1024:
-                break
-            key = Key(LIVE + job.id)
-            batch.conditions.append((key, job.stamp))
-            if job.complete:
-                past = wire.FinalRecord(wire.DONE, job.size)
-                batch.writes.append(state.put(Key(PAST + job.id), past))
-                batch.writes.append(state.delete(key))
-                batch.jobs.append((job, job.marked, (job.base, job.bits), True))
-            else:
-                marked = max([job.marked, *(index + 1 for index in job.placed)])
-                if marked > job.marked:
-                    # Few jobs grow task by task: mark ahead, so that an array costs few writes.
-                    marked = min(job.size, max(marked, 2 * job.marked))
-                record = job.record(marked)
-                batch.writes.append(state.put(key, record))
-                batch.jobs.append((job, marked, (job.base, job.bits), False))
-            size += wire.json_size(batch.writes[-1])
-        return batch if batch.writes else None
-
-    def committed(self, batch: Batch, stamp: Stamp, now: Instant) -> None:
-        for number, hosts in batch.blocks:
-            _, names = self.blocks[number]
-            self.blocks[number] = (stamp, names)
-            self._block_stored(number, {MachineId(name) for name in hosts})
-        for job, marked, saved, final in batch.jobs:
-            if job.ended:
-                continue
-            if final:
-                log.info("%s is done", job.id)
-                self.job_gone(job.id)
-                continue
-            job.stamp = stamp
-            job.marked = marked
-            job.saved = saved
-            job.committed_at = now
-            self._marked(job)
-        self.want_pass = True
-
-    def _block_stored(self, number: int, stored: set[MachineId]) -> None:
-        names = self.blocks[number][1]
-        if stored == names:
-            self.dirty_blocks.discard(number)
-        for id in stored & names:
-            self.pending_block.pop(id, None)
-            machine = self.machines.get(id)
-            if machine is not None:
-                machine.block = number
-
-    def _marked(self, job: Job) -> None:
-        for index, placement in list(job.placed.items()):
-            if index < job.marked and not placement.ready:
-                placement.ready = True
-                job.unready -= 1
-                if placement.stop is None and placement.machine in self.machines:
-                    self._send(placement)
-
-    def reread(self, key: Key, found: state.Got | None) -> None:
-        """What the state service has after a conflict or an unknown outcome."""
-        if key.startswith(BLOCKS):
-            number = int(key[len(BLOCKS) :])
-            if number in self.blocks:
-                names = self.blocks[number][1]
-                if found is None:
-                    self.blocks[number] = (Stamp(0), names)
-                else:
-                    record = wire.converted(found.data, wire.BlockRecord)
-                    self.blocks[number] = (found.stamp, names)
-                    self._block_stored(number, {MachineId(name) for name in record.hosts})
-            return
-        id = JobId(key[len(LIVE) :])
-        job = self.jobs.get(id)
-        if job is None:
-            return
-        if found is None:
-            self.job_gone(id)
-            return
-        job.adopt(wire.converted(found.data, JobRecord), found.stamp)
-        self._marked(job)
-
     # ---- what operators see ------------------------------------------------------------
 
     def fleet_lines(self) -> list[str]:
