--- a/umberward/provision.py
+++ b/umberward/provision.py
@@ -160,7 +160,7 @@
                 continue
             sku = scheduler.skus.get(machine.type)
             quiet = now - max(machine.idle_since, machine.since)
-            if quiet <= max(scheduler.operator.idle_seconds, 1.5 * sku.boot_s if sku else 0.0):
+            if quiet <= max(scheduler.operator.idle_seconds, sku.boot_s if sku else 0.0):
                 continue
             # A gang may wait for more machines than this one.
             if sku is None or not any(
--- a/umberward/settings.py
+++ b/umberward/settings.py
@@ -108,7 +108,7 @@
 
     lease_seconds: Annotated[float, msgspec.Meta(ge=1.0, le=60.0)] = 3.0
     rent_spare: Annotated[float, msgspec.Meta(ge=0.0, le=10.0)] = 1.0
-    idle_seconds: Annotated[float, msgspec.Meta(ge=1.0, le=86400.0)] = 60.0
+    idle_seconds: Annotated[float, msgspec.Meta(ge=1.0, le=86400.0)] = 40.0
     silence_seconds: Annotated[float, msgspec.Meta(ge=2.0, le=3600.0)] = 4.0
     poll_cache: Annotated[int, msgspec.Meta(ge=0, le=1_000_000)] = 5000
 
