Completions of unfinished jobs get a small part of the writes

Workers remember completions, so these writes can wait: a fifth of the limit now, oldest first, given up at once when the budget is short; marks of replicas come before the ends of jobs.

--- a/umberward/holder.py
+++ b/umberward/holder.py
@@ -316,9 +316,11 @@
 
     async def _commit(self, batch: Batch) -> bool:
         conditions = [self.membership.condition(), *batch.conditions]
+        # What is not urgent gives way at once: urgent writes may come while it waits.
+        patience = 2.0 if batch.priority == state.URGENT else 0.0
         try:
             revision = await self.store.commit(
-                conditions, batch.writes, priority=batch.priority, patience=2.0
+                conditions, batch.writes, priority=batch.priority, patience=patience
             )
         except state.Unavailable as error:
             log.debug("commit: %s", error)
--- a/umberward/scheduler.py
+++ b/umberward/scheduler.py
@@ -112,7 +112,7 @@
         self.tainted_exits: dict[tuple[TaskId, int], int] = {}
         self.reserve = Reserve(skus, now)
         self.clearing = Clearing(self, now)
-        self.writer = Writer(self, cluster.state.txn_ops, self.value_limit, now)
+        self.writer = Writer(self, cluster.state, self.value_limit, now)
         self.kept: set[MachineId] = set()  # the machines that the reserve is made of
         self.attempts = 0
         self.read = 0  # reports that were read in full
--- a/umberward/writer.py
+++ b/umberward/writer.py
@@ -12,6 +12,7 @@
 from umberward import state, wire
 from umberward.fleet import Machine
 from umberward.jobs import Job
+from umberward.settings import StateLimits
 from umberward.types import Instant, JobId, Key, MachineId, Stamp
 from umberward.wire import BLOCKS, LIVE, PAST, JobRecord
 
@@ -20,6 +21,7 @@
 
 log = logging.getLogger(__name__)
 
+INTERIM_PART = 0.2  # of all writes, for the completions of unfinished jobs
 INTERIM_S = 4.0  # how often the completions of an unfinished job are written
 
 
@@ -34,9 +36,12 @@
 
 
 class Writer:
-    def __init__(self, scheduler: Scheduler, most: int, value_limit: int, now: Instant) -> None:
+    def __init__(
+        self, scheduler: Scheduler, limits: StateLimits, value_limit: int, now: Instant
+    ) -> None:
         self.scheduler = scheduler
-        self.most = most  # changes in one transaction
+        self.most = limits.txn_ops  # changes in one transaction
+        self.interim_rate = INTERIM_PART * limits.write_rps
         self.blocks: dict[int, tuple[Stamp, set[MachineId]]] = {}
         self.block_size = max(4, min(32, value_limit // 120))
         self.dirty_blocks: set[int] = set()
@@ -67,7 +72,6 @@
         size = 0
         finals: list[Job] = []
         marks: list[Job] = []
-        interim: list[Job] = []
         for id in list(self.urgent):
             job = self.scheduler.jobs.get(id)
             if job is not None and job.complete:
@@ -78,15 +82,6 @@
                 self.urgent.discard(id)
                 if job is not None and job.dirty:
                     self.touched.add(id)
-        if now >= self.interim_at:
-            for id in list(self.touched):
-                job = self.scheduler.jobs.get(id)
-                if job is None or not job.dirty:
-                    self.touched.discard(id)
-                elif now - job.committed_at > INTERIM_S:
-                    interim.append(job)
-            if not interim:
-                self.interim_at = Instant(now + 0.25)
         marks.sort(key=lambda job: job.rank)
         for number in sorted(self.dirty_blocks):
             if len(batch.writes) + 1 > most:
@@ -102,7 +97,14 @@
             batch.writes.append(state.put(key, wire.BlockRecord(hosts)))
             batch.blocks.append((number, hosts))
             size += wire.json_size(batch.writes[-1])
-        for job in finals + marks + interim:
+        # A replica should run at once; a job's end may be told a little later.
+        at_once = [job for job in marks if job.service]
+        later = [job for job in marks if not job.service]
+        due = at_once + finals + later
+        if not due and not batch.writes:
+            due = self._interim(now)
+            batch = batch._replace(priority=state.LAZY)
+        for job in due:
             ops = 2 if job.complete else 1
             if len(batch.writes) + ops > most or size > 48 * 1024:
                 break
@@ -124,6 +126,26 @@
             size += wire.json_size(batch.writes[-1])
         return batch if batch.writes else None
 
+    def _interim(self, now: Instant) -> list[Job]:
+        """Jobs whose completions are to be written though they go on.
+
+        Their workers remember the tasks meanwhile, so that nothing is lost: they get a small part
+        of the writes, and the more such jobs there are, the longer each waits for its turn.
+        """
+        if now < self.interim_at:
+            return []
+        found = []
+        for id in list(self.touched):
+            job = self.scheduler.jobs.get(id)
+            if job is None or not job.dirty:
+                self.touched.discard(id)
+            elif now - job.committed_at > INTERIM_S:
+                found.append(job)
+        found.sort(key=lambda job: job.committed_at)
+        found = found[: max(1, min(self.most, int(self.interim_rate)))]
+        self.interim_at = Instant(now + max(0.25, len(found) / self.interim_rate))
+        return found
+
     def committed(self, batch: Batch, stamp: Stamp, now: Instant) -> None:
         for number, hosts in batch.blocks:
             _, names = self.blocks[number]
