--- a/umberward/clearing.py
+++ b/umberward/clearing.py
@@ -28,6 +28,7 @@
 log = logging.getLogger(__name__)
 
 PREEMPT_EVERY_S = 0.1  # the search for work to stop looks at all that runs: not in every pass
+CLEAR_AT_ONCE = 16  # machines that are cleared for one job at once
 PREEMPT_PAUSE_S = 1.5  # a job does not stop others again before the last ones are gone
 MOVE_EVERY_S = 1.0
 MOVE_AT_ONCE = 8  # replicas that are looked at each time: few are away at any moment
@@ -129,9 +130,9 @@
 
     # ---- the search --------------------------------------------------------------------
 
-    def look(self, now: Instant) -> Stoppable | None:
+    def look(self, waiting: list[Job], now: Instant) -> Stoppable | None:
         """All that runs, by whom it may be stopped; None: it is too soon to look again."""
-        if now < self.preempt_at:
+        if now < self.preempt_at and not any(job.service and self.hurries(job) for job in waiting):
             return None
         self.preempt_at = Instant(now + PREEMPT_EVERY_S)
         return Stoppable(self.scheduler)
@@ -176,7 +177,7 @@
         ]
         made = 0
         for machine, victims in preemption.plans(job.need, options, now):
-            if made >= min(count, 8):
+            if made >= min(count, CLEAR_AT_ONCE):
                 break
             # Room in one zone is of no use beyond what the job may have there.
             zone = self.scheduler.machines[machine].zone
--- a/umberward/jobs.py
+++ b/umberward/jobs.py
@@ -94,7 +94,7 @@
         self.errors: set[MachineId] = set()
         self.hold_until = 0.0
         self.holds = 0
-        self.ran = False  # some task of it has run
+        self.ran: set[int] = set()  # replicas that have run
         self.ran_well = False
         self.stopped_at = 0.0
         # Jobs of one class need the same kind of room: where one finds none, none does.
--- a/umberward/scheduler.py
+++ b/umberward/scheduler.py
@@ -432,7 +432,7 @@
         if task.number >= job.marked or job.gang and not self._same_attempt(job, shard.attempt):
             return None
         placement = Placement(task, Attempt(shard.attempt), machine.id, machine.zone, job, now)
-        job.ran = True
+        job.ran.add(task.number)
         placement.ready = placement.sent = placement.seen = placement.adopted = True
         self._hold(machine, job, placement)
         job.unsure.discard(task.number)
@@ -459,13 +459,15 @@
         if phase == wire.RUNNING and placement.running_at is None:
             placement.running_at = now
             self._say_if_late(job, placement, now)
-            job.ran = True
 
     def _say_if_late(self, job: Job, placement: Placement, now: Instant) -> None:
         """Where the time went, for work that its operators want to start sooner."""
         wait, _ = self.aims.get(job.spec.jobclass, (None, None))
         waited = self.wall() - job.at
-        if wait is None or waited <= wait or placement.adopted or job.ran:
+        first = placement.task.number not in job.ran
+        if job.service:
+            job.ran.add(placement.task.number)
+        if wait is None or waited <= wait or placement.adopted or not first or not job.service:
             return
         log.info(
             "%s (%s) runs %.1f s after its submission, %.1f s after it was given a place%s",
@@ -777,7 +779,7 @@
         self.kept = kept
         # Kinds of jobs for which nothing is left in this pass: thousands of tasks may wait.
         full: set[Any] = set()
-        stoppable = self.clearing.look(now)
+        stoppable = self.clearing.look(waiting, now)
         for job in waiting:
             need = job.need
             count = min(
