--- a/umberward/scheduler.py
+++ b/umberward/scheduler.py
@@ -288,6 +288,7 @@
         if report.reclaim_in_s is not None:
             if machine.notice_at is None:
                 log.info("%s will be taken in %.0f s", id, report.reclaim_in_s)
+                self._leave(machine, report.reclaim_in_s)
             machine.notice_at = Instant(now + report.reclaim_in_s)
         if not machine.settled:
             if report.epoch < self.term:
@@ -300,6 +301,16 @@
             self.writer.assign_block(machine)
         return self._reconcile(machine, report, now, hello)
 
+    def _leave(self, machine: Machine, left_s: float) -> None:
+        """The machine is about to be taken: what can save its progress does so, and goes on
+        elsewhere. Other work may be done before."""
+        for placement in list(machine.held.values()):
+            job = self.jobs.get(placement.task.job)
+            if job is None or job.gang or job.spec.snapshot_every_s <= 0:
+                continue
+            if job.spec.snapshot_cost_s + 1.0 < left_s:
+                self.stop(placement, job.spec.snapshot_cost_s)
+
     def _reconcile(
         self, machine: Machine, report: Report, now: Instant, hello: bool
     ) -> list[dict[str, Any]]:
