--- a/umberward/clearing.py
+++ b/umberward/clearing.py
@@ -30,7 +30,6 @@
 PREEMPT_EVERY_S = 0.1  # the search for work to stop looks at all that runs: not in every pass
 CLEAR_AT_ONCE = 16  # machines that are cleared for one job at once
 PREEMPT_PAUSE_S = 1.5  # a job does not stop others again before the last ones are gone
-REPLICA_PAUSE_S = 0.2
 MOVE_EVERY_S = 1.0
 MOVE_AT_ONCE = 8  # replicas that are looked at each time: few are away at any moment
 MOVE_AFTER_S = 35.0  # a start counts for its user if the replica then stays for 30 s
@@ -150,8 +149,7 @@
         leaving: Placement | None = None,
     ) -> int:
         """Make room for work of a higher standing; for how many tasks room is on its way."""
-        # What is on its way for replicas is known, so that the rest of them need not wait for it.
-        if now - job.stopped_at < (REPLICA_PAUSE_S if job.service else PREEMPT_PAUSE_S):
+        if now - job.stopped_at < PREEMPT_PAUSE_S:
             return 0
         if not (
             job.service or job.gang
