The clock is asked anew after standing still; failures are judged by evidence

Now both are doubted, the machine is kept, and what else the job does tells them apart (blame.py). Seen in the code, shown by scenarios: a leader that stood still took its own silence for that of all machines; commands, rentals and deletions were not checked again when sent; a poll read before a standstill was answered after it; a poll of an unknown id cost a look-up each.

--- a/tests/guards.py
+++ b/tests/guards.py
@@ -7,7 +7,9 @@
 
 import pytest
 
-from umberward import placement, scheduler, users
+from umberward import blame, mirror, placement, scheduler, users
+from umberward.blame import Blame
+from umberward.http import Client
 from umberward.jobs import Job
 from umberward.mirror import Mirror
 from umberward.quota import Quota
@@ -154,6 +156,44 @@
     patch.setattr(FakeState, "commit", commit)
 
 
+def own_silence(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(Scheduler, "wake", lambda *_: None)
+
+
+def fresh_answers(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(mirror, "STALE_S", 1e9)
+
+
+def absent_known(patch: pytest.MonkeyPatch) -> None:
+    async def state(self: Mirror, id: Any) -> Any:
+        self.absent.clear()
+        return await whole(self, id)
+
+    whole = Mirror.state
+    patch.setattr(Mirror, "state", state)
+
+
+def ask_again(patch: pytest.MonkeyPatch) -> None:
+    whole = Client.request
+
+    async def request(self: Client, *args: Any, still: Any = None, **named: Any) -> Any:
+        return await whole(self, *args, **named)
+
+    patch.setattr(Client, "request", request)
+
+
+def blame_jobs(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(blame, "MISTAKEN_AFTER", 1 << 30)
+
+
+def blame_undone(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(Blame, "_clear", lambda *_: None)
+
+
+def ever_rarer(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(Blame, "_hold", lambda *_: None)
+
+
 GUARDS: dict[str, Patch] = {
     "lease-wait": lease_wait,
     "settle-first": settle_first,
@@ -172,4 +212,11 @@
     "standing": standing,
     "past-lookup": past_lookup,
     "known-first": known_first,
+    "own-silence": own_silence,
+    "fresh-answers": fresh_answers,
+    "absent-known": absent_known,
+    "ask-again": ask_again,
+    "blame-jobs": blame_jobs,
+    "blame-undone": blame_undone,
+    "ever-rarer": ever_rarer,
 }
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import contextlib
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -16,7 +17,7 @@
 from guards import GUARDS
 from world import Worker, World, raw_settings
 
-from umberward.http import Client, Request, Response, Server
+from umberward.http import Client, NotSent, Request, Response, Server
 from umberward.settings import Operator, SettingsError, check
 from umberward.types import Address, Instant
 
@@ -89,6 +90,15 @@
     def do_run(self, seconds: str) -> None:
         self.world.run(float(seconds))
 
+    def do_freeze(self, seconds: str) -> None:
+        """The leader stands still for so long while its clock runs on."""
+        self.world.frozen = True
+        self.world.run(float(seconds))
+        self.world.frozen = False
+
+    def do_mend(self, id: str) -> None:
+        self.world.specs[id]["_mistaken"] = False
+
     def do_set(self, name: str, flag: str) -> None:
         worker = self.world.workers[name]
         clear = flag.startswith("not-")
@@ -140,6 +150,25 @@
 
         self.answers = curio.run(ask)
 
+    def do_ask_too_late(self) -> None:
+        """A request that is ready to be sent when its reason no longer holds."""
+
+        async def answer(_: Request) -> Response:
+            self.answers += 1
+            return Response(200)
+
+        async def ask() -> None:
+            address = Address("127.0.0.1", 29390)
+            running = await curio.spawn(Server(address, answer, 8).run, daemon=True)
+            await curio.sleep(0.05)
+            client = Client(4)
+            await client.request(address, "POST", "/do", timeout=0.5, still=lambda: True)
+            with contextlib.suppress(NotSent):
+                await client.request(address, "POST", "/do", timeout=0.5, still=lambda: False)
+            await running.cancel()
+
+        curio.run(ask)
+
     def see_answers(self) -> int:
         return self.answers
 
@@ -202,6 +231,9 @@
     def do_poll(self, id: str) -> None:
         self.last = self.world.poll(id)
 
+    def do_poll_across_cancel(self, id: str, seconds: str) -> None:
+        self.last = self.world.poll_across_cancel(id, float(seconds))
+
     def do_cancel(self, id: str) -> None:
         self.last = self.world.cancel(id)
 
@@ -244,6 +276,28 @@
     def cost_searching(self, seconds: str) -> int:
         return self._counted("searches", seconds)
 
+    def cost_probing(self, seconds: str) -> int:
+        before = self.world.probes
+        self.world.run(float(seconds))
+        return self.world.probes - before
+
+    def cost_lookups(self, id: str, times: str) -> int:
+        """Requests to the state service for as many polls, one after the other."""
+        before = self.world.store.requests
+        for _ in range(int(times)):
+            assert self.world.poll(id).status == 404
+        return self.world.store.requests - before
+
+    def cost_starting(self, id: str, seconds: str) -> int:
+        """How often tasks of the job are started in so many seconds."""
+
+        def count() -> int:
+            return sum(n for task, n in self.world.starts.items() if task.startswith(id + "/"))
+
+        before = count()
+        self.world.run(float(seconds))
+        return count() - before
+
     def _counted(self, name: str, seconds: str) -> int:
         scheduler = self.world.scheduler
         before = getattr(scheduler, name)
--- a/tests/world.py
+++ b/tests/world.py
@@ -78,6 +78,7 @@
         self.pending: list[tuple[Any, Any]] = []
         self.changes: list[wire.Change] = []
         self.requests = 0
+        self.meanwhile: Any = None  # what happens between a reading and its use
 
     async def get(self, key: Key, *_: Any, **__: Any) -> Got | None:
         self.requests += 1
@@ -107,7 +108,11 @@
             for change in self.changes
             if change.stamp > after and (change.write or change.delete or "").startswith(prefix)
         ]
-        return news, Revision(self.revision)
+        revision = Revision(self.revision)
+        meanwhile, self.meanwhile = self.meanwhile, None
+        if meanwhile is not None:
+            await meanwhile()
+        return news, revision
 
     async def commit(self, conditions: Any, writes: Any, **_: Any) -> Revision:
         self.requests += 1
@@ -195,8 +200,10 @@
         self.placing = True
         self.watching = True
         self.cloud_up = True
-        self.mirror = Mirror(self.settings, self.store)  # type: ignore[arg-type]
+        self.mirror = Mirror(self.settings, self.store, lambda: self.now)  # type: ignore[arg-type]
         self.users = Users(self.settings, self.store, self.mirror, SKUS, lambda: WallTime(self.now))  # type: ignore[arg-type]
+        self.frozen = False  # the leader stands still, its clock goes on
+        self.probes = 0
         self.rng = random.Random(7)
         self.former: list[Scheduler] = []
 
@@ -275,11 +282,32 @@
     def cancel_elsewhere(self, id: str) -> None:
         """Another controller takes the cancellation and tells the user."""
         mirror, users = self.mirror, self.users
-        self.mirror = Mirror(self.settings, self.store)  # type: ignore[arg-type]
-        self.users = Users(self.settings, self.store, self.mirror, SKUS, users.wall)  # type: ignore[arg-type]
+        self._other_controller()
         self.cancel(id)
         self.mirror, self.users = mirror, users
 
+    def _other_controller(self) -> None:
+        self.mirror = Mirror(self.settings, self.store, lambda: self.now)  # type: ignore[arg-type]
+        self.users = Users(self.settings, self.store, self.mirror, SKUS, self.users.wall)  # type: ignore[arg-type]
+
+    def poll_across_cancel(self, id: str, seconds: float) -> Response:
+        """We stand still after we have read the answer to a poll; meanwhile another controller
+        cancels the job and says so."""
+
+        async def meanwhile() -> None:
+            mirror, users = self.mirror, self.users
+            self._other_controller()
+            running = await curio.spawn(self.mirror.run, daemon=True)
+            response = await self.users.cancel(JobId(id))
+            await running.cancel()
+            self.mirror, self.users = mirror, users
+            assert self._check_phase(id, response) == wire.CANCELLED
+            self.cancelled[id] = self.now
+            self.now += seconds
+
+        self.store.meanwhile = meanwhile
+        return self.poll(id)
+
     def _serve(self, call: Any, argument: Any) -> Response:
         async def serve() -> Response:
             running = await curio.spawn(self.mirror.run, daemon=True)
@@ -314,8 +342,9 @@
             if not worker.dead:
                 self._work(worker)
         scheduler = self.scheduler
-        if scheduler is not None:
+        if scheduler is not None and not self.frozen:
             now = Instant(self.now)
+            scheduler.wake(now)
             if self.watching and self.store.mode != "down":
                 for change in self.store.changes[self.seen_changes :]:
                     self._change(scheduler, change)
@@ -367,6 +396,7 @@
                 now = Instant(self.now)
                 silent = worker is None or worker.dead or worker.cut
                 if isinstance(item, Probe):
+                    self.probes += 1
                     scheduler.probed(item, None if silent else self._report(worker), now)
                     continue
                 if worker is not None and worker.holding:
@@ -418,7 +448,7 @@
             self._hello(worker)
 
     def _hello(self, worker: Worker) -> None:
-        if worker.cut or self.scheduler is None:
+        if worker.cut or self.scheduler is None or self.frozen:
             return
         sent = self.now
         body = wire.encode(self._report(worker))
--- /dev/null
+++ b/umberward/blame.py
@@ -0,0 +1,142 @@
+"""Whose fault it is that a task failed: its machine's or its job's. No I/O.
+
+A faulty machine fails whatever it starts, a job submitted with a mistake fails wherever it is
+started, and the first failures of either look the same. So both are doubted at first: the machine
+gets nothing new and the job goes elsewhere. What else the job does tells them apart: it is blamed
+when it fails on several machines and runs on none, and it is cleared, also later, by one task
+that completes or runs much longer than those that failed. Then its failures count against
+the machines again, which are kept until that is decided.
+"""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+from umberward.fleet import Machine
+from umberward.jobs import Job, Placement
+from umberward.types import Instant, JobId
+
+if TYPE_CHECKING:
+    from umberward.scheduler import Scheduler
+
+log = logging.getLogger(__name__)
+
+SICK_AFTER = 2  # failures, of jobs that are not to blame, that set a machine aside
+MISTAKEN_AFTER = 3  # machines on which a job must fail before it is blamed
+DECIDED_S = 15.0  # a machine is given up when nothing has spoken for it for so long
+LONGEST_HOLD_S = 45.0  # the longest pause between two tries of a job that is to blame
+LOOK_EVERY_S = 0.5
+
+
+class Blame:
+    def __init__(self, scheduler: Scheduler, now: Instant) -> None:
+        self.scheduler = scheduler
+        self.doubted: dict[JobId, Job] = {}  # jobs that have failed and never ran well
+        self.look_at = now
+
+    def failed(self, machine: Machine, job: Job, placement: Placement, now: Instant) -> None:
+        ran = 0.0 if placement.running_at is None else now - placement.running_at
+        job.fails_after = max(job.fails_after, ran)
+        job.errors.add(machine.id)
+        machine.failures[job.id] = machine.failures.get(job.id, 0) + 1
+        machine.failed_at = now
+        if job.mistaken:
+            self._hold(job, now)
+            return
+        log.debug("%s failed on %s after running %.1f s", placement.task, machine.id, ran)
+        if not job.ran_well:
+            self.doubted[job.id] = job
+            self._clear_if_running(job, now)
+        if not job.ran_well and len(job.errors) >= MISTAKEN_AFTER:
+            log.info("%s is taken for mistaken: it failed on %d machines", job.id, len(job.errors))
+            job.mistaken = True
+            self._hold(job, now)
+            self._judge_machines(job, now)
+            return
+        self._judge(machine, now)
+
+    def worked(self, machine: Machine, job: Job, placement: Placement | None, now: Instant) -> None:
+        """A task completed. What began before the last failure says nothing about the machine."""
+        if placement is not None and placement.at > machine.failed_at:
+            machine.failures.clear()
+            self._judge(machine, now)
+        self._clear(job, now)
+
+    def tick(self, now: Instant) -> None:
+        if now < self.look_at:
+            return
+        self.look_at = Instant(now + LOOK_EVERY_S)
+        for job in list(self.doubted.values()):
+            if job.ended:
+                self.forget(job, now)
+            else:
+                self._clear_if_running(job, now)
+
+    def forget(self, job: Job, now: Instant) -> None:
+        """The job is over: nothing will be learnt about it any more."""
+        self.doubted.pop(job.id, None)
+        if job.mistaken:
+            # Judged for the last time: what it did is not held against any machine.
+            for id in job.errors:
+                machine = self.scheduler.machines.get(id)
+                if machine is not None:
+                    machine.failures.pop(job.id, None)
+
+    def given_up(self, machine: Machine, now: Instant) -> bool:
+        """Whether a machine that was set aside is surely at fault, and may be returned."""
+        if machine.sick_since is None:
+            return False
+        for id in machine.failures:
+            job = self.scheduler.jobs.get(id)
+            if job is not None and job.ran_well:
+                return True
+        return now - machine.sick_since > DECIDED_S
+
+    # ---- parts -------------------------------------------------------------------------
+
+    def _hold(self, job: Job, now: Instant) -> None:
+        if now < job.hold_until:
+            return  # many tasks of one try fail together
+        job.hold_until = now + min(LONGEST_HOLD_S, 2.0 ** min(job.holds, 10))
+        job.holds += 1
+
+    def _clear_if_running(self, job: Job, now: Instant) -> None:
+        bound = 2.0 * job.fails_after + 1.0
+        for placement in job.placed.values():
+            if placement.running_at is not None and now - placement.running_at > bound:
+                self._clear(job, now)
+                return
+
+    def _clear(self, job: Job, now: Instant) -> None:
+        if job.ran_well:
+            return
+        job.ran_well = True
+        self.doubted.pop(job.id, None)
+        if job.mistaken:
+            log.info("%s runs well after all", job.id)
+            job.mistaken = False
+            job.hold_until = 0.0
+        self._judge_machines(job, now)
+        self.scheduler.want_pass = True
+
+    def _judge_machines(self, job: Job, now: Instant) -> None:
+        for id in job.errors:
+            machine = self.scheduler.machines.get(id)
+            if machine is not None:
+                self._judge(machine, now)
+
+    def _judge(self, machine: Machine, now: Instant) -> None:
+        jobs = self.scheduler.jobs
+        count = 0
+        for id, times in machine.failures.items():
+            job = jobs.get(id)
+            if job is None or not job.mistaken:
+                count += times
+        if count >= SICK_AFTER and machine.sick_since is None:
+            machine.sick_since = now
+            log.info("%s set aside: it failed %d tasks in a row", machine.id, count)
+        elif count < SICK_AFTER and machine.sick_since is not None:
+            machine.sick_since = None
+            self.scheduler.want_pass = True
+            log.info("%s is used again", machine.id)
--- a/umberward/clearing.py
+++ b/umberward/clearing.py
@@ -149,7 +149,7 @@
         leaving: Placement | None = None,
     ) -> int:
         """Make room for work of a higher standing; for how many tasks room is on its way."""
-        if now - job.stopped_at < PREEMPT_PAUSE_S:
+        if now - job.stopped_at < PREEMPT_PAUSE_S or job.mistaken:
             return 0
         if not (
             job.service or job.gang
--- a/umberward/cloud.py
+++ b/umberward/cloud.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from umberward import wire
 from umberward.http import Client, NoAnswer, NotSent, Response
 from umberward.provision import Rental
@@ -29,7 +31,13 @@
         self._hosts = wire.decoder(Hosts)
         self._rented = wire.decoder(Rented)
 
-    async def _call(self, method: str, target: str, body: object = None) -> Response:
+    async def _call(
+        self,
+        method: str,
+        target: str,
+        body: object = None,
+        still: Callable[[], bool] | None = None,
+    ) -> Response:
         """Raises CloudTrouble or NoAnswer."""
         try:
             await self.budget.take(1, 0, 5.0)
@@ -37,7 +45,9 @@
             raise CloudTrouble(str(error)) from None
         data = b"" if body is None else wire.encode(body)
         try:
-            response = await self.client.request(self.address, method, target, data, TIMEOUT_S)
+            response = await self.client.request(
+                self.address, method, target, data, TIMEOUT_S, still=still
+            )
         except NotSent as error:
             raise CloudTrouble(str(error)) from None
         if response.status == 429 or (response.status == 503 and b"capacity" not in response.body):
@@ -53,7 +63,7 @@
             raise CloudTrouble(f"flavors: {response.status}")
         return {TypeName(sku.sku): sku for sku in self._flavors(response.body).flavors}
 
-    async def rent(self, rental: Rental) -> list[MachineId]:
+    async def rent(self, rental: Rental, still: Callable[[], bool]) -> list[MachineId]:
         """Raises NoCapacity, CloudTrouble, or NoAnswer if it may have been carried out."""
         body = {
             "claim": rental.claim,
@@ -62,17 +72,17 @@
             "reclaimable": rental.offer.spot,
             "how_many": rental.many,
         }
-        response = await self._call("POST", "/hosts", body)
+        response = await self._call("POST", "/hosts", body, still)
         if response.status == 503:
             raise NoCapacity
         if response.status != 200:
             raise CloudTrouble(f"rent: {response.status}")
         return [MachineId(name) for name in self._rented(response.body).hosts]
 
-    async def delete(self, ids: list[MachineId]) -> None:
+    async def delete(self, ids: list[MachineId], still: Callable[[], bool]) -> None:
         """Returns only if the machines are surely gone."""
         try:
-            response = await self._call("POST", "/hosts/delete", {"hosts": ids})
+            response = await self._call("POST", "/hosts/delete", {"hosts": ids}, still)
         except NoAnswer as error:
             raise CloudTrouble(str(error)) from None
         if response.status != 200:
--- a/umberward/fleet.py
+++ b/umberward/fleet.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from umberward.jobs import Placement
 from umberward.types import (
     NOTHING,
@@ -47,22 +49,27 @@
         self.booked: Amount = NOTHING
         self.images: dict[ImageName, float] = {}
         self.notice_at: Instant | None = None  # when the cloud takes it
-        self.errors = 0  # failed starts in a row
-        self.error_jobs: set[JobId] = set()
-        self.sick = False
+        self.failures: dict[JobId, int] = {}  # tasks that failed here since one went well
+        self.failed_at = Instant(-math.inf)
+        self.sick_since: Instant | None = None  # set aside, as it fails what it starts
         self.returning = False  # a deletion is on its way
         self.probing = False
         self.silent = False  # did not answer a probe
+        self.lapsed = False  # its lease ran out and nothing was heard of it since
         # The tasks of the last report as they stood in it, if nothing was left to do about them.
         self.calm: bytes | None = None
 
+    @property
+    def sick(self) -> bool:
+        return self.sick_since is not None
+
     @property
     def usable(self) -> bool:
         return (
             self.settled
             and self.block is not None
             and self.notice_at is None
-            and not (self.sick or self.returning or self.silent or self.strays)
+            and not (self.sick or self.returning or self.silent or self.lapsed or self.strays)
         )
 
     def free(self, sku: Sku) -> Amount:
--- a/umberward/holder.py
+++ b/umberward/holder.py
@@ -150,13 +150,10 @@
     async def handle(self, message: Any) -> Any:
         scheduler = self.scheduler
         now = _now()
+        scheduler.wake(now)
         answer: Any = None
         if isinstance(message, Hello):
-            orders = scheduler.hello(message.head, message.body, now)
-            if orders is not None and not self.membership.leading():
-                # Without our lease nothing may be started; what is there goes on.
-                orders = [order for order in orders if order["verb"] == wire.KILL]
-            answer = orders
+            answer = scheduler.hello(message.head, message.body, now)
         elif isinstance(message, Commanded):
             scheduler.commanded(message.command, message.report, message.unknown, now)
             await self._next_command(message.command.machine)
@@ -275,10 +272,14 @@
         report = None
         unknown = False
         body = {"epoch": command.epoch, "tenure": command.tenure, "orders": command.orders}
+        # Without our lease nothing may be started; what is there may still be tended.
+        starts = any(order["verb"] == wire.START for order in command.orders)
+        still = self.membership.leading if starts else self.membership.tending
         try:
             response = await self.client.request(
-                parse_address(command.address), "POST", "/do", wire.encode(body), DO_TIMEOUT_S
-            )
+                parse_address(command.address), "POST", "/do", wire.encode(body), DO_TIMEOUT_S,
+                still=still,
+            )  # fmt: skip
             if response.status in (200, 409):
                 report = wire.decode_report(response.body)
         except NotSent:
@@ -369,7 +370,7 @@
         ids = self.provisioner.deletions(now)[: wire.DELETE_LIMIT]
         if ids:
             log.info("deleting %s", " ".join(ids))
-            await self.cloud.delete(ids)
+            await self.cloud.delete(ids, self.membership.leading)
             self._removed(ids)
 
     def _removed(self, ids: list[MachineId]) -> None:
@@ -381,7 +382,7 @@
             log.info("renting %d of %s as %s", rental.many, rental.offer, rental.claim)
             while self.membership.leading():
                 try:
-                    ids = await self.cloud.rent(rental)
+                    ids = await self.cloud.rent(rental, self.membership.leading)
                 except NoCapacity:
                     log.info("no capacity: %s", rental.offer)
                     self.provisioner.no_capacity(rental.offer, _now())
@@ -400,7 +401,7 @@
             # A failed machine runs nothing any more; it stays listed until it is deleted.
             log.info("failed machines: %s", " ".join(failed))
             self._removed(failed)
-            await self.cloud.delete(failed[: wire.DELETE_LIMIT])
+            await self.cloud.delete(failed[: wire.DELETE_LIMIT], self.membership.leading)
 
 
 def _now() -> Instant:
--- a/umberward/http.py
+++ b/umberward/http.py
@@ -185,10 +185,18 @@
         body: bytes = b"",
         timeout: float = 2.0,
         fresh: bool = False,
+        still: Callable[[], bool] | None = None,
     ) -> Response:
-        """Raises NotSent or NoAnswer. With `fresh`, takes no kept connection."""
+        """Raises NotSent or NoAnswer. With `fresh`, takes no kept connection.
+
+        `still` is asked once more when all is ready to be sent: we may have waited for a socket or
+        a connection, or have stood still, since the decision was made.
+        """
         deadline = time.monotonic() + timeout
         sock, conn = await self._connection(address, deadline, fresh)
+        if still is not None and not still():
+            await self._close(sock)
+            raise NotSent(f"{method} {address}: no longer ours to say")
         try:
             response = await self._exchange(sock, conn, address, method, target, body, deadline)
         except (OSError, curio.TaskTimeout, h11.ProtocolError, EOFError) as error:
--- a/umberward/jobs.py
+++ b/umberward/jobs.py
@@ -93,7 +93,9 @@
         self.unready = 0  # placements whose mark is not committed
         self.errors: set[MachineId] = set()
         self.hold_until = 0.0
-        self.holds = 0
+        self.holds = 0  # tries since it was blamed
+        self.mistaken = False  # fails wherever it is started: blamed for it
+        self.fails_after = 0.0  # the longest that one of its tasks ran before it failed
         self.ran: set[int] = set()  # replicas that have run
         self.ran_well = False
         self.stopped_at = 0.0
--- a/umberward/mirror.py
+++ b/umberward/mirror.py
@@ -8,7 +8,9 @@
 from __future__ import annotations
 
 import logging
+import time
 from collections import OrderedDict
+from collections.abc import Callable
 from typing import NamedTuple
 
 import curio
@@ -24,6 +26,7 @@
 
 SHARE = 0.2  # of the state service's requests, for all controllers' copies together
 ANSWER_S = 1.2  # users wait 2 s for the answer to a poll
+STALE_S = 0.4  # what was read so long ago is read again: we stood still, or were kept waiting
 LULL_S = 10.0  # without polls a copy is brought up to date so often, as old changes are dropped
 
 
@@ -41,32 +44,57 @@
 class Mirror:
     """An actor: questions that wait are answered together."""
 
-    def __init__(self, settings: Settings, store: State) -> None:
+    def __init__(
+        self, settings: Settings, store: State, clock: Callable[[], float] = time.monotonic
+    ) -> None:
         self.store = store
+        self.clock = clock
         cluster = settings.platform.cluster
         self.pause = cluster.size / (cluster.state.rps * SHARE)
         self.live: dict[JobId, Live] = {}
         self.finals: OrderedDict[JobId, FinalRecord] = OrderedDict()
+        # Ids that nobody had submitted when they were looked up; a submission shows as a change.
+        self.absent: OrderedDict[JobId, None] = OrderedDict()
         self.most_finals = settings.operator.poll_cache
         self.after: Revision | None = None
+        self.read_at = 0.0  # when the latest changes were asked for
         self.mail: curio.Queue = curio.Queue()
 
     async def state(self, id: JobId) -> Live | FinalRecord | None:
         """Raises state.Unavailable or state.Unknown. None: no controller has accepted it."""
-        final = self.finals.get(id)
-        if final is not None:
-            return final
-        question = Ask(Fresh())
-        await self.mail.put(question)
-        failed = await question.wait()
-        if failed is not None:
-            raise failed
-        found = self.live.get(id) or self.finals.get(id)
-        if found is not None:
-            return found
-        past = await self.store.get(Key(PAST + id))
+        asked = self.clock()
+        while True:
+            final = self.finals.get(id)
+            if final is not None:
+                return final
+            question = Ask(Fresh())
+            await self.mail.put(question)
+            failed = await question.wait()
+            if failed is not None:
+                raise failed
+            # A final state may have been told to its user while we waited: it comes first.
+            found = self.finals.get(id) or self.live.get(id)
+            if found is None and id not in self.absent:
+                found = await self._past(id)
+            now = self.clock()
+            if isinstance(found, FinalRecord) or now - self.read_at <= STALE_S:
+                return found
+            if now - asked > ANSWER_S:
+                raise state.Unavailable("what was read is out of date")
+
+    async def _past(self, id: JobId) -> FinalRecord | None:
+        # Noted before it is looked up: whatever is submitted meanwhile takes the note away.
+        self.absent[id] = None
+        while len(self.absent) > self.most_finals:
+            self.absent.popitem(last=False)
+        try:
+            past = await self.store.get(Key(PAST + id))
+        except BaseException:
+            self.absent.pop(id, None)
+            raise
         if past is None:
             return None
+        self.absent.pop(id, None)
         record = wire.converted(past.data, FinalRecord)
         self.keep(id, record)
         return record
@@ -74,6 +102,7 @@
     def keep(self, id: JobId, final: FinalRecord) -> None:
         """Final states never change, so they need no refreshing."""
         self.live.pop(id, None)
+        self.absent.pop(id, None)
         self.finals[id] = final
         while len(self.finals) > self.most_finals:
             self.finals.popitem(last=False)
@@ -97,6 +126,11 @@
             await curio.sleep(self.pause)
 
     async def _refresh(self) -> None:
+        sent = self.clock()
+        await self._read()
+        self.read_at = sent
+
+    async def _read(self) -> None:
         if self.after is not None:
             try:
                 changes, self.after = await self.store.watch(JOBS, self.after, 0.0, ANSWER_S)
@@ -108,6 +142,7 @@
                 return
         entries, after = await self.store.entries(LIVE)
         self.live.clear()
+        self.absent.clear()
         for entry in entries:
             self._live(entry.path, entry.data)
         # The pages were read one after the other: what changed meanwhile comes with the next
@@ -136,4 +171,6 @@
             log.error("record %s: %s", path, error)
             return
         done = record.base + int(record.done, 16).bit_count()
-        self.live[JobId(path[len(LIVE) :])] = Live(record.marked, done)
+        id = JobId(path[len(LIVE) :])
+        self.absent.pop(id, None)
+        self.live[id] = Live(record.marked, done)
--- a/umberward/node.py
+++ b/umberward/node.py
@@ -145,6 +145,9 @@
         if holder is not None and self.membership.tending():
             orders = await holder.ask(Hello(head, request.body))
             if orders is not None and self.membership.tending():
+                if not self.membership.leading():
+                    # Without our lease nothing may be started; what is there goes on.
+                    orders = [order for order in orders if order["verb"] == wire.KILL]
                 epoch = holder.scheduler.epoch
                 return Response(200, wire.encode({"epoch": epoch, "orders": orders}))
             return Response(421, wire.encode({}))
--- a/umberward/provision.py
+++ b/umberward/provision.py
@@ -151,7 +151,9 @@
             if machine.held or machine.strays or not machine.settled or machine.returning:
                 continue
             if machine.sick:
-                found.append(machine)
+                # Others may still speak for it: a mistaken job fails in the same way.
+                if scheduler.blame.given_up(machine, now):
+                    found.append(machine)
                 continue
             if reserved > 0 and scheduler.reserve.could_run(
                 machine.type, machine.zone, machine.spot
--- a/umberward/scheduler.py
+++ b/umberward/scheduler.py
@@ -15,6 +15,7 @@
 from typing import Any, NamedTuple
 
 from umberward import wire
+from umberward.blame import Blame
 from umberward.clearing import Clearing
 from umberward.fleet import Machine
 from umberward.jobs import Job, Placement
@@ -49,8 +50,7 @@
 DRIFT = 1.001
 MARGIN_S = 0.5
 DEFAULT_WAIT_S = 120.0  # when a job should start for which nothing is said
-SICK_AFTER = 2  # failed starts in a row that set a machine aside
-MISTAKEN_AFTER = 3  # machines on which a job must fail before the job is blamed
+STOOD_STILL_S = 1.0  # without a message for so long, it was we who stood still: ticks are frequent
 
 
 class Command(NamedTuple):
@@ -103,6 +103,7 @@
         self.term = epoch
         self.started = now
         self.now = now
+        self.awake = now  # when we last looked at the clock
         self.wall = wall
         self.rng = rng
         self.jobs: dict[JobId, Job] = {}
@@ -112,6 +113,7 @@
         self.tainted_exits: dict[tuple[TaskId, int], int] = {}
         self.reserve = Reserve(skus, now)
         self.clearing = Clearing(self, now)
+        self.blame = Blame(self, now)
         self.writer = Writer(self, cluster.state, self.value_limit, now)
         self.kept: set[MachineId] = set()  # the machines that the reserve is made of
         self.attempts = 0
@@ -188,6 +190,7 @@
         if job is None:
             return
         job.ended = True
+        self.blame.forget(job, self.now)
         self.want_grades = True
         for placement in list(job.placed.values()):
             self.stop(placement, 0.0)
@@ -229,7 +232,7 @@
         ):
             return False
         machine.heard = machine.answered = now
-        machine.silent = False
+        machine.silent = machine.lapsed = False
         machine.serial = Serial(head.serial)
         return True
 
@@ -272,7 +275,7 @@
         machine.calm = None
         machine.heard = now
         machine.met = True
-        machine.silent = False
+        machine.silent = machine.lapsed = False
         machine.address = report.address
         if report.tenure > machine.tenure:
             # A new session: the worker has killed and forgotten all it had.
@@ -379,9 +382,7 @@
         if job is None:
             return
         if shard.cause == wire.DONE:
-            machine.errors = 0
-            machine.error_jobs.clear()
-            job.ran_well = True
+            self.blame.worked(machine, job, placement, now)
             if placement is not None and placement.running_at is not None:
                 self._note_runtime(job, now - placement.running_at)
             indices: Iterable[int] = (task.number,)
@@ -394,32 +395,13 @@
                     self.stop(other, 0.0)
             self.writer.completions(job)
         elif placement is not None and shard.cause == "error":
-            self._failed(machine, job, now)
+            self.blame.failed(machine, job, placement, now)
         elif placement is not None:
             log.debug("%s on %s exited: %s", task, machine.id, shard.cause)
             if shard.cause in ("no_room", "in_use", "no_such"):
                 log.info("%s refused %s: %s", machine.id, task, shard.cause)
                 job.hold_until = max(job.hold_until, now + 0.5)
 
-    def _failed(self, machine: Machine, job: Job, now: Instant) -> None:
-        """Tell a faulty machine from a mistaken job: either fails in the same way."""
-        job.errors.add(machine.id)
-        if not job.ran_well and len(job.errors) >= MISTAKEN_AFTER:
-            job.holds += 1
-            job.hold_until = now + min(20.0, 0.5 * 2**job.holds)
-            for other in job.errors:
-                blamed = self.machines.get(other)
-                if blamed is not None and blamed.error_jobs <= {job.id}:
-                    blamed.errors = 0
-                    blamed.sick = False
-            return
-        machine.errors += 1
-        machine.error_jobs.add(job.id)
-        log.info("%s failed a task of %s (%d in a row)", machine.id, job.id, machine.errors)
-        if machine.errors >= SICK_AFTER and not machine.sick:
-            machine.sick = True
-            log.info("%s set aside: it fails what it starts", machine.id)
-
     def _may_forget(self, machine: Machine, task: TaskId, shard: wire.ShardReport) -> bool:
         """After a forget, a start that is still under way would start the task again."""
         placement = machine.held.get(task)
@@ -609,6 +591,20 @@
     def _silence(self) -> float:
         return max(self.operator.silence_seconds, self.workers.report_s * 1.25 + 1.0)
 
+    def wake(self, now: Instant) -> None:
+        """To be called before anything else is decided, with the clock read anew.
+
+        If we stood still, the machines were not silent: it was we who did not listen, and what they
+        sent meanwhile is still to be read. Their leases ran on all the same.
+        """
+        gap = now - self.awake
+        self.awake = now
+        if gap <= STOOD_STILL_S:
+            return
+        log.info("stood still for %.1f s", gap)
+        for machine in self.machines.values():
+            machine.heard = min(now, Instant(machine.heard + gap))
+
     def tick(self, now: Instant) -> None:
         """Notice what time alone tells. To be called a few times a second."""
         self.now = now
@@ -636,6 +632,7 @@
                     job.settle()
                 self.want_pass = True
                 log.info("all machines settled after %.1f s", now - self.started)
+        self.blame.tick(now)
         self._pick_doomed(now)
 
     def cut_off(self, now: Instant) -> bool:
@@ -650,7 +647,7 @@
         self._lose_tasks(machine, "lease over")
         machine.min_tenure = Tenure(machine.tenure + 1)
         machine.answered = None
-        machine.silent = True
+        machine.lapsed = True
 
     def _pick_doomed(self, now: Instant) -> None:
         """Silent machines are deleted: that frees their tasks before the lease does.
@@ -740,6 +737,7 @@
         ]
         ready.sort(
             key=lambda job: (
+                job.mistaken,
                 job.standing,
                 self.deadline(job),
             )
@@ -784,7 +782,7 @@
         if self.want_grades:
             self._grade()
         waiting = self.waiting(now)
-        self.reserve.note(waiting, now)
+        self.reserve.note((job for job in waiting if not job.mistaken), now)
         self.clearing.keep(free, now)
         kept, able = self.reserve.split(usable, free)
         self.kept = kept
@@ -799,6 +797,11 @@
             )
             if count <= 0 or (job.gang and (count < job.size or job.placed or job.unsure)):
                 continue
+            if job.mistaken:
+                # One try at a time, in room that happens to be there; nobody gives way for it.
+                if job.placed:
+                    continue
+                count = job.size if job.gang else 1
             mine = self.clearing.give(job, free)
             # Replicas stay long: they take accelerated machines only if nothing else is left.
             lasting = job.service and need.accelerators <= 0
@@ -988,6 +991,6 @@
             count = min(job.startable(), self.quota.room(job.team, job.need))
             if job.gang and (job.placed or count < job.size):
                 continue
-            if count > 0:
+            if count > 0 and not job.mistaken:
                 found.append((job, count))
         return found
