--- a/tests/guards.py
+++ b/tests/guards.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from umberward import blame, mirror, placement, scheduler, users
+from umberward import blame, hints, mirror, placement, scheduler, users
 from umberward.blame import Blame
 from umberward.http import Client
 from umberward.jobs import Job
@@ -194,6 +194,10 @@
     patch.setattr(Blame, "_hold", lambda *_: None)
 
 
+def hints_kept(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(hints, "recall", lambda *_: None)
+
+
 GUARDS: dict[str, Patch] = {
     "lease-wait": lease_wait,
     "settle-first": settle_first,
@@ -212,6 +216,7 @@
     "standing": standing,
     "past-lookup": past_lookup,
     "known-first": known_first,
+    "hints-kept": hints_kept,
     "own-silence": own_silence,
     "fresh-answers": fresh_answers,
     "absent-known": absent_known,
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -71,6 +71,9 @@
     def do_lead(self) -> None:
         self.world.takeover()
 
+    def do_succeed(self) -> None:
+        self.world.succeed()
+
     def do_read_blocks(self) -> None:
         self.world.watching = False
         self.world.take_blocks()
--- a/tests/world.py
+++ b/tests/world.py
@@ -12,7 +12,7 @@
 
 import curio
 
-from umberward import state, wire
+from umberward import hints, state, wire
 from umberward.http import Response
 from umberward.mirror import Mirror
 from umberward.provision import Provisioner
@@ -214,6 +214,16 @@
         self.take_blocks()
         self.take_jobs()
 
+    def succeed(self) -> None:
+        """Another controller takes over, and has heard what the last leader had learnt."""
+        assert self.scheduler is not None and self.provisioner is not None
+        told = hints.dumps(hints.gather(self.scheduler, self.provisioner, Instant(self.now)))
+        self.take_blocks()
+        found = hints.loads(told)
+        assert found is not None
+        hints.recall(found, 1.0, self.scheduler, self.provisioner, Instant(self.now))
+        self.take_jobs()
+
     def take_blocks(self) -> None:
         self.store.apply([], [state.put(Key("leader"), {"node": "n", "nonce": "x"})])
         self.epoch = self.store.revision
--- a/umberward/blame.py
+++ b/umberward/blame.py
@@ -83,6 +83,13 @@
                 if machine is not None:
                     machine.failures.pop(job.id, None)
 
+    def remember(self, job: Job, holds: int, now: Instant) -> None:
+        """A former holder has blamed the job."""
+        job.mistaken = True
+        job.holds = holds
+        self.doubted[job.id] = job
+        self._hold(job, now)
+
     def given_up(self, machine: Machine, now: Instant) -> bool:
         """Whether a machine that was set aside is surely at fault, and may be returned."""
         if machine.sick_since is None:
--- a/umberward/holder.py
+++ b/umberward/holder.py
@@ -9,9 +9,10 @@
 
 import curio
 
-from umberward import state, wire
+from umberward import hints, state, wire
 from umberward.actor import Actor
 from umberward.cloud import Cloud, CloudTrouble, NoCapacity
+from umberward.hints import Hints
 from umberward.http import Client, NoAnswer, NotSent
 from umberward.membership import Membership
 from umberward.provision import Provisioner
@@ -82,6 +83,7 @@
         skus: dict[TypeName, Sku],
         epoch: Epoch,
         rng: random.Random,
+        hinted: tuple[Hints, float] | None = None,
     ) -> None:
         super().__init__()
         now = _now()
@@ -91,6 +93,7 @@
         self.cloud = cloud
         self.skus = skus
         self.rng = rng
+        self.hinted = hinted  # what the last leader knew, and how old that is
         self.scheduler = Scheduler(settings, skus, epoch, now, _wall, rng)
         prefix = f"{settings.platform.label}-{epoch}"
         self.provisioner = Provisioner(self.scheduler, prefix, now)
@@ -199,6 +202,10 @@
             if id not in listed:
                 self.scheduler.job_gone(id)
         if not self.scheduler.loaded:
+            if self.hinted is not None:
+                found, age = self.hinted
+                age += _now() - self.scheduler.started
+                hints.recall(found, age, self.scheduler, self.provisioner, _now())
             self.scheduler.load_done()
 
     async def _raise_epoch(self) -> None:
--- a/umberward/node.py
+++ b/umberward/node.py
@@ -7,18 +7,19 @@
 import time
 from typing import Any
 
-import cbor2
 import curio
 
-from umberward import state, wire
+from umberward import hints, state, wire
 from umberward.cloud import Cloud, CloudTrouble
+from umberward.hints import Hints
 from umberward.holder import Hello, Holder
-from umberward.http import Client, NoAnswer, NotSent, Request, Response, Server
+from umberward.http import Client, Request, Response, Server
 from umberward.membership import Membership
 from umberward.mirror import Mirror
+from umberward.peers import CONTACT_S, Peers
 from umberward.settings import Settings
 from umberward.state import State
-from umberward.types import Epoch, Key, TypeName, WallTime, parse_job_id
+from umberward.types import Epoch, Instant, Key, TypeName, WallTime, parse_job_id
 from umberward.users import Users
 from umberward.wire import Flavors, Sku
 
@@ -27,7 +28,6 @@
 FLAVORS = Key("flavors")
 JOBS = "/v1/jobs"
 UPSTREAM_SOCKETS = 24
-CONTACT_S = 2.5  # without the state service for so long, a node asks whether others have it
 
 
 class Node:
@@ -49,19 +49,18 @@
         self.membership = Membership(settings, self.store, self.rng, self._elected, self._lost)
         self.holder: Holder | None = None
         self.holder_task: Any = None
-        self.peer_contact: dict[str, tuple[float, float]] = {}  # when it told, age it told
-        self.started = time.monotonic()
+        self.peers = Peers(settings, self.membership, self.client, self.rng, self._hints)
 
     async def run(self) -> None:
         # Any of these ending means a fault of ours: it is logged, and the part starts again.
         parts = [
             Server(self.settings.listen, self._serve, self.serving).run,
-            Server(self.settings.peer_bind, self._serve_peer, 64).run,
+            Server(self.settings.peer_bind, self.peers.serve, 64).run,
             self.membership.keep_lease,
             self.membership.follow,
             self.mirror.run,
             self._know_flavors,
-            self._ask_peers,
+            self.peers.run,
         ]
         async with curio.TaskGroup() as group:
             for part in parts:
@@ -73,16 +72,25 @@
         await self._lost()
         self.holder = Holder(
             self.settings, self.membership, self.store, self.client, self.cloud, self.skus,
-            epoch, self.rng,
+            epoch, self.rng, self.peers.fresh(),
         )  # fmt: skip
         self.holder_task = await curio.spawn(_forever, self.holder.serve, daemon=True)
 
     async def _lost(self) -> None:
         if self.holder_task is not None:
             log.info("no longer leading")
+            found = self._hints()
+            if found is not None:
+                self.peers.keep(found)  # we may lead again
             task, self.holder_task, self.holder = self.holder_task, None, None
             await task.cancel(blocking=False)
 
+    def _hints(self) -> Hints | None:
+        holder = self.holder
+        if holder is None or not holder.scheduler.loaded:
+            return None
+        return hints.gather(holder.scheduler, holder.provisioner, Instant(time.monotonic()))
+
     # ---- machine types -----------------------------------------------------------------
 
     async def _know_flavors(self) -> None:
@@ -163,35 +171,7 @@
         age = time.monotonic() - self.membership.good
         if age < CONTACT_S:
             return True
-        now = time.monotonic()
-        return not any(
-            now - at < 3.0 and told < CONTACT_S for at, told in self.peer_contact.values()
-        )
-
-    # ---- other controllers -------------------------------------------------------------
-
-    async def _serve_peer(self, request: Request) -> Response:
-        if request.path != "/peer":
-            return Response(404)
-        told = {
-            "label": self.membership.me,
-            "contact_age": time.monotonic() - self.membership.good,
-            "leader": self.membership.leader,
-        }
-        return Response(200, cbor2.dumps(told))
-
-    async def _ask_peers(self) -> None:
-        while True:
-            await curio.sleep(self.rng.uniform(0.8, 1.2))
-            if time.monotonic() - self.membership.good < CONTACT_S:
-                continue  # only who lacks the state service needs to know
-            for label, address in self.settings.peers.items():
-                try:
-                    response = await self.client.request(address, "GET", "/peer", b"", 0.5)
-                    told = cbor2.loads(response.body)
-                    self.peer_contact[label] = (time.monotonic(), float(told["contact_age"]))
-                except (NotSent, NoAnswer, ValueError, KeyError, TypeError, cbor2.CBORDecodeError):
-                    continue
+        return not self.peers.others_have_contact()
 
 
 def _wall() -> WallTime:
--- a/umberward/reserve.py
+++ b/umberward/reserve.py
@@ -13,7 +13,7 @@
 from umberward.fleet import Machine
 from umberward.jobs import Job, Placement
 from umberward.types import NOTHING, Amount, Instant, MachineId, TypeName, ZoneName
-from umberward.wire import Sku, Spec
+from umberward.wire import RANKS, Sku, Spec
 
 FADE_S = 60.0  # the peak falls by two thirds of the way to the present need in so long
 BRIEF = 0.3  # of the time in which accelerated work should start: a task may take so long
@@ -24,17 +24,13 @@
     def __init__(self, skus: dict[TypeName, Sku], now: Instant) -> None:
         self.skus = skus
         self.need = NOTHING  # the largest accelerated task seen
-        self.job: Job | None = None  # the latest accelerated job: where such work may run
+        self.spec: Spec | None = None  # the latest accelerated job: where such work may run
         self.rank = 0  # the least rank of accelerated work seen
         self.running = 0  # accelerated tasks that have a place
         self.waiting = 0  # ... and that wait for one
         self.peak = 0.0  # how many there were at once, waiting ones included
         self.at = now
 
-    @property
-    def spec(self) -> Spec | None:
-        return None if self.job is None else self.job.spec
-
     def placed(self, placement: Placement) -> None:
         if placement.need.accelerators > 0:
             self.running += 1
@@ -52,7 +48,7 @@
             if job.need.accelerators > 0:
                 self.waiting += job.startable()
                 self.rank = max(self.rank, job.rank)
-                self.job = job
+                self.spec = job.spec
                 if job.need.accelerators >= self.need.accelerators:
                     self.need = job.need
         tasks = self.running + self.waiting
@@ -60,6 +56,15 @@
         self.at = now
         self.peak = max(faded, float(tasks))
 
+    def remember(self, spec: Spec, need: Amount, peak: float) -> None:
+        """What a former holder saw, unless more was seen since."""
+        self.peak = max(self.peak, peak)
+        self.rank = max(self.rank, RANKS[spec.rank])
+        if self.spec is None:
+            self.spec = spec
+        if need.accelerators >= self.need.accelerators:
+            self.need = need
+
     def size(self) -> int:
         """How many tasks' room to keep open for accelerated work that is likely to come."""
         if self.need.accelerators <= 0:
@@ -68,9 +73,9 @@
 
     def could_run(self, type_: TypeName, zone: ZoneName, spot: bool) -> bool:
         """Whether accelerated work may run on such a machine, were it empty."""
-        if self.job is None:
+        spec, sku = self.spec, self.skus.get(type_)
+        if spec is None:
             return False
-        spec, sku = self.job.spec, self.skus.get(type_)
         return (
             sku is not None
             and self.need.fits(Amount(sku.cores, sku.accelerators, sku.mem_gb))
