A leader that hears no worker takes none for dead; many silent ones are left alone

Cause: the leader was cut off from all workers. They fall silent one after the other, as they report every 3 s; the first few were deleted as dead, then 32 more, all well, before it stepped down. Change: what is overdue counts, not only what was asked; with no report at all for longer than so many workers can leave a gap nothing is deleted and the leader steps down; more than a tenth silent at once are left alone until their leases are nearly over.

--- a/tests/guards.py
+++ b/tests/guards.py
@@ -198,6 +198,16 @@
     patch.setattr(hints, "recall", lambda *_: None)
 
 
+def deaf(patch: pytest.MonkeyPatch) -> None:
+    # As it was: any machine that is heard speaks for our own ears.
+    patch.setattr(Scheduler, "deaf", lambda *_: False)
+    patch.setattr(scheduler, "DEAF_MARGIN_S", 4.0)
+
+
+def few_at_once(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(scheduler, "FEW_PART", 1.0)
+
+
 GUARDS: dict[str, Patch] = {
     "lease-wait": lease_wait,
     "settle-first": settle_first,
@@ -216,6 +226,8 @@
     "standing": standing,
     "past-lookup": past_lookup,
     "known-first": known_first,
+    "deaf": deaf,
+    "few-at-once": few_at_once,
     "hints-kept": hints_kept,
     "own-silence": own_silence,
     "fresh-answers": fresh_answers,
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -315,6 +315,10 @@
         assert self.world.provisioner is not None
         return len(self.world.provisioner.idle(Instant(self.world.now)))
 
+    def see_cut_off(self) -> bool:
+        assert self.world.scheduler is not None
+        return self.world.scheduler.cut_off(Instant(self.world.now))
+
     def see_sick(self, name: str) -> bool:
         assert self.world.scheduler is not None
         return self.world.scheduler.machines[name].sick  # type: ignore[index]
--- a/umberward/clearing.py
+++ b/umberward/clearing.py
@@ -209,6 +209,10 @@
         if victims:
             log.info("%d tasks stopped on %s for %s", len(victims), machine, job.id)
 
+    def reserve_room(self, job: Job, machine: MachineId, now: Instant) -> None:
+        """Keep free room for one of the job's tasks that is about to move there."""
+        self._clear(job, machine, 1, [], now)
+
     def move_replicas(
         self,
         kept: set[MachineId],
--- a/umberward/provision.py
+++ b/umberward/provision.py
@@ -229,6 +229,7 @@
                     virtual.append(Paper(offer, whole.minus(need, took)))
                 if wanted[offer] >= RENT_LIMIT:
                     break
+        self._cheaper_room(virtual, wanted, now)
         made = []
         for offer, count in wanted.items():
             self.claims += 1
@@ -236,6 +237,37 @@
             made.append(Rental(claim, offer, min(count, RENT_LIMIT)))
         return made
 
+    def _cheaper_room(self, virtual: list[Paper], wanted: dict[Offer, int], now: Instant) -> None:
+        """Rent for replicas that should leave a dear machine and have nowhere to go."""
+        scheduler = self.scheduler
+        thrift = scheduler.thrift
+        if thrift is None:
+            return
+        for job, bound in thrift.homeless:
+            need = job.need
+            if any(
+                thrift.unit_price(paper.offer.type) < bound
+                and need.fits(paper.free)
+                and scheduler.allowed(job, *paper.offer)
+                for paper in virtual
+            ):
+                continue  # it is on its way
+            offers = [
+                (thrift.unit_price(TypeName(sku.sku)), Offer(TypeName(sku.sku), zone, False))
+                for sku in scheduler.skus.values()
+                for zone in map(ZoneName, sku.yards)
+                if thrift.unit_price(TypeName(sku.sku)) < bound
+                and need.fits(Amount(sku.cores, sku.accelerators, sku.mem_gb))
+            ]
+            for _, offer in sorted(offers):
+                until = self.refused.get(offer, (Instant(0.0), 0.0))[0]
+                if until <= now and scheduler.allowed(job, *offer):
+                    sku = scheduler.skus[offer.type]
+                    whole = Amount(sku.cores, sku.accelerators, sku.mem_gb)
+                    wanted[offer] = wanted.get(offer, 0) + 1
+                    virtual.append(Paper(offer, whole.minus(need)))
+                    break
+
     def _cheapest(
         self, job: Job, left: int, now: Instant, wanted: dict[Offer, int]
     ) -> tuple[Offer, int] | None:
--- a/umberward/scheduler.py
+++ b/umberward/scheduler.py
@@ -23,6 +23,7 @@
 from umberward.quota import Quota
 from umberward.reserve import Reserve
 from umberward.settings import Settings
+from umberward.thrift import Thrift
 from umberward.types import (
     NOTHING,
     Amount,
@@ -50,6 +51,10 @@
 DRIFT = 1.001
 MARGIN_S = 0.5
 DEFAULT_WAIT_S = 120.0  # when a job should start for which nothing is said
+LEAST_WORKERS = 4  # with fewer it can't be told whether they or we are cut off
+MANY_WORKERS = 20  # so many report at moments spread evenly enough
+DEAF_MARGIN_S = 1.0
+FEW_PART = 0.1  # of the machines may die at once, more are rather cut off
 STOOD_STILL_S = 1.0  # without a message for so long, it was we who stood still: ticks are frequent
 
 
@@ -89,6 +94,9 @@
         # class -> (within how many seconds its tasks should start, its jobs be finished)
         self.aims: dict[str, tuple[float | None, float | None]] = {}
         self.guarantee_s: float | None = None  # how soon guaranteed work should start
+        ups = [aim.share for aim in cluster.objectives if aim.kind == "up" and aim.share]
+        priced = any(aim.kind in ("price", "useful") for aim in cluster.objectives)
+        self.thrift = Thrift(self, max(ups, default=None), now) if priced else None
         for aim in cluster.objectives:
             if aim.kind == "guarantee" and aim.within_s:
                 self.guarantee_s = aim.within_s
@@ -104,6 +112,7 @@
         self.started = now
         self.now = now
         self.awake = now  # when we last looked at the clock
+        self.heard = now  # when we last heard of any worker
         self.wall = wall
         self.rng = rng
         self.jobs: dict[JobId, Job] = {}
@@ -231,7 +240,7 @@
             or machine.calm != bytes(head.shards)
         ):
             return False
-        machine.heard = machine.answered = now
+        machine.heard = machine.answered = self.heard = now
         machine.silent = machine.lapsed = False
         machine.serial = Serial(head.serial)
         return True
@@ -273,7 +282,7 @@
         if (report.tenure, report.serial) <= (machine.tenure, machine.serial):
             return []  # late: something newer was seen
         machine.calm = None
-        machine.heard = now
+        machine.heard = self.heard = now
         machine.met = True
         machine.silent = machine.lapsed = False
         machine.address = report.address
@@ -579,7 +588,7 @@
         machine.probing = False
         if report is not None:
             if (report.tenure, report.serial) <= (machine.tenure, machine.serial):
-                machine.heard = now
+                machine.heard = self.heard = now
             self.report(report, now, hello=False)
         elif now - machine.heard > self._silence():
             if not machine.silent:
@@ -602,6 +611,7 @@
         if gap <= STOOD_STILL_S:
             return
         log.info("stood still for %.1f s", gap)
+        self.heard = min(now, Instant(self.heard + gap))
         for machine in self.machines.values():
             machine.heard = min(now, Instant(machine.heard + gap))
 
@@ -635,10 +645,23 @@
         self.blame.tick(now)
         self._pick_doomed(now)
 
+    def deaf(self, now: Instant) -> bool:
+        """Whether no worker at all is heard, though so many should report that one would be."""
+        met = sum(1 for m in self.machines.values() if m.met)
+        if met < LEAST_WORKERS:
+            return False
+        # Each reports at least so often; the more there are, the sooner one of them does.
+        longest = 1.25 * self.workers.report_s * min(1.0, MANY_WORKERS / met) + DEAF_MARGIN_S
+        return now - self.heard > longest
+
     def cut_off(self, now: Instant) -> bool:
         """Whether the workers seem to be out of our reach, all but a few."""
+        if now - self.started < 2 * self._silence():
+            return False
+        if self.deaf(now):
+            return True
         met = [m for m in self.machines.values() if m.met]
-        if len(met) < 4 or now - self.started < 2 * self._silence():
+        if len(met) < LEAST_WORKERS:
             return False
         heard = sum(1 for m in met if not m.silent and now - m.heard < self._silence() + 1.0)
         return heard < 0.25 * len(met)
@@ -652,17 +675,27 @@
     def _pick_doomed(self, now: Instant) -> None:
         """Silent machines are deleted: that frees their tasks before the lease does.
 
-        Many silent ones at once mean that we are cut off, not that they are dead.
+        Many silent ones at once mean that we, or their zone, are cut off, not that they are dead:
+        what runs there goes on until their leases are nearly over, and so long they are left alone.
+        If hardly any is heard, it is us.
         """
         silent = [m for m in self.machines.values() if m.silent and not m.returning]
         if not silent:
             return
-        alive = sum(1 for m in self.machines.values() if now - m.heard < self._silence())
         taken = [m for m in silent if m.notice_at is not None]
-        if len(silent) - len(taken) <= max(3, 0.7 * alive) and alive:
+        self.doomed.update(m.id for m in taken)
+        recent = 1.25 * self.workers.report_s + DEAF_MARGIN_S
+        met = [m for m in self.machines.values() if m.met]
+        alive = sum(1 for m in met if now - m.heard < recent)
+        if self.deaf(now) or not alive:
+            return
+        # Those whose report is overdue count as well: of a cut, some are noticed before others.
+        overdue = len(met) - alive - len(taken)
+        if overdue <= max(3, FEW_PART * len(met)):
             self.doomed.update(m.id for m in silent)
-        else:
-            self.doomed.update(m.id for m in taken)
+        elif overdue <= 0.7 * alive:
+            late = 0.8 * self.workers.lease_s
+            self.doomed.update(m.id for m in silent if now - m.heard > late)
 
     def removed(self, ids: Iterable[MachineId], now: Instant) -> None:
         """The cloud has deleted these machines, or they stopped by themselves."""
@@ -839,6 +872,8 @@
                 self.kept = kept
         if stoppable is not None and self.all_settled:
             self.clearing.move_replicas(kept, able, usable, free, stoppable, now)
+        if self.thrift is not None and self.all_settled:
+            self.thrift.move(kept, usable, now)
 
     def _start(
         self, job: Job, chosen: list[MachineId], free: dict[MachineId, Amount], now: Instant
