A part of the hints is stored, for the case that all controllers end at once

Change: the leader stores one block's images, run times and the reserve's size every 3 s, at the least priority; a new leader reads them (one request) if no peer has told it more.

--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -74,6 +74,9 @@
     def do_succeed(self) -> None:
         self.world.succeed()
 
+    def do_restart(self) -> None:
+        self.world.restart()
+
     def do_read_blocks(self) -> None:
         self.world.watching = False
         self.world.take_blocks()
--- a/tests/world.py
+++ b/tests/world.py
@@ -224,6 +224,19 @@
         hints.recall(found, 1.0, self.scheduler, self.provisioner, Instant(self.now))
         self.take_jobs()
 
+    def restart(self) -> None:
+        """All controllers ended at once: the new leader has what the last one stored."""
+        assert self.scheduler is not None and self.provisioner is not None
+        told = hints.gather(self.scheduler, self.provisioner, Instant(self.now))
+        for number, part in enumerate(hints.parts(told, 2)):
+            self.store.apply([], [state.put(Key(f"{wire.HINTS}{number}"), part)])
+        self.take_blocks()
+        for key, got in sorted(self.store.keys.items()):
+            if key.startswith(wire.HINTS):
+                found = wire.converted(got.data, hints.Hints)
+                hints.recall(found, 15.0, self.scheduler, self.provisioner, Instant(self.now))
+        self.take_jobs()
+
     def take_blocks(self) -> None:
         self.store.apply([], [state.put(Key("leader"), {"node": "n", "nonce": "x"})])
         self.epoch = self.store.revision
--- a/umberward/hints.py
+++ b/umberward/hints.py
@@ -3,7 +3,9 @@
 Which machine has which image, how long work of a class takes, how much accelerated work comes,
 which machines are on their way, what fails: a new leader that had to learn all that anew would
 start replicas where their image is missing and rent what was rented already. Hints are only ever
-used to choose better: no rule rests on them, and they may be old, or be missing altogether.
+used to choose better: no rule rests on them, and they may be old, or be missing altogether. The
+others ask for them every few seconds; for the case that all controllers end at once, what changes
+slowly also stands in the state service, a part at a time, as writes are scarce.
 """
 
 from __future__ import annotations
@@ -21,18 +23,18 @@
 OLD_S = 120.0  # hints that are older than this are not used: too much has changed
 
 
-class Hints(msgspec.Struct):
+class Hints(msgspec.Struct, omit_defaults=True):
     epoch: int
     images: list[tuple[str, float]]  # name, GB
     # machine -> its images by their place in the list, least recently used first
     machines: dict[str, list[int]]
-    runtime: dict[str, float]  # class -> run time seen by what was estimated
-    peak: float  # accelerated tasks there were at once
-    accelerated: wire.Spec | None  # a job of that kind
-    sick: list[str]
-    mistaken: dict[str, int]  # job -> how often it was tried since it was blamed
-    booting: dict[str, tuple[str, str, bool, float]]  # machine -> type, zone, spot, age
-    refused: list[tuple[str, str, bool, float, float]]  # offer, rest and length of the pause
+    runtime: dict[str, float] = {}  # class -> run time seen by what was estimated
+    peak: float = 0.0  # accelerated tasks there were at once
+    accelerated: wire.Spec | None = None  # a job of that kind
+    sick: list[str] = []
+    mistaken: dict[str, int] = {}  # job -> how often it was tried since it was blamed
+    booting: dict[str, tuple[str, str, bool, float]] = {}  # machine -> type, zone, spot, age
+    refused: list[tuple[str, str, bool, float, float]] = []  # offer, rest and length of the pause
 
 
 def gather(scheduler: Scheduler, provisioner: Provisioner, now: Instant) -> Hints:
@@ -108,6 +110,26 @@
         provisioner.refused.setdefault(offer, (Instant(now + rest - age), pause))
 
 
+def parts(hints: Hints, machines: int) -> list[Hints]:
+    """What is worth storing, in parts with so many machines at most. The first has the rest."""
+    names = sorted(hints.machines)
+    found = []
+    for first in range(0, max(1, len(names)), machines):
+        part = names[first : first + machines]
+        used = sorted({number for name in part for number in hints.machines[name]})
+        places = {number: place for place, number in enumerate(used)}
+        made = Hints(
+            epoch=hints.epoch,
+            images=[hints.images[number] for number in used],
+            machines={name: [places[n] for n in hints.machines[name]] for name in part},
+        )
+        if first == 0:
+            made.runtime, made.peak = hints.runtime, round(hints.peak, 1)
+            made.accelerated = hints.accelerated
+        found.append(made)
+    return found
+
+
 def dumps(hints: Hints) -> bytes:
     made: Any = msgspec.to_builtins(hints)
     return bytes(cbor2.dumps(made))
--- a/umberward/holder.py
+++ b/umberward/holder.py
@@ -23,6 +23,7 @@
     Epoch,
     Instant,
     JobId,
+    Key,
     MachineId,
     Revision,
     Stamp,
@@ -31,7 +32,7 @@
     parse_address,
     parse_task_id,
 )
-from umberward.wire import BLOCKS, LIVE, JobRecord, Report, Sku
+from umberward.wire import BLOCKS, HINTS, LIVE, JobRecord, Report, Sku
 from umberward.writer import Batch
 
 log = logging.getLogger(__name__)
@@ -43,6 +44,8 @@
 DO_TIMEOUT_S = 2.0
 PROBE_TIMEOUT_S = 1.0
 SILENT_REFRESH_S = 30.0
+STORE_HINTS_S = 3.0
+STORED_AGE_S = 15.0  # how old stored hints are taken to be
 SUMMARY_S = 10.0  # how often the state of the fleet is logged
 
 
@@ -93,7 +96,8 @@
         self.cloud = cloud
         self.skus = skus
         self.rng = rng
-        self.hinted = hinted  # what the last leader knew, and how old that is
+        # What the last leader knew, and how old that is.
+        self.hinted = [] if hinted is None else [hinted]
         self.scheduler = Scheduler(settings, skus, epoch, now, _wall, rng)
         prefix = f"{settings.platform.label}-{epoch}"
         self.provisioner = Provisioner(self.scheduler, prefix, now)
@@ -113,6 +117,7 @@
             await self.tasks.spawn(self._ticker)
             await self.tasks.spawn(self._write)
             await self.tasks.spawn(self._tend_cloud)
+            await self.tasks.spawn(self._store_hints)
 
     async def _load_and_watch(self) -> None:
         after: Revision | None = None
@@ -127,6 +132,8 @@
                             stamp = Stamp(entry.stamp)
                             self.scheduler.load_block(number, record, stamp, _now())
                         await self._flush()
+                        if not self.hinted:
+                            await self._stored_hints()
                     entries, after = await self.store.entries(LIVE)
                     await self.ask(entries)
                 news, after = await self.store.watch(LIVE, after, 10.0)
@@ -202,8 +209,7 @@
             if id not in listed:
                 self.scheduler.job_gone(id)
         if not self.scheduler.loaded:
-            if self.hinted is not None:
-                found, age = self.hinted
+            for found, age in self.hinted:
                 age += _now() - self.scheduler.started
                 hints.recall(found, age, self.scheduler, self.provisioner, _now())
             self.scheduler.load_done()
@@ -347,6 +353,44 @@
         self.scheduler.writer.committed(batch, Stamp(revision), _now())
         return True
 
+    # ---- hints -------------------------------------------------------------------------
+
+    async def _stored_hints(self) -> None:
+        """What the last leader stored; used if no peer has told us more."""
+        entries, _ = await self.store.entries(HINTS)
+        for entry in entries:
+            try:
+                self.hinted.append((wire.converted(entry.data, Hints), STORED_AGE_S))
+            except wire.Malformed as error:
+                log.info("record %s: %s", entry.path, error)
+
+    async def _store_hints(self) -> None:
+        """One part after the other, if nothing else is to be written."""
+        stored: dict[Key, Any] = {}
+        number = 0
+        while True:
+            await curio.sleep(STORE_HINTS_S)
+            if not (self.scheduler.loaded and self.membership.leading()):
+                continue
+            made = hints.parts(
+                hints.gather(self.scheduler, self.provisioner, _now()),
+                self.scheduler.writer.block_size,
+            )
+            number = (number + 1) % len(made)
+            key, part = Key(f"{HINTS}{number}"), wire.builtins(made[number])
+            changed = {**part, "epoch": 0} != stored.get(key)
+            if not changed or wire.json_size(part) > self.scheduler.value_limit:
+                continue
+            try:
+                await self.store.commit(
+                    [self.membership.condition()], [state.put(key, part)],
+                    priority=state.LAZY, patience=0.0,
+                )  # fmt: skip
+            except (state.Unavailable, state.Unknown, state.Conflict, state.NoLease) as error:
+                log.debug("hints: %s", error)
+            else:
+                stored[key] = {**part, "epoch": 0}
+
     # ---- the cloud ---------------------------------------------------------------------
 
     async def _tend_cloud(self) -> None:
--- a/umberward/wire.py
+++ b/umberward/wire.py
@@ -163,6 +163,7 @@
 LIVE = "jobs/live/"
 PAST = "jobs/past/"
 BLOCKS = "blocks/"
+HINTS = "hints/"
 
 
 class JobRecord(msgspec.Struct, omit_defaults=True):
