The cost of a pass and of a batch no longer grows with thousands of small jobs

Cause, shown by a profile of a swarm of 1,500 single-task jobs: each batch looked at all jobs with something to write, each change of the jobs graded and ordered all anew, each pass looked for room for each of them, and the search for offers was made for each.

--- a/umberward/clearing.py
+++ b/umberward/clearing.py
@@ -53,6 +53,10 @@
         self.sums: dict[MachineId, dict[tuple[bool, int, tuple[int, int]], Amount]] = {}
         self.futile: set[Any] = set()  # kinds of jobs for which nothing can be stopped
 
+    def nothing_for(self, job: Job) -> bool:
+        """Whether nothing could be stopped for another job of this kind and standing."""
+        return (job.kind, job.standing, job.rank) in self.futile
+
     def most(self, machine: Machine, job: Job, room: Amount) -> Amount:
         """How much room there would be if all that may be stopped for the job were."""
         sums = self.sums.get(machine.id)
@@ -109,6 +113,10 @@
             elif id in free:
                 free[id] = free[id].minus(cleared.room)
 
+    def owners(self) -> set[JobId]:
+        """The jobs for which room is kept."""
+        return {cleared.job for cleared in self.cleared.values()}
+
     def give(self, job: Job, free: dict[MachineId, Amount]) -> set[MachineId]:
         """The machines cleared for the job. Their room is its own everywhere, else it would clear
         them again."""
@@ -160,8 +168,7 @@
         image = ImageName(job.spec.bundle)
         zones = [placement.zone for placement in job.placed.values() if placement is not leaving]
         cap = (job.size + 1) // 2 if job.spec.apart else MAX_TASKS
-        kind = (job.kind, job.standing, job.rank)
-        if job.plain and kind in stoppable.futile:
+        if job.plain and stoppable.nothing_for(job):
             return 0
         options = [
             preemption.Option(m.id, room, stoppable.victims(m, job), image in m.images)
@@ -187,7 +194,7 @@
             made += 1
             self._clear(job, machine, 1, victims, now)
         if not made and job.plain and not near_image:
-            stoppable.futile.add(kind)
+            stoppable.futile.add((job.kind, job.standing, job.rank))
         return made
 
     def _clear(
--- a/umberward/scheduler.py
+++ b/umberward/scheduler.py
@@ -11,6 +11,7 @@
 
 import logging
 import random
+from bisect import insort
 from collections.abc import Callable, Container, Iterable
 from typing import Any, NamedTuple
 
@@ -49,6 +50,7 @@
 log = logging.getLogger(__name__)
 
 DRIFT = 1.001
+ORDER_EVERY_S = 1.0  # how often jobs are ordered anew if none has changed: estimates do
 MARGIN_S = 0.5
 DEFAULT_WAIT_S = 120.0  # when a job should start for which nothing is said
 LEAST_WORKERS = 4  # with fewer it can't be told whether they or we are cut off
@@ -127,7 +129,14 @@
         self.read = 0  # reports that were read in full
         self.searches = 0  # searches for room among all machines
         self.loaded = False
-        self.want_grades = True
+        # Jobs in the order in which they are served; made anew when that may have changed.
+        self.ordered: list[Job] = []
+        self.want_order = True
+        self.ordered_at = now
+        # Of teams with a guarantee: unfinished jobs, the earliest first; and whose changed.
+        self.team_jobs: dict[TeamName, list[Job]] = {}
+        self.want_grades: set[TeamName] = set()
+        self.considered = 0  # jobs for which a place was looked for
         self.all_settled = False
         self.want_pass = True
         self.want_epoch = False
@@ -187,8 +196,13 @@
         id = JobId(record.spec.uid)
         job = self.jobs.get(id)
         if job is None:
-            self.jobs[id] = Job(record, stamp, self.value_limit)
-            self.want_grades = True
+            job = self.jobs[id] = Job(record, stamp, self.value_limit)
+            if self.quota.guaranteed(job.team):
+                insort(self.team_jobs.setdefault(job.team, []), job, key=_by_age)
+                self.want_grades.add(job.team)
+            elif job.rank == 0:
+                job.standing = (0, 0)
+            insort(self.ordered, job, key=self._key)
             self.want_pass = True
 
     def job_gone(self, id: JobId) -> None:
@@ -198,7 +212,9 @@
             return
         job.ended = True
         self.blame.forget(job, self.now)
-        self.want_grades = True
+        if job.team in self.team_jobs:
+            self.team_jobs[job.team].remove(job)
+            self.want_grades.add(job.team)
         for placement in list(job.placed.values()):
             self.stop(placement, 0.0)
         self.want_pass = True
@@ -489,7 +505,7 @@
         self.reserve.placed(placement)
         if not placement.ready:
             job.unready += 1
-            self.writer.urgent.add(job.id)
+            self.writer.unready(job)
         machine.booked = machine.booked.plus(placement.need)
         job.placed[placement.task.number] = placement
         self.quota.take(placement.team, placement.need)
@@ -759,21 +775,20 @@
             return 0.5 * self.guarantee_s
         return 0.3 * (self.deadline(job) - job.at)
 
+    def _key(self, job: Job) -> tuple[bool, tuple[int, int], float]:
+        return (job.mistaken, job.standing, self.deadline(job))
+
     def waiting(self, now: Instant) -> list[Job]:
         """Jobs with tasks to place, in the order in which they are served."""
-        ready = [
+        if self.want_order or now - self.ordered_at > ORDER_EVERY_S:
+            self.want_order = False
+            self.ordered_at = now
+            self.ordered = sorted(self.jobs.values(), key=self._key)
+        return [
             job
-            for job in self.jobs.values()
-            if (job.again or job.startable()) and job.hold_until <= now
+            for job in self.ordered
+            if (job.again or job.waits) and job.hold_until <= now and not job.ended
         ]
-        ready.sort(
-            key=lambda job: (
-                job.mistaken,
-                job.standing,
-                self.deadline(job),
-            )
-        )
-        return ready
 
     def _grade(self) -> None:
         """Each job's standing: who is served first and who may be stopped for whom.
@@ -782,17 +797,18 @@
         unfinished jobs. That only ever changes from no to yes, and only work of a strictly lower
         standing is stopped: so two jobs never take turns in stopping each other.
         """
-        self.want_grades = False
-        totals: dict[TeamName, Amount] = {}
-        for job in sorted(self.jobs.values(), key=lambda job: (job.at, job.id)):
-            total = totals.get(job.team, NOTHING).plus(job.need, job.size)
-            totals[job.team] = total
-            if job.rank == 0:
-                job.standing = (0, 0)
-            elif self.quota.fits_guarantee(job.team, total):
-                job.standing = (0, job.rank)
-            else:
-                job.standing = (1, job.rank)
+        for team in self.want_grades:
+            total = NOTHING
+            for job in self.team_jobs.get(team, ()):
+                total = total.plus(job.need, job.size)
+                if job.rank == 0:
+                    job.standing = (0, 0)
+                elif self.quota.fits_guarantee(team, total):
+                    job.standing = (0, job.rank)
+                else:
+                    job.standing = (1, job.rank)
+        self.want_grades.clear()
+        self.want_order = True
 
     def allowed(self, job: Job, type_: TypeName, zone: ZoneName, spot: bool) -> bool:
         spec = job.spec
@@ -813,6 +829,7 @@
         if self.want_grades:
             self._grade()
         waiting = self.waiting(now)
+        cleared = self.clearing.owners()
         self.reserve.note((job for job in waiting if not job.mistaken), now)
         self.clearing.keep(free, now)
         kept, able = self.reserve.split(usable, free)
@@ -820,8 +837,17 @@
         # Kinds of jobs for which nothing is left in this pass: thousands of tasks may wait.
         full: set[Any] = set()
         stoppable = self.clearing.look(waiting, now)
+        # ... and those for which nothing can be stopped either.
+        hopeless: set[Any] = set()
         for job in waiting:
             need = job.need
+            # Replicas stay long: they take accelerated machines only if nothing else is left.
+            lasting = job.service and need.accelerators <= 0
+            barred = self.barred(job, able if lasting else kept)
+            kind = (job.kind, lasting, bool(barred))
+            if (kind, job.standing, job.rank) in hopeless and job.plain and job.id not in cleared:
+                continue
+            self.considered += 1
             count = min(
                 job.startable(),
                 self.quota.room(job.team, need, unsure.get(job.team, NOTHING)),
@@ -834,10 +860,9 @@
                     continue
                 count = job.size if job.gang else 1
             mine = self.clearing.give(job, free)
-            # Replicas stay long: they take accelerated machines only if nothing else is left.
-            lasting = job.service and need.accelerators <= 0
-            barred = self.barred(job, able if lasting else kept) - mine
-            kind = (job.kind, lasting, bool(barred))
+            if mine:
+                barred = barred - mine
+                kind = (job.kind, lasting, bool(barred))
             chosen: list[MachineId] = []
             # Replicas wait for what is being cleared for them: it is gone in a moment.
             coming = 0
@@ -862,6 +887,10 @@
                         full.add((kind, step))
             if job.gang and len(chosen) < job.size:
                 chosen = []
+            if not (chosen or coming or mine) and job.plain:
+                stopped = stoppable is None or stoppable.nothing_for(job)
+                if stopped and kind in full:
+                    hopeless.add((kind, job.standing, job.rank))
             used = mine if len(chosen) == count else mine.intersection(chosen)
             self.clearing.take_back(used, mine, free)
             self._start(job, chosen, free, now)
@@ -1030,3 +1059,7 @@
             if count > 0 and not job.mistaken:
                 found.append((job, count))
         return found
+
+
+def _by_age(job: Job) -> tuple[WallTime, JobId]:
+    return (job.at, job.id)
