--- a/umberward/scheduler.py
+++ b/umberward/scheduler.py
@@ -699,13 +699,14 @@
         taken = [m for m in silent if m.notice_at is not None]
         self.doomed.update(m.id for m in taken)
         recent = 1.25 * self.workers.report_s + DEAF_MARGIN_S
-        met = [m for m in self.machines.values() if m.met]
-        alive = sum(1 for m in met if now - m.heard < recent)
+        known = len(self.machines)
+        alive = sum(1 for m in self.machines.values() if now - m.heard < recent)
         if self.deaf(now) or not alive:
             return
         # Those whose report is overdue count as well: of a cut, some are noticed before others.
-        overdue = len(met) - alive - len(taken)
-        if overdue <= max(3, FEW_PART * len(met)):
+        # So do those that never reported to us since we took over.
+        overdue = known - alive - len(taken)
+        if overdue <= max(3, FEW_PART * known):
             self.doomed.update(m.id for m in silent)
         elif overdue <= 0.7 * alive:
             late = 0.8 * self.workers.lease_s
