--- a/umberward/clearing.py
+++ b/umberward/clearing.py
@@ -45,12 +45,11 @@
 
 
 class Stoppable:
-    """What runs on the machines, summed by standing, for one pass: who may be stopped for whom."""
+    """What runs on the machines, for one pass: who may be stopped for whom."""
 
     def __init__(self, scheduler: Scheduler) -> None:
         self.jobs = scheduler.jobs
         self.machines = [m for m in scheduler.machines.values() if m.usable and m.held]
-        self.sums: dict[MachineId, dict[tuple[bool, int, tuple[int, int]], Amount]] = {}
         self.futile: set[Any] = set()  # kinds of jobs for which nothing can be stopped
 
     def nothing_for(self, job: Job) -> bool:
@@ -58,19 +57,18 @@
         return (job.kind, job.standing, job.rank) in self.futile
 
     def most(self, machine: Machine, job: Job, room: Amount) -> Amount:
-        """How much room there would be if all that may be stopped for the job were."""
-        sums = self.sums.get(machine.id)
-        if sums is None:
-            sums = self.sums[machine.id] = {}
-            for placement in machine.held.values():
-                owner = self.jobs.get(placement.task.job)
-                if owner is not None and placement.stop is None:
-                    key = (placement.need.accelerators > 0, placement.rank, owner.standing)
-                    sums[key] = sums.get(key, NOTHING).plus(placement.need)
-        for (accelerated, rank, standing), amount in sums.items():
-            if self._may_stop(job, accelerated, rank, standing):
-                room = room.plus(amount)
-        return room
+        """How much room there would be if all that may be stopped for the job were.
+
+        Kept with the machine until what it holds changes: every search asks this of all machines.
+        """
+        key = (job.need.accelerators > 0, job.rank, job.standing)
+        found = machine.stoppable.get(key)
+        if found is None:
+            found = NOTHING
+            for placement in self.victims(machine, job):
+                found = found.plus(placement.need)
+            machine.stoppable[key] = found
+        return room if found is NOTHING else room.plus(found)
 
     def victims(self, machine: Machine, job: Job) -> list[Placement]:
         found = []
--- a/umberward/scheduler.py
+++ b/umberward/scheduler.py
@@ -500,7 +500,7 @@
     # ---- placements --------------------------------------------------------------------
 
     def _hold(self, machine: Machine, job: Job, placement: Placement) -> None:
-        machine.calm = None
+        machine.changed()
         machine.held[placement.task] = placement
         self.reserve.placed(placement)
         if not placement.ready:
@@ -512,7 +512,7 @@
 
     def _release(self, machine: Machine, placement: Placement, requeue: bool = True) -> None:
         """The attempt is surely gone from its machine."""
-        machine.calm = None
+        machine.changed()
         machine.held.pop(placement.task, None)
         self.reserve.released(placement)
         machine.booked = machine.booked.minus(placement.need) if machine.held else NOTHING
@@ -555,7 +555,7 @@
         if machine is None:
             return
         placement.stop_at = self.now
-        machine.calm = None
+        machine.changed()
         if not placement.sent:
             self._release(machine, placement)
             return
@@ -802,12 +802,18 @@
             total = NOTHING
             for job in self.team_jobs.get(team, ()):
                 total = total.plus(job.need, job.size)
+                before = job.standing
                 if job.rank == 0:
                     job.standing = (0, 0)
                 elif self.quota.fits_guarantee(team, total):
                     job.standing = (0, job.rank)
                 else:
                     job.standing = (1, job.rank)
+                if job.standing != before:
+                    for placement in job.placed.values():
+                        machine = self.machines.get(placement.machine)
+                        if machine is not None:
+                            machine.changed()
         self.want_grades.clear()
         self.want_order = True
 
