One small array speaks for the others of its class in a pass

Cause, in a profile of that mix (a swarm, a huge array, long low tasks, gangs, replicas): arrays that have not waited long enough to stop others were each looked at in every pass, 800 of them. Change: the first of a class that finds nothing and may stop nobody yet speaks for those behind it; the room under a maximum is reckoned once for a team and size.

--- a/umberward/clearing.py
+++ b/umberward/clearing.py
@@ -157,10 +157,8 @@
         """Make room for work of a higher standing; for how many tasks room is on its way."""
         if now - job.stopped_at < PREEMPT_PAUSE_S or job.mistaken:
             return 0
-        if not (
-            job.service or job.gang
-        ) and self.scheduler.wall() - job.at < self.scheduler.patience(job):
-            return 0  # tasks end all the time: the next free room is this job's anyway
+        if self.too_soon(job):
+            return 0
         if job.gang and job.size > 1:
             return self._clear_for_gang(job, stoppable, free, now)
         image = ImageName(job.spec.bundle)
@@ -195,6 +193,12 @@
             stoppable.futile.add((job.kind, job.standing, job.rank))
         return made
 
+    def too_soon(self, job: Job) -> bool:
+        """For an array: tasks end all the time, the next free room is the job's anyway."""
+        if job.service or job.gang:
+            return False
+        return self.scheduler.wall() - job.at < self.scheduler.patience(job)
+
     def _clear(
         self, job: Job, machine: MachineId, tasks: int, victims: list[Placement], now: Instant
     ) -> None:
--- a/umberward/scheduler.py
+++ b/umberward/scheduler.py
@@ -852,7 +852,8 @@
             lasting = job.service and need.accelerators <= 0
             barred = self.barred(job, able if lasting else kept)
             kind = (job.kind, lasting, bool(barred))
-            if (kind, job.standing, job.rank) in hopeless and job.plain and job.id not in cleared:
+            alike = (kind, job.standing, job.spec.jobclass)
+            if alike in hopeless and job.plain and job.id not in cleared:
                 continue
             self.considered += 1
             count = min(
@@ -895,9 +896,12 @@
             if job.gang and len(chosen) < job.size:
                 chosen = []
             if not (chosen or coming or mine) and job.plain:
-                stopped = stoppable is None or stoppable.nothing_for(job)
+                # The others of the class come later, so they have waited no longer.
+                stopped = (
+                    stoppable is None or stoppable.nothing_for(job) or self.clearing.too_soon(job)
+                )
                 if stopped and kind in full:
-                    hopeless.add((kind, job.standing, job.rank))
+                    hopeless.add((kind, job.standing, job.spec.jobclass))
             used = mine if len(chosen) == count else mine.intersection(chosen)
             self.clearing.take_back(used, mine, free)
             self._start(job, chosen, free, now)
@@ -1059,8 +1063,13 @@
     def lacking(self, now: Instant) -> list[tuple[Job, int]]:
         """Jobs with tasks for which there is no room, in the order of service."""
         found = []
+        rooms: dict[tuple[TeamName, Amount], int] = {}
         for job in self.waiting(now):
-            count = min(job.startable(), self.quota.room(job.team, job.need))
+            key = (job.team, job.need)
+            room = rooms.get(key)
+            if room is None:
+                room = rooms[key] = self.quota.room(job.team, job.need)
+            count = min(job.startable(), room)
             if job.gang and (job.placed or count < job.size):
                 continue
             if count > 0 and not job.mistaken:
