--- a/umberward/provision.py
+++ b/umberward/provision.py
@@ -25,9 +25,7 @@
 FAIR_PRICE = 3.0  # up to so many times the lowest price, machines are rented at once
 PATIENT_PART = 0.3  # ... and dearer ones when so much of the time to the start is over
 REFUSED_S = 15.0  # how long a refused type, zone and kind is left alone at first
-LATE_BOOT = 1.6  # a machine booting for so many times boot_s is no longer counted on: most take 1.5
-SLOW_AFTER = 2  # late machines of an offer, and none in time since, that make another one be tried
-TRY_AGAIN_S = 30.0  # how often one machine of a slow offer is tried all the same
+LATE_BOOT = 2.5  # a machine booting for so many times boot_s is no longer counted on
 DEAD_BOOT = 5.0  # ... and is returned after so many
 
 
@@ -72,9 +70,6 @@
         self.claims = 0
         self.refused: dict[Offer, tuple[Instant, float]] = {}  # until, length of the pause
         self.expected: dict[MachineId, Expected] = {}
-        self.in_time: dict[Offer, Instant] = {}  # when a machine last came up in time
-        self.tried: dict[Offer, Instant] = {}  # when a slow offer was last tried
-        self.slow: set[Offer] = set()  # offers whose machines are late or never come
         self.strange: dict[MachineId, Instant] = {}  # listed and not reporting, since when
         self.started = now
         self.lacking_since: Instant | None = None
@@ -183,7 +178,8 @@
         if not scheduler.loaded or now - scheduler.started < 2.0:
             return []
         skus = scheduler.skus
-        self._note_boots(now)
+        for id in scheduler.machines:
+            self.expected.pop(id, None)
         virtual: list[Paper] = []
         for machine in scheduler.machines.values():
             if machine.usable and machine.type in skus:
@@ -195,7 +191,7 @@
                 virtual.append(Paper(offer, free, yielding))
         for expected in self.expected.values():
             sku = skus.get(expected.offer.type)
-            if sku is None or self._late(expected, now):
+            if sku is None or now - expected.since > LATE_BOOT * sku.boot_s + 5.0:
                 continue
             whole = Amount(sku.cores, sku.accelerators, sku.mem_gb)
             virtual.append(Paper(expected.offer, whole))
@@ -230,9 +226,6 @@
                 offer, each = best
                 sku = skus[offer.type]
                 machines = min(math.ceil(left / each), 10)
-                if offer in self.slow:
-                    machines = 1
-                    self.tried[offer] = now
                 wanted[offer] = wanted.get(offer, 0) + machines
                 for _ in range(machines):
                     took = min(left, each)
@@ -271,7 +264,7 @@
             ]
             for _, offer in sorted(offers):
                 until = self.refused.get(offer, (Instant(0.0), 0.0))[0]
-                if until <= now and offer not in self.slow and scheduler.allowed(job, *offer):
+                if until <= now and scheduler.allowed(job, *offer):
                     sku = scheduler.skus[offer.type]
                     whole = Amount(sku.cores, sku.accelerators, sku.mem_gb)
                     wanted[offer] = wanted.get(offer, 0) + 1
@@ -299,8 +292,6 @@
                     until = self.refused.get(offer, (Instant(0.0), 0.0))[0]
                     if price is None or until > now or wanted.get(offer, 0) >= RENT_LIMIT:
                         continue
-                    if self._avoided(offer, wanted, now):
-                        continue
                     if price / each > fair:
                         continue  # dear: the job waits for cheap room while it has time
                     cost = price * math.ceil(left / each) / left
@@ -324,40 +315,6 @@
                 fair = min(fair, sku.hourly / each)
         return fair
 
-    def _late(self, expected: Expected, now: Instant) -> bool:
-        sku = self.scheduler.skus.get(expected.offer.type)
-        return sku is not None and now - expected.since > LATE_BOOT * sku.boot_s + 5.0
-
-    def _note_boots(self, now: Instant) -> None:
-        """Which machines have come up, and of which offers they are late.
-
-        A single late machine is replaced by the same offer. Where several are late and none came in
-        time since they were rented, more of the same would be late as well: other offers are tried,
-        and this one with one machine now and then, until one comes in time.
-        """
-        for id in self.scheduler.machines:
-            found = self.expected.pop(id, None)
-            if found is not None and not self._late(found, now):
-                self.in_time[found.offer] = now
-        late: dict[Offer, list[Instant]] = {}
-        for expected in self.expected.values():
-            if self._late(expected, now):
-                late.setdefault(expected.offer, []).append(expected.since)
-        before = self.slow
-        self.slow = {
-            offer
-            for offer, since in late.items()
-            if len(since) >= SLOW_AFTER and self.in_time.get(offer, 0.0) <= min(since)
-        }
-        for offer in self.slow - before:
-            log.info("%s: %d machines are late", offer, len(late[offer]))
-            self.tried[offer] = now
-
-    def _avoided(self, offer: Offer, wanted: dict[Offer, int], now: Instant) -> bool:
-        if offer not in self.slow:
-            return False
-        return offer in wanted or now - self.tried.get(offer, 0.0) < TRY_AGAIN_S
-
     def _reserve(self, virtual: list[Paper], wanted: dict[Offer, int], now: Instant) -> None:
         """Rent ahead for accelerated work, if a machine rented on demand would come too late."""
         scheduler = self.scheduler
@@ -382,14 +339,9 @@
                 offer = Offer(TypeName(sku.sku), ZoneName(zone), False)
                 if self.refused.get(offer, (Instant(0.0), 0.0))[0] > now:
                     continue
-                if self._avoided(offer, wanted, now):
-                    continue
                 if best is None or sku.hourly < best[0]:
                     best = (sku.hourly, offer)
         if best is not None and lacking > 0:
-            if best[1] in self.slow:
-                lacking = 1
-                self.tried[best[1]] = now
             wanted[best[1]] = lacking
             sku = scheduler.skus[best[1].type]
             whole = Amount(sku.cores, sku.accelerators, sku.mem_gb)
--- a/umberward/scheduler.py
+++ b/umberward/scheduler.py
@@ -911,7 +911,7 @@
         if stoppable is not None and self.all_settled:
             self.clearing.move_replicas(kept, able, usable, free, stoppable, now)
         if self.all_settled:
-            self.thrift.move(kept, usable, now)
+            self.thrift.move(kept, usable, waiting, now)
 
     def _start(
         self, job: Job, chosen: list[MachineId], free: dict[MachineId, Amount], now: Instant
