--- a/tests/guards.py
+++ b/tests/guards.py
@@ -9,7 +9,6 @@
 
 from umberward import blame, hints, mirror, placement, scheduler, users
 from umberward.blame import Blame
-from umberward.clearing import Stoppable
 from umberward.http import Client
 from umberward.jobs import Job
 from umberward.mirror import Mirror
@@ -214,10 +213,6 @@
     patch.setattr(Thrift, "move", lambda *_: None)
 
 
-def swarm_passes(patch: pytest.MonkeyPatch) -> None:
-    patch.setattr(Stoppable, "nothing_for", lambda *_: False)
-
-
 GUARDS: dict[str, Patch] = {
     "lease-wait": lease_wait,
     "settle-first": settle_first,
@@ -236,7 +231,6 @@
     "standing": standing,
     "past-lookup": past_lookup,
     "known-first": known_first,
-    "swarm-passes": swarm_passes,
     "thrift": thrift,
     "deaf": deaf,
     "few-at-once": few_at_once,
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -282,9 +282,6 @@
     def cost_searching(self, seconds: str) -> int:
         return self._counted("searches", seconds)
 
-    def cost_considering(self, seconds: str) -> int:
-        return self._counted("considered", seconds)
-
     def cost_probing(self, seconds: str) -> int:
         before = self.world.probes
         self.world.run(float(seconds))
--- a/umberward/blame.py
+++ b/umberward/blame.py
@@ -51,7 +51,6 @@
         if not job.ran_well and len(job.errors) >= MISTAKEN_AFTER:
             log.info("%s is taken for mistaken: it failed on %d machines", job.id, len(job.errors))
             job.mistaken = True
-            self.scheduler.want_order = True
             self._hold(job, now)
             self._judge_machines(job, now)
             return
@@ -87,7 +86,6 @@
     def remember(self, job: Job, holds: int, now: Instant) -> None:
         """A former holder has blamed the job."""
         job.mistaken = True
-        self.scheduler.want_order = True
         job.holds = holds
         self.doubted[job.id] = job
         self._hold(job, now)
@@ -125,7 +123,6 @@
         if job.mistaken:
             log.info("%s runs well after all", job.id)
             job.mistaken = False
-            self.scheduler.want_order = True
             job.hold_until = 0.0
         self._judge_machines(job, now)
         self.scheduler.want_pass = True
--- a/umberward/clearing.py
+++ b/umberward/clearing.py
@@ -45,30 +45,28 @@
 
 
 class Stoppable:
-    """What runs on the machines, for one pass: who may be stopped for whom."""
+    """What runs on the machines, summed by standing, for one pass: who may be stopped for whom."""
 
     def __init__(self, scheduler: Scheduler) -> None:
         self.jobs = scheduler.jobs
         self.machines = [m for m in scheduler.machines.values() if m.usable and m.held]
+        self.sums: dict[MachineId, dict[tuple[bool, int, tuple[int, int]], Amount]] = {}
         self.futile: set[Any] = set()  # kinds of jobs for which nothing can be stopped
 
-    def nothing_for(self, job: Job) -> bool:
-        """Whether nothing could be stopped for another job of this kind and standing."""
-        return (job.kind, job.standing, job.rank) in self.futile
-
     def most(self, machine: Machine, job: Job, room: Amount) -> Amount:
-        """How much room there would be if all that may be stopped for the job were.
-
-        Kept with the machine until what it holds changes: every search asks this of all machines.
-        """
-        key = (job.need.accelerators > 0, job.rank, job.standing)
-        found = machine.stoppable.get(key)
-        if found is None:
-            found = NOTHING
-            for placement in self.victims(machine, job):
-                found = found.plus(placement.need)
-            machine.stoppable[key] = found
-        return room if found is NOTHING else room.plus(found)
+        """How much room there would be if all that may be stopped for the job were."""
+        sums = self.sums.get(machine.id)
+        if sums is None:
+            sums = self.sums[machine.id] = {}
+            for placement in machine.held.values():
+                owner = self.jobs.get(placement.task.job)
+                if owner is not None and placement.stop is None:
+                    key = (placement.need.accelerators > 0, placement.rank, owner.standing)
+                    sums[key] = sums.get(key, NOTHING).plus(placement.need)
+        for (accelerated, rank, standing), amount in sums.items():
+            if self._may_stop(job, accelerated, rank, standing):
+                room = room.plus(amount)
+        return room
 
     def victims(self, machine: Machine, job: Job) -> list[Placement]:
         found = []
@@ -111,10 +109,6 @@
             elif id in free:
                 free[id] = free[id].minus(cleared.room)
 
-    def owners(self) -> set[JobId]:
-        """The jobs for which room is kept."""
-        return {cleared.job for cleared in self.cleared.values()}
-
     def give(self, job: Job, free: dict[MachineId, Amount]) -> set[MachineId]:
         """The machines cleared for the job. Their room is its own everywhere, else it would clear
         them again."""
@@ -157,14 +151,17 @@
         """Make room for work of a higher standing; for how many tasks room is on its way."""
         if now - job.stopped_at < PREEMPT_PAUSE_S or job.mistaken:
             return 0
-        if self.too_soon(job):
-            return 0
+        if not (
+            job.service or job.gang
+        ) and self.scheduler.wall() - job.at < self.scheduler.patience(job):
+            return 0  # tasks end all the time: the next free room is this job's anyway
         if job.gang and job.size > 1:
             return self._clear_for_gang(job, stoppable, free, now)
         image = ImageName(job.spec.bundle)
         zones = [placement.zone for placement in job.placed.values() if placement is not leaving]
         cap = (job.size + 1) // 2 if job.spec.apart else MAX_TASKS
-        if job.plain and stoppable.nothing_for(job):
+        kind = (job.kind, job.standing, job.rank)
+        if job.plain and kind in stoppable.futile:
             return 0
         options = [
             preemption.Option(m.id, room, stoppable.victims(m, job), image in m.images)
@@ -190,15 +187,9 @@
             made += 1
             self._clear(job, machine, 1, victims, now)
         if not made and job.plain and not near_image:
-            stoppable.futile.add((job.kind, job.standing, job.rank))
+            stoppable.futile.add(kind)
         return made
 
-    def too_soon(self, job: Job) -> bool:
-        """For an array: tasks end all the time, the next free room is the job's anyway."""
-        if job.service or job.gang:
-            return False
-        return self.scheduler.wall() - job.at < self.scheduler.patience(job)
-
     def _clear(
         self, job: Job, machine: MachineId, tasks: int, victims: list[Placement], now: Instant
     ) -> None:
--- a/umberward/fleet.py
+++ b/umberward/fleet.py
@@ -47,8 +47,6 @@
         self.lingering: set[TaskId] = set()  # exited and still listed
         self.strays = 0  # tasks of unknown size still listed as alive
         self.booked: Amount = NOTHING
-        # What could be stopped here for work that is (accelerated, of this rank, of this standing).
-        self.stoppable: dict[tuple[bool, int, tuple[int, int]], Amount] = {}
         self.images: dict[ImageName, float] = {}
         self.notice_at: Instant | None = None  # when the cloud takes it
         self.failures: dict[JobId, int] = {}  # tasks that failed here since one went well
@@ -74,12 +72,6 @@
             and not (self.sick or self.returning or self.silent or self.lapsed or self.strays)
         )
 
-    def changed(self) -> None:
-        """What it holds, or is to be stopped there, is no longer what was concluded from."""
-        self.calm = None
-        if self.stoppable:
-            self.stoppable.clear()
-
     def free(self, sku: Sku) -> Amount:
         return Amount(sku.cores, sku.accelerators, sku.mem_gb).minus(self.booked)
 
--- a/umberward/holder.py
+++ b/umberward/holder.py
@@ -40,8 +40,6 @@
 TICK_S = 0.2
 PASS_S = 0.06  # the least time between two placing passes
 PASS_PART = 4.0  # ... and so many times as long as the last one took: reports must be answered
-CLOUD_PASS_S = 0.3  # the least time between two looks at what to rent
-CLOUD_PASS_PART = 20.0  # ... and so many times as long as the last one took
 IDLE_PASS_S = 1.0  # a pass is made so often even if nothing seems to have changed
 DO_TIMEOUT_S = 2.0
 PROBE_TIMEOUT_S = 1.0
@@ -398,14 +396,13 @@
     async def _tend_cloud(self) -> None:
         listed = 0.0
         refreshed = _now()
-        pause = CLOUD_PASS_S
         while True:
-            await curio.sleep(pause)
+            await curio.sleep(0.3)
             if not self.membership.leading():
                 continue
             try:
                 await self._deletions()
-                pause = await self._rentals()
+                await self._rentals()
                 if _now() - listed > 8.0:
                     listed = _now()
                     await self._list()
@@ -431,12 +428,8 @@
         self.scheduler.removed(ids, _now())
         self.provisioner.removed(ids)
 
-    async def _rentals(self) -> float:
-        """How long to pause before the next look, as a large fleet takes a while to look at."""
-        began = _now()
-        rentals = self.provisioner.rentals(began)
-        pause = max(CLOUD_PASS_S, CLOUD_PASS_PART * (_now() - began))
-        for rental in rentals:
+    async def _rentals(self) -> None:
+        for rental in self.provisioner.rentals(_now()):
             log.info("renting %d of %s as %s", rental.many, rental.offer, rental.claim)
             while self.membership.leading():
                 try:
@@ -451,7 +444,6 @@
                     continue
                 self.provisioner.rented(rental, ids, _now())
                 break
-        return pause
 
     async def _list(self) -> None:
         hosts = await self.cloud.machines()
--- a/umberward/jobs.py
+++ b/umberward/jobs.py
@@ -150,11 +150,6 @@
         end = min(self.size, self.base + self.window)
         return len(self.again) + max(0, end - self.fresh)
 
-    @property
-    def waits(self) -> bool:
-        """Whether a task that was never started waits for a place."""
-        return self.fresh < self.size and self.fresh < self.base + self.window
-
     def take(self) -> int:
         """The next task to place; it must be put back if it is not placed."""
         if self.again:
--- a/umberward/provision.py
+++ b/umberward/provision.py
@@ -199,7 +199,6 @@
         self._reserve(virtual, wanted, now)
         # Up to where the room was found to be too small for a kind of job: it only gets less.
         searched: dict[Any, int] = {}
-        unoffered: set[Any] = set()  # kinds for which nothing can be rented now
         for job, count in scheduler.lacking(now):
             need = job.need
             left = count
@@ -216,12 +215,8 @@
             if left > 0:
                 searched[job.kind] = len(virtual)
             while left > 0:
-                patient = self._patient(job)
-                if (job.kind, patient) in unoffered:
-                    break
-                best = self._cheapest(job, left, now, wanted, patient)
+                best = self._cheapest(job, left, now, wanted)
                 if best is None:
-                    unoffered.add((job.kind, patient))
                     break
                 offer, each = best
                 sku = skus[offer.type]
@@ -272,12 +267,14 @@
                     break
 
     def _cheapest(
-        self, job: Job, left: int, now: Instant, wanted: dict[Offer, int], patient: bool
+        self, job: Job, left: int, now: Instant, wanted: dict[Offer, int]
     ) -> tuple[Offer, int] | None:
         """The offer with the lowest price per task, and how many tasks one machine takes."""
         scheduler = self.scheduler
         best: tuple[float, Offer, int] | None = None
-        fair = FAIR_PRICE * self._fair(job) if patient else math.inf
+        waited = scheduler.wall() - job.at
+        patience = PATIENT_PART * (scheduler.deadline(job) - job.at)
+        fair = math.inf if waited > patience else FAIR_PRICE * self._fair(job)
         for sku in scheduler.skus.values():
             whole = Amount(sku.cores, sku.accelerators, sku.mem_gb)
             each = job.need.times_into(whole)
@@ -299,12 +296,6 @@
                         best = (cost, offer, each)
         return None if best is None else (best[1], best[2])
 
-    def _patient(self, job: Job) -> bool:
-        """Whether the job has time to wait for cheap room."""
-        scheduler = self.scheduler
-        waited = scheduler.wall() - job.at
-        return waited <= PATIENT_PART * (scheduler.deadline(job) - job.at)
-
     def _fair(self, job: Job) -> float:
         """The lowest ordinary price for which a task of the job could run."""
         fair = math.inf
--- a/umberward/scheduler.py
+++ b/umberward/scheduler.py
@@ -11,7 +11,6 @@
 
 import logging
 import random
-from bisect import insort
 from collections.abc import Callable, Container, Iterable
 from typing import Any, NamedTuple
 
@@ -50,7 +49,6 @@
 log = logging.getLogger(__name__)
 
 DRIFT = 1.001
-ORDER_EVERY_S = 1.0  # how often jobs are ordered anew if none has changed: estimates do
 MARGIN_S = 0.5
 DEFAULT_WAIT_S = 120.0  # when a job should start for which nothing is said
 LEAST_WORKERS = 4  # with fewer it can't be told whether they or we are cut off
@@ -129,14 +127,7 @@
         self.read = 0  # reports that were read in full
         self.searches = 0  # searches for room among all machines
         self.loaded = False
-        # Jobs in the order in which they are served; made anew when that may have changed.
-        self.ordered: list[Job] = []
-        self.want_order = True
-        self.ordered_at = now
-        # Of teams with a guarantee: unfinished jobs, the earliest first; and whose changed.
-        self.team_jobs: dict[TeamName, list[Job]] = {}
-        self.want_grades: set[TeamName] = set()
-        self.considered = 0  # jobs for which a place was looked for
+        self.want_grades = True
         self.all_settled = False
         self.want_pass = True
         self.want_epoch = False
@@ -196,13 +187,8 @@
         id = JobId(record.spec.uid)
         job = self.jobs.get(id)
         if job is None:
-            job = self.jobs[id] = Job(record, stamp, self.value_limit)
-            if self.quota.guaranteed(job.team):
-                insort(self.team_jobs.setdefault(job.team, []), job, key=_by_age)
-                self.want_grades.add(job.team)
-            elif job.rank == 0:
-                job.standing = (0, 0)
-            insort(self.ordered, job, key=self._key)
+            self.jobs[id] = Job(record, stamp, self.value_limit)
+            self.want_grades = True
             self.want_pass = True
 
     def job_gone(self, id: JobId) -> None:
@@ -212,9 +198,7 @@
             return
         job.ended = True
         self.blame.forget(job, self.now)
-        if job.team in self.team_jobs:
-            self.team_jobs[job.team].remove(job)
-            self.want_grades.add(job.team)
+        self.want_grades = True
         for placement in list(job.placed.values()):
             self.stop(placement, 0.0)
         self.want_pass = True
@@ -500,19 +484,19 @@
     # ---- placements --------------------------------------------------------------------
 
     def _hold(self, machine: Machine, job: Job, placement: Placement) -> None:
-        machine.changed()
+        machine.calm = None
         machine.held[placement.task] = placement
         self.reserve.placed(placement)
         if not placement.ready:
             job.unready += 1
-            self.writer.unready(job)
+            self.writer.urgent.add(job.id)
         machine.booked = machine.booked.plus(placement.need)
         job.placed[placement.task.number] = placement
         self.quota.take(placement.team, placement.need)
 
     def _release(self, machine: Machine, placement: Placement, requeue: bool = True) -> None:
         """The attempt is surely gone from its machine."""
-        machine.changed()
+        machine.calm = None
         machine.held.pop(placement.task, None)
         self.reserve.released(placement)
         machine.booked = machine.booked.minus(placement.need) if machine.held else NOTHING
@@ -555,7 +539,7 @@
         if machine is None:
             return
         placement.stop_at = self.now
-        machine.changed()
+        machine.calm = None
         if not placement.sent:
             self._release(machine, placement)
             return
@@ -699,14 +683,13 @@
         taken = [m for m in silent if m.notice_at is not None]
         self.doomed.update(m.id for m in taken)
         recent = 1.25 * self.workers.report_s + DEAF_MARGIN_S
-        known = len(self.machines)
-        alive = sum(1 for m in self.machines.values() if now - m.heard < recent)
+        met = [m for m in self.machines.values() if m.met]
+        alive = sum(1 for m in met if now - m.heard < recent)
         if self.deaf(now) or not alive:
             return
         # Those whose report is overdue count as well: of a cut, some are noticed before others.
-        # So do those that never reported to us since we took over.
-        overdue = known - alive - len(taken)
-        if overdue <= max(3, FEW_PART * known):
+        overdue = len(met) - alive - len(taken)
+        if overdue <= max(3, FEW_PART * len(met)):
             self.doomed.update(m.id for m in silent)
         elif overdue <= 0.7 * alive:
             late = 0.8 * self.workers.lease_s
@@ -776,20 +759,21 @@
             return 0.5 * self.guarantee_s
         return 0.3 * (self.deadline(job) - job.at)
 
-    def _key(self, job: Job) -> tuple[bool, tuple[int, int], float]:
-        return (job.mistaken, job.standing, self.deadline(job))
-
     def waiting(self, now: Instant) -> list[Job]:
         """Jobs with tasks to place, in the order in which they are served."""
-        if self.want_order or now - self.ordered_at > ORDER_EVERY_S:
-            self.want_order = False
-            self.ordered_at = now
-            self.ordered = sorted(self.jobs.values(), key=self._key)
-        return [
+        ready = [
             job
-            for job in self.ordered
-            if (job.again or job.waits) and job.hold_until <= now and not job.ended
+            for job in self.jobs.values()
+            if (job.again or job.startable()) and job.hold_until <= now
         ]
+        ready.sort(
+            key=lambda job: (
+                job.mistaken,
+                job.standing,
+                self.deadline(job),
+            )
+        )
+        return ready
 
     def _grade(self) -> None:
         """Each job's standing: who is served first and who may be stopped for whom.
@@ -798,24 +782,17 @@
         unfinished jobs. That only ever changes from no to yes, and only work of a strictly lower
         standing is stopped: so two jobs never take turns in stopping each other.
         """
-        for team in self.want_grades:
-            total = NOTHING
-            for job in self.team_jobs.get(team, ()):
-                total = total.plus(job.need, job.size)
-                before = job.standing
-                if job.rank == 0:
-                    job.standing = (0, 0)
-                elif self.quota.fits_guarantee(team, total):
-                    job.standing = (0, job.rank)
-                else:
-                    job.standing = (1, job.rank)
-                if job.standing != before:
-                    for placement in job.placed.values():
-                        machine = self.machines.get(placement.machine)
-                        if machine is not None:
-                            machine.changed()
-        self.want_grades.clear()
-        self.want_order = True
+        self.want_grades = False
+        totals: dict[TeamName, Amount] = {}
+        for job in sorted(self.jobs.values(), key=lambda job: (job.at, job.id)):
+            total = totals.get(job.team, NOTHING).plus(job.need, job.size)
+            totals[job.team] = total
+            if job.rank == 0:
+                job.standing = (0, 0)
+            elif self.quota.fits_guarantee(job.team, total):
+                job.standing = (0, job.rank)
+            else:
+                job.standing = (1, job.rank)
 
     def allowed(self, job: Job, type_: TypeName, zone: ZoneName, spot: bool) -> bool:
         spec = job.spec
@@ -836,7 +813,6 @@
         if self.want_grades:
             self._grade()
         waiting = self.waiting(now)
-        cleared = self.clearing.owners()
         self.reserve.note((job for job in waiting if not job.mistaken), now)
         self.clearing.keep(free, now)
         kept, able = self.reserve.split(usable, free)
@@ -844,18 +820,8 @@
         # Kinds of jobs for which nothing is left in this pass: thousands of tasks may wait.
         full: set[Any] = set()
         stoppable = self.clearing.look(waiting, now)
-        # ... and those for which nothing can be stopped either.
-        hopeless: set[Any] = set()
         for job in waiting:
             need = job.need
-            # Replicas stay long: they take accelerated machines only if nothing else is left.
-            lasting = job.service and need.accelerators <= 0
-            barred = self.barred(job, able if lasting else kept)
-            kind = (job.kind, lasting, bool(barred))
-            alike = (kind, job.standing, job.spec.jobclass)
-            if alike in hopeless and job.plain and job.id not in cleared:
-                continue
-            self.considered += 1
             count = min(
                 job.startable(),
                 self.quota.room(job.team, need, unsure.get(job.team, NOTHING)),
@@ -868,9 +834,10 @@
                     continue
                 count = job.size if job.gang else 1
             mine = self.clearing.give(job, free)
-            if mine:
-                barred = barred - mine
-                kind = (job.kind, lasting, bool(barred))
+            # Replicas stay long: they take accelerated machines only if nothing else is left.
+            lasting = job.service and need.accelerators <= 0
+            barred = self.barred(job, able if lasting else kept) - mine
+            kind = (job.kind, lasting, bool(barred))
             chosen: list[MachineId] = []
             # Replicas wait for what is being cleared for them: it is gone in a moment.
             coming = 0
@@ -895,13 +862,6 @@
                         full.add((kind, step))
             if job.gang and len(chosen) < job.size:
                 chosen = []
-            if not (chosen or coming or mine) and job.plain:
-                # The others of the class come later, so they have waited no longer.
-                stopped = (
-                    stoppable is None or stoppable.nothing_for(job) or self.clearing.too_soon(job)
-                )
-                if stopped and kind in full:
-                    hopeless.add((kind, job.standing, job.spec.jobclass))
             used = mine if len(chosen) == count else mine.intersection(chosen)
             self.clearing.take_back(used, mine, free)
             self._start(job, chosen, free, now)
@@ -911,7 +871,7 @@
         if stoppable is not None and self.all_settled:
             self.clearing.move_replicas(kept, able, usable, free, stoppable, now)
         if self.all_settled:
-            self.thrift.move(kept, usable, waiting, now)
+            self.thrift.move(kept, usable, now)
 
     def _start(
         self, job: Job, chosen: list[MachineId], free: dict[MachineId, Amount], now: Instant
@@ -1063,19 +1023,10 @@
     def lacking(self, now: Instant) -> list[tuple[Job, int]]:
         """Jobs with tasks for which there is no room, in the order of service."""
         found = []
-        rooms: dict[tuple[TeamName, Amount], int] = {}
         for job in self.waiting(now):
-            key = (job.team, job.need)
-            room = rooms.get(key)
-            if room is None:
-                room = rooms[key] = self.quota.room(job.team, job.need)
-            count = min(job.startable(), room)
+            count = min(job.startable(), self.quota.room(job.team, job.need))
             if job.gang and (job.placed or count < job.size):
                 continue
             if count > 0 and not job.mistaken:
                 found.append((job, count))
         return found
-
-
-def _by_age(job: Job) -> tuple[WallTime, JobId]:
-    return (job.at, job.id)
--- a/umberward/thrift.py
+++ b/umberward/thrift.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Iterable
 from typing import TYPE_CHECKING
 
 from umberward.fleet import Machine
@@ -42,19 +41,12 @@
         sku = self.scheduler.skus[type_]
         return sku.hourly / sku.cores if sku.cores > 0 else sku.hourly
 
-    def move(
-        self, kept: set[MachineId], usable: list[Machine], waiting: Iterable[Job], now: Instant
-    ) -> None:
-        """Stop one replica that has a cheaper place, with room kept for it there.
-
-        Not while ordinary work waits: it would lose the cheap room, and take the dear one.
-        """
+    def move(self, kept: set[MachineId], usable: list[Machine], now: Instant) -> None:
+        """Stop one replica that has a cheaper place, with room kept for it there."""
         if now < self.look_at or not self.scheduler.skus:
             return
         self.look_at = Instant(now + LOOK_EVERY_S)
         self.homeless = []
-        if any(job.need.accelerators <= 0 and not job.mistaken for job in waiting):
-            return
         scheduler = self.scheduler
         least = min(self.unit_price(type_) for type_ in scheduler.skus)
         sources = [
--- a/umberward/writer.py
+++ b/umberward/writer.py
@@ -7,8 +7,6 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Iterable, Iterator
-from itertools import chain
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 from umberward import state, wire
@@ -49,23 +47,11 @@
         self.dirty_blocks: set[int] = set()
         self.pending_block: dict[MachineId, int] = {}
         self.touched: set[JobId] = set()  # jobs with completions to write by and by
-        # Jobs whose end is to be written; those whose mark is, replicas before the rest, by rank.
-        # A batch looks at the first of them only: thousands may wait for their turn.
-        self.finals: dict[JobId, None] = {}
-        self.at_once: dict[JobId, None] = {}
-        self.marks: list[dict[JobId, None]] = [{} for _ in wire.RANKS]
-        self.looked = 0  # jobs that were looked at for a batch
+        self.urgent: set[JobId] = set()  # jobs with a mark or their end to write
         self.interim_at = now
 
     def completions(self, job: Job) -> None:
-        if job.complete:
-            self.finals[job.id] = None
-        else:
-            self.touched.add(job.id)
-
-    def unready(self, job: Job) -> None:
-        """A task of the job has a place and must not start before its mark is written."""
-        (self.at_once if job.service else self.marks[job.rank])[job.id] = None
+        (self.urgent if job.complete else self.touched).add(job.id)
 
     def drop(self, machine: Machine) -> None:
         """The machine is gone."""
@@ -77,33 +63,26 @@
     # ---- writing -----------------------------------------------------------------------
 
     def due(self, now: Instant) -> bool:
-        return bool(
-            self.finals
-            or self.at_once
-            or any(self.marks)
-            or self.dirty_blocks
-            or (self.touched and now >= self.interim_at)
-        )
-
-    def _urgent(self) -> Iterator[Job]:
-        """A replica should run at once; a job's end may be told a little later."""
-        for queue in (self.at_once, self.finals, *self.marks):
-            for id in list(queue):
-                self.looked += 1
-                job = self.scheduler.jobs.get(id)
-                if job is not None and (job.complete if queue is self.finals else job.unready):
-                    if queue is self.finals or not job.complete:
-                        yield job
-                    continue
-                del queue[id]
-                if job is not None and job.dirty and not job.complete:
-                    self.touched.add(id)
+        return bool(self.urgent or self.dirty_blocks or (self.touched and now >= self.interim_at))
 
     def next_batch(self, now: Instant) -> Batch | None:
         """The most urgent writes that are due, as one transaction."""
         most = self.most
         batch = Batch([], [], state.URGENT, [], [])
         size = 0
+        finals: list[Job] = []
+        marks: list[Job] = []
+        for id in list(self.urgent):
+            job = self.scheduler.jobs.get(id)
+            if job is not None and job.complete:
+                finals.append(job)
+            elif job is not None and job.unready:
+                marks.append(job)
+            else:
+                self.urgent.discard(id)
+                if job is not None and job.dirty:
+                    self.touched.add(id)
+        marks.sort(key=lambda job: job.rank)
         for number in sorted(self.dirty_blocks):
             if len(batch.writes) + 1 > most:
                 break
@@ -118,10 +97,11 @@
             batch.writes.append(state.put(key, wire.BlockRecord(hosts)))
             batch.blocks.append((number, hosts))
             size += wire.json_size(batch.writes[-1])
-        urgent = self._urgent()
-        first = next(urgent, None)
-        due: Iterable[Job] = () if first is None else chain((first,), urgent)
-        if first is None and not batch.writes:
+        # A replica should run at once; a job's end may be told a little later.
+        at_once = [job for job in marks if job.service]
+        later = [job for job in marks if not job.service]
+        due = at_once + finals + later
+        if not due and not batch.writes:
             due = self._interim(now)
             batch = batch._replace(priority=state.LAZY)
         for job in due:
