--- a/tests/guards.py
+++ b/tests/guards.py
@@ -136,10 +136,9 @@
 def mark_first(patch: pytest.MonkeyPatch) -> None:
     def job_marked(self: Writer, batch: Any, *_: Any) -> None:
         # The start goes out, but its mark never reaches the state service.
-        for job, marked, _, final in batch.jobs:
-            if not final:
-                job.marked = marked
-                self.marked(job)
+        for job, record in batch.jobs:
+            job.marked = record.marked
+            self.marked(job)
         for number, hosts in batch.blocks:
             self.block_stored(number, set(hosts))  # type: ignore[arg-type]
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -12,7 +12,7 @@
 
 import curio
 
-from umberward import hints, state, wire
+from umberward import hints, records, state, wire
 from umberward.http import Response
 from umberward.mirror import Mirror
 from umberward.provision import Provisioner
@@ -369,8 +369,8 @@
             now = Instant(self.now)
             scheduler.wake(now)
             if self.watching and self.store.mode != "down":
-                for change in self.store.changes[self.seen_changes :]:
-                    self._change(scheduler, change)
+                records.take_changes(scheduler, self.store.changes[self.seen_changes :])
+                self._look_up(scheduler)
                 self.seen_changes = len(self.store.changes)
             scheduler.tick(now)
             if scheduler.want_epoch and self.store.mode == "ok":
@@ -388,12 +388,11 @@
                     self.delete(id)
         self._check()
 
-    def _change(self, scheduler: Scheduler, change: wire.Change) -> None:
-        if change.delete is not None and change.delete.startswith(LIVE):
-            scheduler.job_gone(JobId(change.delete[len(LIVE) :]))
-        elif change.write is not None and change.write.startswith(LIVE):
-            record = wire.converted(change.data, JobRecord)
-            scheduler.job_put(record, Stamp(change.stamp))
+    def _look_up(self, scheduler: Scheduler) -> None:
+        for id in list(scheduler.pipelines.graph.unknown):
+            found = self.store.keys.get(Key(PAST + id))
+            if found is not None:
+                records.take_end(scheduler, id, found.data)
 
     def _write(self, scheduler: Scheduler) -> None:
         for _ in range(5):
--- a/umberward/clearing.py
+++ b/umberward/clearing.py
@@ -153,7 +153,7 @@
             return 0
         if not (
             job.service or job.gang
-        ) and self.scheduler.wall() - job.at < self.scheduler.patience(job):
+        ) and self.scheduler.wall() - job.ready_at < self.scheduler.patience(job):
             return 0  # tasks end all the time: the next free room is this job's anyway
         if job.gang and job.size > 1:
             return self._clear_for_gang(job, stoppable, free, now)
@@ -317,7 +317,7 @@
         if wait is None:
             return False
         slowest = min((sku.fetch_gb_per_s for sku in self.scheduler.skus.values()), default=1.0)
-        left = wait - (self.scheduler.wall() - job.at)
+        left = wait - (self.scheduler.wall() - job.ready_at)
         return 0.0 < left < job.spec.pull_gb / slowest
 
     def near_image(
--- a/umberward/holder.py
+++ b/umberward/holder.py
@@ -5,11 +5,12 @@
 import logging
 import random
 import time
+from collections.abc import Callable
 from typing import Any, NamedTuple
 
 import curio
 
-from umberward import hints, state, wire
+from umberward import hints, records, state, wire
 from umberward.actor import Actor
 from umberward.cloud import Cloud, CloudTrouble, NoCapacity
 from umberward.hints import Hints
@@ -32,7 +33,7 @@
     parse_address,
     parse_task_id,
 )
-from umberward.wire import BLOCKS, HINTS, LIVE, JobRecord, Report, Sku
+from umberward.wire import BLOCKS, HINTS, JOBS, LIVE, PAST, FinalRecord, Report, Sku
 from umberward.writer import Batch
 
 log = logging.getLogger(__name__)
@@ -46,6 +47,8 @@
 SILENT_REFRESH_S = 30.0
 STORE_HINTS_S = 3.0
 STORED_AGE_S = 15.0  # how old stored hints are taken to be
+REFUSED_S = 2.0  # a write that was refused as it is will be refused again
+LOOKUP_S = 0.2  # how often ends that were not seen are looked up
 SUMMARY_S = 10.0  # how often the state of the fleet is logged
 
 
@@ -69,6 +72,13 @@
     changes: list[wire.Change]
 
 
+class Ended(NamedTuple):
+    """What became of a job was looked up."""
+
+    id: JobId
+    data: Any
+
+
 class Tick(NamedTuple):
     pass
 
@@ -86,6 +96,7 @@
         skus: dict[TypeName, Sku],
         epoch: Epoch,
         rng: random.Random,
+        final: Callable[[JobId], FinalRecord | None],
         hinted: tuple[Hints, float] | None = None,
     ) -> None:
         super().__init__()
@@ -96,6 +107,7 @@
         self.cloud = cloud
         self.skus = skus
         self.rng = rng
+        self.final = final  # ends that this controller knows of anyway
         # What the last leader knew, and how old that is.
         self.hinted = [] if hinted is None else [hinted]
         self.scheduler = Scheduler(settings, skus, epoch, now, _wall, rng)
@@ -118,6 +130,7 @@
             await self.tasks.spawn(self._write)
             await self.tasks.spawn(self._tend_cloud)
             await self.tasks.spawn(self._store_hints)
+            await self.tasks.spawn(self._look_up)
 
     async def _load_and_watch(self) -> None:
         after: Revision | None = None
@@ -136,7 +149,7 @@
                             await self._stored_hints()
                     entries, after = await self.store.entries(LIVE)
                     await self.ask(entries)
-                news, after = await self.store.watch(LIVE, after, 10.0)
+                news, after = await self.store.watch(JOBS, after, 10.0)
                 if news:
                     await self.tell(Changes(news))
             except state.TooOld:
@@ -170,11 +183,9 @@
         elif isinstance(message, Probed):
             scheduler.probed(message.probe, message.report, now)
         elif isinstance(message, Changes):
-            for change in message.changes:
-                if change.delete is not None:
-                    scheduler.job_gone(JobId(change.delete[len(LIVE) :]))
-                elif change.write is not None:
-                    self._job(change.write, change.data, change.stamp)
+            records.take_changes(scheduler, message.changes)
+        elif isinstance(message, Ended):
+            records.take_end(scheduler, message.id, message.data)
         elif isinstance(message, list):
             self._load_jobs(message)
         elif isinstance(message, Tick):
@@ -194,18 +205,12 @@
         await self._flush()
         return answer
 
-    def _job(self, path: str, data: Any, stamp: int) -> None:
-        try:
-            self.scheduler.job_put(wire.converted(data, JobRecord), Stamp(stamp))
-        except wire.Malformed as error:
-            log.error("record %s: %s", path, error)
-
     def _load_jobs(self, entries: list[wire.Entry]) -> None:
         listed = set()
         for entry in entries:
             listed.add(JobId(entry.path[len(LIVE) :]))
-            self._job(entry.path, entry.data, entry.stamp)
-        for id in list(self.scheduler.jobs):
+            records.take_job(self.scheduler, entry.path, entry.data, entry.stamp)
+        for id in [*self.scheduler.jobs, *self.scheduler.pipelines.jobs]:
             if id not in listed:
                 self.scheduler.job_gone(id)
         if not self.scheduler.loaded:
@@ -336,6 +341,9 @@
             revision = await self.store.commit(
                 conditions, batch.writes, priority=batch.priority, patience=patience
             )
+        except state.TooLarge:
+            await curio.sleep(REFUSED_S)
+            return False
         except state.Unavailable as error:
             log.debug("commit: %s", error)
             return False
@@ -353,6 +361,28 @@
         self.scheduler.writer.committed(batch, Stamp(revision), _now())
         return True
 
+    # ---- jobs that others wait for -------------------------------------------------------
+
+    async def _look_up(self) -> None:
+        """What became of jobs that are not live and whose end we did not see."""
+        while True:
+            await curio.sleep(LOOKUP_S)
+            if not self.scheduler.loaded:
+                continue
+            for id in list(self.scheduler.pipelines.graph.unknown):
+                final = self.final(id)
+                data: Any = None if final is None else wire.builtins(final)
+                if final is None:
+                    try:
+                        past = await self.store.get(Key(PAST + id))
+                    except (state.Unavailable, state.Unknown) as error:
+                        log.debug("looking up %s: %s", id, error)
+                        break
+                    if past is None:
+                        continue  # it moves: the next change tells
+                    data = past.data
+                await self.tell(Ended(id, data))
+
     # ---- hints -------------------------------------------------------------------------
 
     async def _stored_hints(self) -> None:
--- a/umberward/jobs.py
+++ b/umberward/jobs.py
@@ -19,7 +19,8 @@
 )
 from umberward.wire import JobRecord, Spec
 
-RECORD_SPARE = 400  # bytes of a record besides the spec and the bitmap
+RECORD_SPARE = 128  # bytes of a record besides the spec and the bitmap
+LEAST_WINDOW = 16
 WINDOW = 8192  # at most so many tasks may be between the first unfinished and the last started
 
 
@@ -74,12 +75,14 @@
         self.rank = wire.RANKS[spec.rank]
         self.gang = spec.shape == wire.GANG
         self.service = spec.shape == wire.SERVICE
-        self.at = WallTime(record.at)
+        self.at = WallTime(record.at)  # when it was submitted: its deadline counts from here
+        # What else is asked of it counts from when the last job that it needs was done.
+        self.ready_at = WallTime(record.ready or record.at)
         self.size = spec.shards
         self.stamp = stamp
         self.marked = record.marked
         spare = value_limit - wire.json_size(spec) - RECORD_SPARE
-        self.window = max(64, min(WINDOW, spare * 4))
+        self.window = max(LEAST_WINDOW, min(WINDOW, spare * 4))
         self.base = record.base
         self.bits = int(record.done, 16)
         self.saved = (self.base, self.bits)
@@ -167,8 +170,20 @@
             self.put_back(index)
         self.unsure.clear()
 
-    def record(self, marked: int) -> JobRecord:
-        return JobRecord(self.spec, self.at, marked, self.base, f"{self.bits:x}")
+    def record(self, marked: int) -> JobRecord | None:
+        """What to store; None: it does not fit, as its holder had room for a wider bitmap.
+
+        All that was committed stays in it. Completions beyond our own window are left out until
+        the first tasks are done: their workers remember them meanwhile.
+        """
+        bits = self.bits
+        if bits >> self.window:
+            base, saved = self.saved
+            bits = bits & ((1 << self.window) - 1) | saved >> max(0, self.base - base)
+            if bits >> self.window:
+                return None
+        ready = self.ready_at if self.ready_at != self.at else 0.0
+        return JobRecord(self.spec, self.at, marked, self.base, f"{bits:x}", ready=ready)
 
     def adopt(self, record: JobRecord, stamp: Stamp) -> None:
         """Take over what the state service has after an unknown outcome."""
--- a/umberward/mirror.py
+++ b/umberward/mirror.py
@@ -17,10 +17,11 @@
 
 from umberward import state, wire
 from umberward.actor import Ask
+from umberward.pipelines import Graph
 from umberward.settings import Settings
 from umberward.state import State
 from umberward.types import JobId, Key, Revision
-from umberward.wire import JOBS, LIVE, PAST, FinalRecord, JobRecord
+from umberward.wire import CANCELLED, JOBS, LIVE, PAST, FinalRecord, JobRecord
 
 log = logging.getLogger(__name__)
 
@@ -35,6 +36,8 @@
 
     marked: int
     done: int
+    service: bool
+    waits: bool  # it was accepted to wait for others
 
 
 class Fresh(NamedTuple):
@@ -52,6 +55,7 @@
         cluster = settings.platform.cluster
         self.pause = cluster.size / (cluster.state.rps * SHARE)
         self.live: dict[JobId, Live] = {}
+        self.graph = Graph(self.live.__contains__)
         self.finals: OrderedDict[JobId, FinalRecord] = OrderedDict()
         # Ids that nobody had submitted when they were looked up; a submission shows as a change.
         self.absent: OrderedDict[JobId, None] = OrderedDict()
@@ -73,15 +77,47 @@
             if failed is not None:
                 raise failed
             # A final state may have been told to its user while we waited: it comes first.
-            found = self.finals.get(id) or self.live.get(id)
-            if found is None and id not in self.absent:
-                found = await self._past(id)
+            found = await self._found(id)
             now = self.clock()
             if isinstance(found, FinalRecord) or now - self.read_at <= STALE_S:
                 return found
             if now - asked > ANSWER_S:
                 raise state.Unavailable("what was read is out of date")
 
+    def needs(self, id: JobId) -> list[JobId]:
+        """What the job still waits for, as far as it was read."""
+        return sorted(self.graph.needs.get(id, ()))
+
+    async def states(self, ids: list[JobId]) -> dict[JobId, Live | FinalRecord | None]:
+        """The same for many jobs, with one reading of what has changed. Whatever was accepted
+        before the question is found; what ends meanwhile may show either way."""
+        question = Ask(Fresh())
+        await self.mail.put(question)
+        failed = await question.wait()
+        if failed is not None:
+            raise failed
+        return {id: await self._found(id) for id in ids}
+
+    async def _found(self, id: JobId) -> Live | FinalRecord | None:
+        # A final state may have been told to its user while we waited: it comes first.
+        found = self.finals.get(id) or self.live.get(id)
+        if found is None and id not in self.absent:
+            return await self._past(id)
+        if isinstance(found, Live) and found.waits and not found.marked:
+            # A job before it may have been cancelled: then this one is, whatever its own record
+            # says as yet, and every controller must say the same.
+            for need in self.graph.hazy(id):
+                final = self.finals.get(need)
+                if final is not None:
+                    self.graph.ended(need, final.phase)
+                elif await self._past(need) is None:
+                    raise state.Unavailable(f"what became of {need} is not known yet")
+            cause = self.graph.doomed.get(id)
+            if cause is not None:
+                return FinalRecord(CANCELLED, because=cause)
+            return self.finals.get(id, found)
+        return found
+
     async def _past(self, id: JobId) -> FinalRecord | None:
         # Noted before it is looked up: whatever is submitted meanwhile takes the note away.
         self.absent[id] = None
@@ -94,7 +130,6 @@
             raise
         if past is None:
             return None
-        self.absent.pop(id, None)
         record = wire.converted(past.data, FinalRecord)
         self.keep(id, record)
         return record
@@ -103,6 +138,7 @@
         """Final states never change, so they need no refreshing."""
         self.live.pop(id, None)
         self.absent.pop(id, None)
+        self.graph.ended(id, final.phase)
         self.finals[id] = final
         while len(self.finals) > self.most_finals:
             self.finals.popitem(last=False)
@@ -143,6 +179,7 @@
         entries, after = await self.store.entries(LIVE)
         self.live.clear()
         self.absent.clear()
+        self.graph.clear()
         for entry in entries:
             self._live(entry.path, entry.data)
         # The pages were read one after the other: what changed meanwhile comes with the next
@@ -153,7 +190,9 @@
 
     def _change(self, change: wire.Change) -> None:
         if change.delete is not None and change.delete.startswith(LIVE):
-            self.live.pop(JobId(change.delete[len(LIVE) :]), None)
+            id = JobId(change.delete[len(LIVE) :])
+            self.live.pop(id, None)
+            self.graph.gone(id)
         elif change.write is not None and change.write.startswith(LIVE):
             self._live(change.write, change.data)
         elif change.write is not None and change.write.startswith(PAST):
@@ -173,4 +212,10 @@
         done = record.base + int(record.done, 16).bit_count()
         id = JobId(path[len(LIVE) :])
         self.absent.pop(id, None)
-        self.live[id] = Live(record.marked, done)
+        waits = bool(record.needs)
+        self.live[id] = Live(record.marked, done, record.spec.shape == wire.SERVICE, waits)
+        self.graph.seen(id)
+        if waits:
+            self.graph.add(id, wire.unpack_needs(record.needs))
+        else:
+            self.graph.started(id)
--- a/umberward/provision.py
+++ b/umberward/provision.py
@@ -272,8 +272,8 @@
         """The offer with the lowest price per task, and how many tasks one machine takes."""
         scheduler = self.scheduler
         best: tuple[float, Offer, int] | None = None
-        waited = scheduler.wall() - job.at
-        patience = PATIENT_PART * (scheduler.deadline(job) - job.at)
+        waited = scheduler.wall() - job.ready_at
+        patience = PATIENT_PART * (scheduler.deadline(job) - job.ready_at)
         fair = math.inf if waited > patience else FAIR_PRICE * self._fair(job)
         for sku in scheduler.skus.values():
             whole = Amount(sku.cores, sku.accelerators, sku.mem_gb)
--- /dev/null
+++ b/umberward/records.py
@@ -0,0 +1,45 @@
+"""Takes what is read from the state service's job records into the scheduler. No I/O."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Sequence
+from typing import Any
+
+from umberward import wire
+from umberward.scheduler import Scheduler
+from umberward.types import JobId, Stamp
+from umberward.wire import LIVE, PAST, FinalRecord, JobRecord
+
+log = logging.getLogger(__name__)
+
+
+def take_changes(scheduler: Scheduler, changes: Sequence[wire.Change]) -> None:
+    """News of a watch. Ends come first: whether a job is done or cancelled decides what those
+    after it do, and its live record goes in the same transaction."""
+    for change in changes:
+        if change.write is not None and change.write.startswith(PAST):
+            take_end(scheduler, JobId(change.write[len(PAST) :]), change.data, scheduler.wall())
+    for change in changes:
+        if change.delete is not None and change.delete.startswith(LIVE):
+            scheduler.job_gone(JobId(change.delete[len(LIVE) :]))
+        elif change.write is not None and change.write.startswith(LIVE):
+            take_job(scheduler, change.write, change.data, change.stamp)
+
+
+def take_job(scheduler: Scheduler, path: str, data: Any, stamp: int) -> None:
+    try:
+        scheduler.job_put(wire.converted(data, JobRecord), Stamp(stamp))
+    except wire.Malformed as error:
+        log.error("record %s: %s", path, error)
+
+
+def take_end(scheduler: Scheduler, id: JobId, data: Any, otherwise: float = 0.0) -> None:
+    """`otherwise`: when the job ended if its record does not say so, as none waited for it when
+    it was written; 0: before those that wait for it were submitted."""
+    try:
+        final = wire.converted(data, FinalRecord)
+    except wire.Malformed as error:
+        log.error("record of the end of %s: %s", id, error)
+        return
+    scheduler.job_ended(id, final, final.at or otherwise)
--- a/umberward/scheduler.py
+++ b/umberward/scheduler.py
@@ -19,6 +19,7 @@
 from umberward.clearing import Clearing
 from umberward.fleet import Machine
 from umberward.jobs import Job, Placement
+from umberward.pipelines import Pipelines
 from umberward.placement import Room, best_fit
 from umberward.quota import Quota
 from umberward.reserve import Reserve
@@ -50,6 +51,7 @@
 
 DRIFT = 1.001
 MARGIN_S = 0.5
+ESTIMATE_SPARE = 1.3  # some tasks of a job take longer than its estimate
 DEFAULT_WAIT_S = 120.0  # when a job should start for which nothing is said
 LEAST_WORKERS = 4  # with fewer it can't be told whether they or we are cut off
 MANY_WORKERS = 20  # so many report at moments spread evenly enough
@@ -87,7 +89,8 @@
     ) -> None:
         cluster = settings.platform.cluster
         self.workers = cluster.workers
-        self.value_limit = int(cluster.state.value_kb * 1024)
+        limits = cluster.state.least()
+        self.value_limit = int(limits.value_kb * 1024)
         self.operator = settings.operator
         self.skus = skus
         self.quota = Quota(cluster.teams)
@@ -121,7 +124,8 @@
         self.reserve = Reserve(skus, now)
         self.clearing = Clearing(self, now)
         self.blame = Blame(self, now)
-        self.writer = Writer(self, cluster.state, self.value_limit, now)
+        self.writer = Writer(self, limits, self.value_limit, now)
+        self.pipelines = Pipelines(self)
         self.kept: set[MachineId] = set()  # the machines that the reserve is made of
         self.attempts = 0
         self.read = 0  # reports that were read in full
@@ -138,17 +142,16 @@
     # ---- taking over -------------------------------------------------------------------
 
     def load_block(self, number: int, record: wire.BlockRecord, stamp: Stamp, now: Instant) -> None:
-        names: set[MachineId] = set()
+        machines = []
         for name, (address, type_, zone, spot) in record.hosts.items():
             machine = self._machine(
                 MachineId(name), address, TypeName(type_), ZoneName(zone), spot, now
             )
-            machine.block = number
-            names.add(machine.id)
-            if not machine.met:
+            machines.append(machine)
+            if not machine.met and not machine.probing:
                 machine.probing = True
                 self.out.append(Probe(machine.id, address))
-        self.writer.blocks[number] = (stamp, names)
+        self.writer.load_block(number, stamp, machines)
 
     def load_done(self) -> None:
         self.loaded = True
@@ -185,14 +188,30 @@
     def job_put(self, record: JobRecord, stamp: Stamp) -> None:
         """A job's record was read or has come by the watch."""
         id = JobId(record.spec.uid)
-        job = self.jobs.get(id)
-        if job is None:
-            self.jobs[id] = Job(record, stamp, self.value_limit)
-            self.want_grades = True
-            self.want_pass = True
+        if id in self.jobs or id in self.pipelines.jobs:
+            return
+        job = Job(record, stamp, self.value_limit)
+        if record.needs and not record.marked:
+            # A job that waits for others is in nothing that counts queued work, and cannot start.
+            self.pipelines.add(job, wire.unpack_needs(record.needs))
+        else:
+            self._admit(job)
+        self.pipelines.graph.seen(id)
+
+    def _admit(self, job: Job) -> None:
+        self.jobs[job.id] = job
+        self.want_grades = True
+        self.want_pass = True
+
+    def job_ended(self, id: JobId, final: wire.FinalRecord, at: float) -> None:
+        """A job's end was read or committed: only now may those after it start."""
+        for job in self.pipelines.ended(id, final.phase, at):
+            log.info("%s may start: all that it waited for is done", job.id)
+            self._admit(job)
 
     def job_gone(self, id: JobId) -> None:
         """A job's live record is gone: it is done, or was cancelled by some controller."""
+        self.pipelines.gone(id)
         job = self.jobs.pop(id, None)
         if job is None:
             return
@@ -463,7 +482,7 @@
     def _say_if_late(self, job: Job, placement: Placement, now: Instant) -> None:
         """Where the time went, for work that its operators want to start sooner."""
         wait, _ = self.aims.get(job.spec.jobclass, (None, None))
-        waited = self.wall() - job.at
+        waited = self.wall() - job.ready_at
         first = placement.task.number not in job.ran
         if job.service:
             job.ran.add(placement.task.number)
@@ -733,16 +752,22 @@
         It follows from the job's own deadline and from what the operators aim at for its class.
         """
         spec = job.spec
-        estimate = 1.3 * self.estimate(job)
-        start_by = job.at + DEFAULT_WAIT_S
+        estimate = ESTIMATE_SPARE * self.estimate(job)
+        start_by = job.ready_at + DEFAULT_WAIT_S
         wait, finished = self.aims.get(spec.jobclass, (None, None))
         if wait is not None:
-            start_by = job.at + wait
+            start_by = job.ready_at + wait
         if finished is not None:
-            start_by = min(start_by, job.at + finished - estimate)
+            start_by = min(start_by, job.ready_at + finished - estimate)
         if spec.due_s is not None:
             start_by = job.at + spec.due_s - estimate
-        return start_by
+        # Those after it leave it so much time.
+        return min(start_by, self.pipelines.claim(job.id).late - estimate)
+
+    def takes(self, job: Job) -> float:
+        """How long the job takes from when it may start, if there is room at once."""
+        slowest = min((sku.fetch_gb_per_s for sku in self.skus.values()), default=1.0)
+        return ESTIMATE_SPARE * self.estimate(job) + job.spec.pull_gb / slowest
 
     def estimate(self, job: Job) -> float:
         """How long a task of the job takes, by its owner's word and what was seen of its class."""
@@ -757,7 +782,7 @@
         """How long an array waits for room before others are stopped for it."""
         if self.guarantee_s is not None:
             return 0.5 * self.guarantee_s
-        return 0.3 * (self.deadline(job) - job.at)
+        return 0.3 * (self.deadline(job) - job.ready_at)
 
     def waiting(self, now: Instant) -> list[Job]:
         """Jobs with tasks to place, in the order in which they are served."""
@@ -782,9 +807,17 @@
         unfinished jobs. That only ever changes from no to yes, and only work of a strictly lower
         standing is stopped: so two jobs never take turns in stopping each other.
         """
+        # The team's order is that in which its jobs became ready: one that waited for others takes
+        # nothing from those that run. The rank is that of the live jobs that need it, which changes
+        # only when users act.
         self.want_grades = False
         totals: dict[TeamName, Amount] = {}
-        for job in sorted(self.jobs.values(), key=lambda job: (job.at, job.id)):
+        for job in sorted(self.jobs.values(), key=lambda job: (job.ready_at, job.id)):
+            rank = min(wire.RANKS[job.spec.rank], self.pipelines.claim(job.id).rank)
+            if rank != job.rank:
+                job.rank = rank
+                for placement in job.placed.values():
+                    placement.rank = rank
             total = totals.get(job.team, NOTHING).plus(job.need, job.size)
             totals[job.team] = total
             if job.rank == 0:
--- a/umberward/settings.py
+++ b/umberward/settings.py
@@ -61,11 +61,32 @@
     cancel_s: Positive
 
 
+class NextLimits(msgspec.Struct, frozen=True):
+    """Limits that come into force at some moment; what is left out stays as it is."""
+
+    rps: Positive | None = None
+    write_rps: Positive | None = None
+    value_kb: Positive | None = None
+    txn_ops: Count | None = None
+
+
 class StateLimits(msgspec.Struct, frozen=True):
     rps: Positive
     write_rps: Positive
     value_kb: Positive
     txn_ops: Count
+    next: NextLimits | None = None
+
+    def least(self) -> StateLimits:
+        """The smaller of each limit: what fits these is never refused."""
+        if self.next is None:
+            return self
+        least = {
+            name: min(getattr(self, name), value)
+            for name in self.next.__struct_fields__
+            if (value := getattr(self.next, name)) is not None
+        }
+        return msgspec.structs.replace(self, **least)
 
 
 class CloudLimits(msgspec.Struct, frozen=True):
@@ -155,14 +176,19 @@
     workers = platform.cluster.workers
     if workers.cancel_s <= workers.lease_s:
         raise SettingsError(f"{source}: cluster.workers.cancel_s: must be above lease_s")
-    limits = platform.cluster.state
-    if limits.value_kb < LEAST_VALUE_KB:
-        raise SettingsError(
-            f"{source}: cluster.state.value_kb: {limits.value_kb:g} is too little for one record,"
-            f" at least {LEAST_VALUE_KB:g} are needed"
-        )
-    if limits.txn_ops < 2:
-        raise SettingsError(f"{source}: cluster.state.txn_ops: a job's end needs 2 changes at once")
+    for where, limits in (
+        ("cluster.state", platform.cluster.state),
+        ("cluster.state.next", platform.cluster.state.next),
+    ):
+        if limits is None:
+            continue
+        if limits.value_kb is not None and limits.value_kb < LEAST_VALUE_KB:
+            raise SettingsError(
+                f"{source}: {where}.value_kb: {limits.value_kb:g} is too little for one record,"
+                f" at least {LEAST_VALUE_KB:g} are needed"
+            )
+        if limits.txn_ops is not None and limits.txn_ops < 2:
+            raise SettingsError(f"{source}: {where}.txn_ops: a job's end needs 2 changes at once")
     if platform.label in [peer.label for peer in platform.peers]:
         raise SettingsError(f"{source}: peers: {platform.label} is this controller itself")
     names = [team.name for team in platform.cluster.teams]
--- a/umberward/state.py
+++ b/umberward/state.py
@@ -37,6 +37,10 @@
         self.wait = wait
 
 
+class TooLarge(Unavailable):
+    """The state service takes no value or transaction of that size: asking again is no use."""
+
+
 class Unknown(Exception):
     """The request may have been executed, or may be executed later."""
 
@@ -101,6 +105,8 @@
     def __init__(self, address: Address, limits: StateLimits, size: int, client: Client) -> None:
         self.address = address
         self.limits = limits
+        self.lower = limits.least()  # comes into force without notice
+        self.leading = False
         self.client = client
         self.others = max(1, size - 1)
         self.calls = Budget(limits.rps * LEADERS_CALLS)
@@ -114,6 +120,7 @@
 
     def share(self, leading: bool) -> None:
         """The leader writes most; the parts of all controllers together stay below the limits."""
+        self.leading = leading
         calls, writes = LEADERS_CALLS, LEADERS_WRITES
         if not leading:
             calls, writes = (ALL - calls) / self.others, (ALL - writes) / self.others
@@ -137,6 +144,11 @@
             raise Unavailable(str(error)) from None
         except NoAnswer as error:
             raise Unknown(str(error)) from None
+        if response.status == 429 and self.limits is not self.lower:
+            # It may have lowered its limits; if not, we have room to spare with the lower ones.
+            log.info("the state service has refused a request for its rate: using the lower limits")
+            self.limits = self.lower
+            self.share(self.leading)
         if response.status in (429, 503):
             raise Unavailable(f"{method} {target}: {response.status}")
         return response
@@ -194,6 +206,8 @@
         if response.status == 400 and b"no such lease" in response.body:
             raise NoLease
         log.error("commit refused: %s %r", response.status, response.body[:300])
+        if response.status == 400:
+            raise TooLarge("commit: 400")
         raise Unavailable(f"commit: {response.status}")
 
     async def grant(self, ttl_s: float) -> LeaseId:
--- a/umberward/types.py
+++ b/umberward/types.py
@@ -28,7 +28,8 @@
 WallTime = NewType("WallTime", float)  # a reading of the time of day
 
 MAX_TASKS = 100_000
-_JOB_ID = re.compile(r"req-[0-9]{1,18}\Z")
+JOB_PREFIX = "req-"
+_JOB_ID = re.compile(JOB_PREFIX + r"[0-9]{1,18}\Z")
 
 
 class TaskId(NamedTuple):
--- a/umberward/users.py
+++ b/umberward/users.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
+from typing import Any
 
 import msgspec
 
 from umberward import state, wire
 from umberward.http import Response
-from umberward.mirror import Mirror
+from umberward.mirror import Live, Mirror
 from umberward.quota import Quota
 from umberward.settings import Settings
 from umberward.state import State
@@ -19,6 +20,8 @@
 log = logging.getLogger(__name__)
 
 PATIENCE_S = 0.4  # how long a submission may wait for its turn under the limits
+COMPLETIONS_BYTES = 512  # of a record are left for what is stored once the job runs
+SPARE_BYTES = 64
 RETRY_S = 1.0
 OUTAGE_RETRY_S = 2.0
 
@@ -42,7 +45,7 @@
         self.wall = wall
         cluster = settings.platform.cluster
         self.quota = Quota(cluster.teams)
-        self.value_limit = int(cluster.state.value_kb * 1024)
+        self.value_limit = int(cluster.state.least().value_kb * 1024)
 
     # ---- requests ----------------------------------------------------------------------
 
@@ -61,28 +64,42 @@
             id = parse_job_id(spec.uid)
             if id is None:
                 raise wire.Malformed("uid: not a job id")
-            record = JobRecord(spec, round(self.wall(), 3))
-            if wire.json_size(record) > self.value_limit // 2:
-                raise wire.Malformed("the description is too long")
+            record, names = self._record(spec)
         except wire.Malformed as error:
             # The repeat of an accepted job gets its state, whatever its body says.
             return await self._known(_any_id(body)) or _problem(400, str(error))
         final = self.mirror.finals.get(id)
         if final is not None:
-            return _state(id, final.phase, final.done)
+            return _final(id, final)
         if not self.skus:
             return Response(503, retry_after=RETRY_S)
         try:
             self.check(spec)
         except Refused as error:
             return await self._known(id) or _problem(422, str(error))
+        past: FinalRecord | None = None
+        if id in names:
+            return await self._known(id) or _problem(422, "waits_on: the job itself")
+        if names:
+            found = await self.mirror.states([id, *names])
+            if found.pop(id) is not None:
+                # Known already: it gets its state, whatever became of those that it names.
+                return await self._known(id) or Response(503, retry_after=RETRY_S)
+            try:
+                past = self._wait_for(record, found)
+            except Refused as error:
+                return _problem(422, str(error))
+        write = state.put(Key(LIVE + id), record)
+        if past is not None:
+            write = state.put(Key(PAST + id), past)
         conditions = [(Key(LIVE + id), Stamp(0)), (Key(PAST + id), Stamp(0))]
         for last in (False, True):
             try:
-                await self.store.commit(
-                    conditions, [state.put(Key(LIVE + id), record)], patience=PATIENCE_S
-                )
+                await self.store.commit(conditions, [write], patience=PATIENCE_S)
                 log.debug("%s accepted", id)
+                if past is not None:
+                    self.mirror.keep(id, past)
+                    return _final(id, past, status=201)
                 return _state(id, wire.PENDING, 0, status=201)
             except (state.Conflict, state.Unknown):
                 # Known already, or the outcome is unknown: what can be read decides.
@@ -123,7 +140,7 @@
             if known is None:
                 return Response(404)
             if isinstance(known, FinalRecord):
-                return _state(id, known.phase, known.done)
+                return _final(id, known)
             return None
         record = wire.converted(live.data, JobRecord)
         past = FinalRecord(CANCELLED, record.base + int(record.done, 16).bit_count())
@@ -142,10 +159,53 @@
         known = None if id is None else await self.mirror.state(id)
         if id is None or known is None:
             return None
+        return self._answer(id, known)
+
+    def _answer(self, id: JobId, known: Live | FinalRecord) -> Response:
         if isinstance(known, FinalRecord):
-            return _state(id, known.phase, known.done)
+            return _final(id, known)
         phase = wire.RUNNING if known.marked else wire.PENDING
-        return _state(id, phase, known.done, running=max(0, known.marked - known.done))
+        return _state(
+            id, phase, known.done, max(0, known.marked - known.done), waits_on=self.mirror.needs(id)
+        )
+
+    def _record(self, spec: Spec) -> tuple[JobRecord, list[JobId]]:
+        """What would be stored, and the jobs that it names. Raises Malformed if it is too long."""
+        names = list(dict.fromkeys(map(JobId, spec.waits_on or ())))
+        spec.waits_on = None
+        record = JobRecord(spec, round(self.wall(), 3))
+        # Completions are stored with the description; what it waits for only until it starts.
+        if wire.json_size(record) > self.value_limit - COMPLETIONS_BYTES:
+            raise wire.Malformed("the description is too long")
+        record.needs = wire.pack_needs(names)
+        if wire.json_size(record) > self.value_limit - SPARE_BYTES:
+            raise wire.Malformed("waits_on: too many jobs for one record")
+        return record, names
+
+    @staticmethod
+    def _wait_for(
+        record: JobRecord, found: dict[JobId, Live | FinalRecord | None]
+    ) -> FinalRecord | None:
+        """Note in the record what is not done yet; or the end of a job that can never run.
+
+        Raises Refused for what may not be named.
+        """
+        waits = []
+        cancelled = None
+        for name, known in found.items():
+            if known is None:
+                raise Refused(f"waits_on: {name} was never accepted")
+            if isinstance(known, FinalRecord):
+                if known.phase != wire.DONE:
+                    cancelled = cancelled or name
+            elif known.service:
+                raise Refused(f"waits_on: {name} is a service")
+            else:
+                waits.append(name)
+        if cancelled is not None:
+            return FinalRecord(CANCELLED, because=cancelled)
+        record.needs = wire.pack_needs(waits)
+        return None
 
     def check(self, spec: Spec) -> None:
         """Raises Refused for a job that can never run."""
@@ -174,10 +234,26 @@
     return parse_job_id(data.get("uid")) if isinstance(data, dict) else None
 
 
-def _state(id: JobId, phase: str, done: int, running: int = 0, status: int = 200) -> Response:
-    body = {"uid": id, "phase": phase, "done": done, "running": running}
+def _state(
+    id: JobId,
+    phase: str,
+    done: int,
+    running: int = 0,
+    status: int = 200,
+    waits_on: Sequence[JobId] = (),
+    because: str = "",
+) -> Response:
+    body: dict[str, Any] = {"uid": id, "phase": phase, "done": done, "running": running}
+    if waits_on:
+        body["waits_on"] = waits_on
+    if because:
+        body["because"] = because
     return Response(status, wire.encode(body))
 
 
+def _final(id: JobId, final: FinalRecord, status: int = 200) -> Response:
+    return _state(id, final.phase, final.done, status=status, because=final.because)
+
+
 def _problem(status: int, text: str) -> Response:
     return Response(status, wire.encode({"error": text}))
--- a/umberward/wire.py
+++ b/umberward/wire.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from typing import Annotated, Any
 
 import msgspec
 
-from umberward.types import MAX_TASKS
+from umberward.types import JOB_PREFIX, MAX_TASKS, JobId, parse_job_id
 
 BODY_LIMIT = 64 * 1024
 RENT_LIMIT = 50
@@ -55,6 +56,7 @@
     flavors: list[Name] | None = None
     yard: Name | None = None
     due_s: Above0 | None = None
+    waits_on: list[Name] | None = None  # never in a record: see JobRecord.needs
 
 
 class ShardReport(msgspec.Struct):
@@ -172,6 +174,8 @@
     `marked`: tasks below this number may have been placed by some holder.
     `base`: all tasks below this number are done, and `done` is a hexadecimal bitmap of the
     committed completions from there on, lowest bit first.
+    `needs`: the jobs that were not done when this one was accepted, until its first mark;
+    `ready`: when the last of them was done, from then on. Empty for jobs that wait for none.
     """
 
     spec: Spec
@@ -179,11 +183,17 @@
     marked: int = 0
     base: int = 0
     done: str = "0"
+    needs: str = ""
+    ready: float = 0.0
 
 
 class FinalRecord(msgspec.Struct, omit_defaults=True):
+    """`at`: when it ended, if others waited for it; `because`: the cancelled job before it."""
+
     phase: str
     done: int = 0
+    at: float = 0.0
+    because: str = ""
 
 
 class LeaderRecord(msgspec.Struct):
@@ -250,6 +260,8 @@
         raise Malformed("cores and mem_gb must be above 0")
     if spec.flavors is not None and not spec.flavors:
         raise Malformed("flavors: an empty list allows nothing")
+    if any(parse_job_id(name) is None for name in spec.waits_on or ()):
+        raise Malformed("waits_on: not a list of job ids")
     return spec
 
 
@@ -274,6 +286,15 @@
     return made
 
 
+def pack_needs(ids: Iterable[JobId]) -> str:
+    """As short as it goes: hundreds of ids must fit into one record."""
+    return " ".join(id.removeprefix(JOB_PREFIX) for id in ids)
+
+
+def unpack_needs(text: str) -> list[JobId]:
+    return [JobId(JOB_PREFIX + digits) for digits in text.split()]
+
+
 def json_size(data: Any) -> int:
     """Size in the form that the state service's limits count."""
     return len(msgspec.json.encode(data))
--- a/umberward/writer.py
+++ b/umberward/writer.py
@@ -31,7 +31,8 @@
     conditions: list[tuple[Key, Stamp]]
     writes: list[dict[str, Any]]
     priority: int
-    jobs: list[tuple[Job, int, tuple[int, int], bool]]  # marked, completions, final
+    jobs: list[tuple[Job, wire.JobRecord]]  # as they will be stored
+    ended: list[tuple[Job, wire.FinalRecord]]
     blocks: list[tuple[int, dict[str, tuple[str, str, str, bool]]]]
 
 
@@ -41,10 +42,12 @@
     ) -> None:
         self.scheduler = scheduler
         self.most = limits.txn_ops  # changes in one transaction
+        self.value_limit = value_limit
         self.interim_rate = INTERIM_PART * limits.write_rps
         self.blocks: dict[int, tuple[Stamp, set[MachineId]]] = {}
         self.block_size = max(4, min(32, value_limit // 120))
         self.dirty_blocks: set[int] = set()
+        self.leaving: dict[int, set[MachineId]] = {}  # block -> machines that move to others
         self.pending_block: dict[MachineId, int] = {}
         self.touched: set[JobId] = set()  # jobs with completions to write by and by
         self.urgent: set[JobId] = set()  # jobs with a mark or their end to write
@@ -58,17 +61,26 @@
         if machine.block is not None:
             self.dirty_blocks.add(machine.block)
             self.blocks[machine.block][1].discard(machine.id)
-        self.pending_block.pop(machine.id, None)
+        pending = self.pending_block.pop(machine.id, None)
+        if pending is not None:
+            # Else it would be looked for there after each write, for ever.
+            self.dirty_blocks.add(pending)
+            self.blocks[pending][1].discard(machine.id)
 
     # ---- writing -----------------------------------------------------------------------
 
     def due(self, now: Instant) -> bool:
-        return bool(self.urgent or self.dirty_blocks or (self.touched and now >= self.interim_at))
+        return bool(
+            self.urgent
+            or self.dirty_blocks
+            or self.scheduler.pipelines.graph.doomed
+            or (self.touched and now >= self.interim_at)
+        )
 
     def next_batch(self, now: Instant) -> Batch | None:
         """The most urgent writes that are due, as one transaction."""
         most = self.most
-        batch = Batch([], [], state.URGENT, [], [])
+        batch = Batch([], [], state.URGENT, [], [], [])
         size = 0
         finals: list[Job] = []
         marks: list[Job] = []
@@ -83,15 +95,22 @@
                 if job is not None and job.dirty:
                     self.touched.add(id)
         marks.sort(key=lambda job: job.rank)
-        for number in sorted(self.dirty_blocks):
+        # A block that machines leave comes after those that they move to, or with them.
+        for number in sorted(self.dirty_blocks, key=lambda n: (n in self.leaving, n)):
             if len(batch.writes) + 1 > most:
                 break
-            stamp, names = self.blocks[number]
-            hosts = {
-                str(id): (m.address, str(m.type), str(m.zone), m.spot)
-                for id in sorted(names)
-                if (m := self.scheduler.machines.get(id)) is not None
+            hosts = self._hosts(number)
+            if wire.json_size(wire.BlockRecord(hosts)) > self.value_limit:
+                self._part(number)
+                continue
+            targets = {
+                self.pending_block[id]
+                for id in self.leaving.get(number, ())
+                if id in self.pending_block
             }
+            if not targets.issubset(written for written, _ in batch.blocks):
+                continue
+            stamp, _ = self.blocks[number]
             key = Key(f"{BLOCKS}{number}")
             batch.conditions.append((key, stamp))
             batch.writes.append(state.put(key, wire.BlockRecord(hosts)))
@@ -100,32 +119,49 @@
         # A replica should run at once; a job's end may be told a little later.
         at_once = [job for job in marks if job.service]
         later = [job for job in marks if not job.service]
-        due = at_once + finals + later
+        # All controllers call a job cancelled as soon as one before it is, so its record may wait;
+        # but something is always done about it.
+        dooms = self.scheduler.pipelines.dooms(most)
+        due = at_once + finals + dooms[:1] + later + dooms[1:]
         if not due and not batch.writes:
             due = self._interim(now)
             batch = batch._replace(priority=state.LAZY)
         for job in due:
-            ops = 2 if job.complete else 1
+            final = self._final(job)
+            ops = 1 if final is None else 2
             if len(batch.writes) + ops > most or size > 48 * 1024:
                 break
             key = Key(LIVE + job.id)
-            batch.conditions.append((key, job.stamp))
-            if job.complete:
-                past = wire.FinalRecord(wire.DONE, job.size)
-                batch.writes.append(state.put(Key(PAST + job.id), past))
+            if final is not None:
+                batch.writes.append(state.put(Key(PAST + job.id), final))
                 batch.writes.append(state.delete(key))
-                batch.jobs.append((job, job.marked, (job.base, job.bits), True))
+                batch.ended.append((job, final))
             else:
                 marked = max([job.marked, *(index + 1 for index in job.placed)])
                 if marked > job.marked:
                     # Few jobs grow task by task: mark ahead, so that an array costs few writes.
                     marked = min(job.size, max(marked, 2 * job.marked))
                 record = job.record(marked)
+                if record is None:
+                    job.committed_at = now  # too wide as yet: looked at again by and by
+                    continue
                 batch.writes.append(state.put(key, record))
-                batch.jobs.append((job, marked, (job.base, job.bits), False))
+                batch.jobs.append((job, record))
+            batch.conditions.append((key, job.stamp))
             size += wire.json_size(batch.writes[-1])
         return batch if batch.writes else None
 
+    def _final(self, job: Job) -> wire.FinalRecord | None:
+        """How the job has ended, if it has."""
+        graph = self.scheduler.pipelines.graph
+        if job.id in graph.doomed:
+            return wire.FinalRecord(wire.CANCELLED, because=graph.doomed[job.id])
+        if not job.complete:
+            return None
+        # When it ended matters to those that wait for it only.
+        at = round(self.scheduler.wall(), 3) if job.id in graph.heirs else 0.0
+        return wire.FinalRecord(wire.DONE, job.size, at)
+
     def _interim(self, now: Instant) -> list[Job]:
         """Jobs whose completions are to be written though they go on.
 
@@ -151,16 +187,17 @@
             _, names = self.blocks[number]
             self.blocks[number] = (stamp, names)
             self.block_stored(number, {MachineId(name) for name in hosts})
-        for job, marked, saved, final in batch.jobs:
-            if job.ended:
-                continue
-            if final:
-                log.info("%s is done", job.id)
+        for job, final in batch.ended:
+            if not job.ended:
+                log.info("%s is %s", job.id, final.phase)
+                self.scheduler.job_ended(job.id, final, final.at or self.scheduler.wall())
                 self.scheduler.job_gone(job.id)
+        for job, record in batch.jobs:
+            if job.ended:
                 continue
             job.stamp = stamp
-            job.marked = marked
-            job.saved = saved
+            job.marked = record.marked
+            job.saved = (record.base, int(record.done, 16))
             job.committed_at = now
             self.marked(job)
         self.scheduler.want_pass = True
@@ -169,6 +206,7 @@
         names = self.blocks[number][1]
         if stored == names:
             self.dirty_blocks.discard(number)
+            self.leaving.pop(number, None)
         for id in stored & names:
             self.pending_block.pop(id, None)
             machine = self.scheduler.machines.get(id)
@@ -197,7 +235,7 @@
                     self.block_stored(number, {MachineId(name) for name in record.hosts})
             return
         id = JobId(key[len(LIVE) :])
-        job = self.scheduler.jobs.get(id)
+        job = self.scheduler.jobs.get(id) or self.scheduler.pipelines.jobs.get(id)
         if job is None:
             return
         if found is None:
@@ -208,13 +246,47 @@
 
     # ---- blocks ------------------------------------------------------------------------
 
+    def load_block(self, number: int, stamp: Stamp, machines: list[Machine]) -> None:
+        """A block as it is stored."""
+        names = set()
+        for machine in machines:
+            if machine.block in (None, number):
+                machine.block = number
+                names.add(machine.id)
+            else:
+                # It was moved, and the block that it left was not written before the end.
+                self.dirty_blocks.add(number)
+        self.blocks[number] = (stamp, names)
+
+    def _hosts(self, number: int) -> dict[str, tuple[str, str, str, bool]]:
+        return {
+            str(id): (m.address, str(m.type), str(m.zone), m.spot)
+            for id in sorted(self.blocks[number][1])
+            if (m := self.scheduler.machines.get(id)) is not None
+        }
+
+    def _part(self, number: int) -> None:
+        """The block was stored under wider limits: a part of its machines moves to others.
+
+        A machine must never stand in no block, else a new leader would not wait for its tasks. So
+        the old block is written only when the new ones are.
+        """
+        names = self.blocks[number][1]
+        leaving = sorted(names)[min(self.block_size, len(names) // 2) :]
+        names.difference_update(leaving)
+        self.leaving.setdefault(number, set()).update(leaving)
+        for id in leaving:
+            machine = self.scheduler.machines.get(id)
+            if machine is not None:
+                self.assign_block(machine)
+
     def assign_block(self, machine: Machine) -> None:
         if machine.id in self.pending_block:
             return
         number = 0
         while True:
             _, names = self.blocks.setdefault(number, (Stamp(0), set()))
-            if len(names) < self.block_size:
+            if len(names) < self.block_size and number not in self.leaving:
                 break
             number += 1
         names.add(machine.id)
