--- a/tests/guards.py
+++ b/tests/guards.py
@@ -12,11 +12,13 @@
 from umberward.http import Client
 from umberward.jobs import Job
 from umberward.mirror import Mirror
+from umberward.pipelines import NO_CLAIM, Graph, Pipelines
 from umberward.quota import Quota
 from umberward.scheduler import Scheduler
 from umberward.thrift import Thrift
 from umberward.types import JobId
 from umberward.users import Users
+from umberward.wire import DONE, FinalRecord, JobRecord
 from umberward.writer import Writer
 
 Patch = Callable[[pytest.MonkeyPatch], None]
@@ -208,6 +210,58 @@
     patch.setattr(scheduler, "FEW_PART", 1.0)
 
 
+def needs_first(patch: pytest.MonkeyPatch) -> None:
+    def add(self: Pipelines, job: Job, needs: Any) -> None:
+        self.scheduler._admit(job)
+
+    patch.setattr(Pipelines, "add", add)
+
+
+def commit_first(patch: pytest.MonkeyPatch) -> None:
+    """A report that a job is done is enough for those after it."""
+    whole = Writer.completions
+
+    def completions(self: Writer, job: Job) -> None:
+        whole(self, job)
+        if job.complete:
+            self.scheduler.job_ended(job.id, FinalRecord(DONE), self.scheduler.wall())
+
+    patch.setattr(Writer, "completions", completions)
+
+
+def derived(patch: pytest.MonkeyPatch) -> None:
+    """A job is called cancelled only when its own record says so."""
+    patch.setattr(Graph, "hazy", lambda *_: set())
+    whole = Mirror._found
+
+    async def found(self: Mirror, id: Any) -> Any:
+        return self.finals.get(id) or self.live.get(id) or await whole(self, id)
+
+    patch.setattr(Mirror, "_found", found)
+
+
+def claims(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(Pipelines, "claim", lambda *_: NO_CLAIM)
+
+
+def part_in_order(patch: pytest.MonkeyPatch) -> None:
+    """A block that machines leave is written like any other."""
+    whole = Writer._part
+
+    def part(self: Writer, number: int) -> None:
+        whole(self, number)
+        self.leaving.clear()
+
+    patch.setattr(Writer, "_part", part)
+
+
+def fits(patch: pytest.MonkeyPatch) -> None:
+    def record(self: Job, marked: int) -> JobRecord:
+        return JobRecord(self.spec, self.at, marked, self.base, f"{self.bits:x}")
+
+    patch.setattr(Job, "record", record)
+
+
 def thrift(patch: pytest.MonkeyPatch) -> None:
     patch.setattr(Thrift, "move", lambda *_: None)
 
@@ -230,6 +284,12 @@
     "standing": standing,
     "past-lookup": past_lookup,
     "known-first": known_first,
+    "needs-first": needs_first,
+    "commit-first": commit_first,
+    "derived": derived,
+    "claims": claims,
+    "part-in-order": part_in_order,
+    "fits": fits,
     "thrift": thrift,
     "deaf": deaf,
     "few-at-once": few_at_once,
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -17,11 +17,18 @@
 from guards import GUARDS
 from world import Worker, World, raw_settings
 
+from umberward import wire
 from umberward.http import Client, NotSent, Request, Response, Server
-from umberward.settings import Operator, SettingsError, check
-from umberward.types import Address, Instant
+from umberward.jobs import Job
+from umberward.settings import NextLimits, Operator, SettingsError, StateLimits, check
+from umberward.state import State, delete
+from umberward.types import Address, Instant, JobId, Key
+from umberward.wire import JOBS, LIVE
 
 FILES = sorted((Path(__file__).parent / "scenarios").glob("*.txt"))
+PRODUCTION_SPEC = msgspec.json.decode(
+    (Path(__file__).parent / "records" / "fields.json").read_text()
+)
 
 
 class Failed(Exception):
@@ -62,7 +69,48 @@
         pass
 
     def do_team(self, *words: str) -> None:
-        self.world = World(**{k: float(v) for k, v in _pairs(list(words)).items()})
+        self.world = World(raw_settings(**{k: float(v) for k, v in _pairs(list(words)).items()}))
+
+    def do_limits(self, *words: str) -> None:
+        """The state service's limits that will be in force some day."""
+        raw = raw_settings()
+        raw["cluster"]["state"]["next"] = _pairs(list(words))
+        self.world = World(raw)
+
+    def do_lower(self, *words: str) -> None:
+        """From now on the state service has lower limits."""
+        for name, value in _pairs(list(words)).items():
+            setattr(self.world.store, name, value)
+
+    def do_stored(self, fixture: str) -> None:
+        """Records as the production version has written them."""
+        text = (Path(__file__).parent / "records" / f"{fixture}.json").read_text()
+        for path, data in msgspec.json.decode(text).items():
+            # They may be larger than what may be written by now.
+            self.world.store.keep(path, data)
+            if path.startswith("jobs/live/"):
+                self.world.accepted_before(data)
+            elif path.startswith("blocks/"):
+                for name, (_, flavor, zone, *_) in data["hosts"].items():
+                    self.do_machine(name, flavor, zone)
+
+    def do_remove(self, name: str) -> None:
+        """The cloud has taken the machine."""
+        self.world.delete(name)
+
+    def do_lowered_rate(self, now: str, later: str) -> None:
+        """The state service refuses a transaction for its rate, once."""
+        limits = StateLimits(1000.0, float(now), 4.0, 8, NextLimits(write_rps=float(later)))
+        answers = [Response(429), Response(200, wire.encode({"generation": 7}))]
+
+        class Refusing:
+            async def request(self, *_: Any) -> Response:
+                return answers.pop(0)
+
+        store = State(Address("127.0.0.1", 4), limits, 3, Refusing())  # type: ignore[arg-type]
+        revision = curio.run(store.commit, [], [delete(Key("x"))])
+        assert revision == 7 and not answers
+        self.answers = int(store.limits.write_rps)
 
     def do_machine(self, name: str, flavor: str, zone: str, *kind: str) -> None:
         now = self.world.now
@@ -90,6 +138,10 @@
         assert kind == "wait" and self.world.scheduler is not None
         self.world.scheduler.aims[job_class] = (float(within_s), None)
 
+    def do_watch(self, mode: str) -> None:
+        """Whether the leader hears of changes in the state service."""
+        self.world.watching = mode == "on"
+
     def do_crash(self) -> None:
         self.world.crash()
 
@@ -217,6 +269,8 @@
             spec["_runs"] = 1e9
         if isinstance(spec["flavors"], str) and spec["flavors"] != "-":
             spec["flavors"] = [spec["flavors"]]
+        if isinstance(spec.get("waits_on"), str):
+            spec["waits_on"] = [spec["waits_on"]]
         for name in [name for name, value in spec.items() if value == "-"]:
             del spec[name]
         return spec
@@ -228,6 +282,22 @@
     def do_submit(self, id: str, *words: str) -> None:
         self.last = self.world.submit(self._spec(id, words))
 
+    def do_submit_chain(self, first: str, last: str, after: str) -> None:
+        for number in range(int(first), int(last) + 1):
+            self.do_submit(f"req-{number:06d}", f"waits_on={after}")
+            after = f"req-{number:06d}"
+
+    def do_submit_waiting_for_many(self, id: str, count: str, first: str = "500000") -> None:
+        names = [f"req-{int(first) + number:06d}" for number in range(int(count))]
+        self.do_submit(id, f"waits_on={','.join(names)}")
+
+    def do_meanwhile_cancel(self, id: str) -> None:
+        """Another controller cancels it between the next reading and what is made of it."""
+        self.world.cancel_after_reading(id, 0.0)
+
+    def do_poll_elsewhere(self, id: str) -> None:
+        self.last = self.world.poll_elsewhere(id)
+
     def do_late_cancel(self, id: str) -> None:
         self.world.cancel_elsewhere(id)
 
@@ -256,6 +326,44 @@
     def see_phase(self) -> str:
         return str(msgspec.msgpack.decode(self.last.body)["phase"])
 
+    def see_because(self) -> str:
+        return str(msgspec.msgpack.decode(self.last.body)["because"])
+
+    def see_live(self) -> int:
+        """How many jobs have a live record."""
+        return sum(1 for key in self.world.store.keys if key.startswith(LIVE))
+
+    def see_queued(self) -> int:
+        """How many jobs are looked at for room."""
+        assert self.world.scheduler is not None
+        return len(self.world.scheduler.waiting(Instant(self.world.now)))
+
+    def see_refused_writes(self) -> int:
+        return len(self.world.store.refused)
+
+    def see_rank(self, id: str) -> int:
+        return self._job(id).rank
+
+    def see_start_by_after_ready(self, id: str) -> int:
+        assert self.world.scheduler is not None
+        return round(self.world.scheduler.deadline(self._job(id)) - self._job(id).ready_at)
+
+    def see_waited_before_ready(self, id: str) -> int:
+        return round(self._job(id).ready_at - self._job(id).at)
+
+    def _job(self, id: str) -> Job:
+        assert self.world.scheduler is not None
+        return self.world.scheduler.jobs[JobId(id)]
+
+    def see_strange_fields(self) -> str:
+        """What the production version would not know in the records of jobs."""
+        known = {"spec", "at", "marked", "base", "done", "phase"} | set(PRODUCTION_SPEC)
+        found = set()
+        for key, got in self.world.store.keys.items():
+            if key.startswith(JOBS):
+                found |= (set(got.data) | set(got.data.get("spec", ()))) - known
+        return ",".join(sorted(found)) or "none"
+
     def see_retry_after(self) -> bool:
         return self.last.retry_after is not None
 
@@ -294,6 +402,12 @@
             assert self.world.poll(id).status == 404
         return self.world.store.requests - before
 
+    def cost_requests_of_waiting(self, id: str, count: str, first: str) -> int:
+        before = self.world.store.requests
+        self.do_submit_waiting_for_many(id, count, first)
+        assert self.last.status == 201
+        return self.world.store.requests - before
+
     def cost_starting(self, id: str, seconds: str) -> int:
         """How often tasks of the job are started in so many seconds."""
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -54,10 +55,6 @@
     }
 
 
-def settings(**teams: Any) -> Any:
-    return check(raw_settings(**teams), Operator())
-
-
 SKUS = {
     TypeName(sku.sku): sku
     for sku in (
@@ -78,6 +75,11 @@
         self.pending: list[tuple[Any, Any]] = []
         self.changes: list[wire.Change] = []
         self.requests = 0
+        self.value_bytes = 4096
+        self.txn_ops = 8
+        self.written = 0  # puts and deletes
+        self.refused: list[str] = []
+        self.applied: Callable[[], None] = lambda: None
         self.meanwhile: Any = None  # what happens between a reading and its use
 
     async def get(self, key: Key, *_: Any, **__: Any) -> Got | None:
@@ -132,17 +134,26 @@
             found = self.keys.get(key)
             if (found.stamp if found else 0) != stamp:
                 raise state.Conflict(key)
+        sizes = [wire.json_size(write["data"]) for write in writes if "write" in write]
+        if len(writes) > self.txn_ops or any(size > self.value_bytes for size in sizes):
+            self.refused.append(f"{len(writes)} changes, values of {sizes} bytes")
+            raise state.TooLarge("400")
         self.revision += 1
+        self.written += len(writes)
         for write in writes:
             if "delete" in write:
                 self.keys.pop(write["delete"], None)
                 change = wire.Change(delete=write["delete"], stamp=self.revision)
             else:
-                size = wire.json_size(write["data"])
-                assert size <= 4096, f"value of {size} bytes"
                 self.keys[write["write"]] = Got(write["data"], Stamp(self.revision))
                 change = wire.Change(write["write"], None, write["data"], self.revision)
             self.changes.append(change)
+        self.applied()
+
+    def keep(self, path: str, data: Any) -> None:
+        """A record that stands there already, whatever its size."""
+        self.revision += 1
+        self.keys[path] = Got(data, Stamp(self.revision))
 
     def deliver_late(self) -> None:
         for conditions, writes in self.pending:
@@ -183,8 +194,8 @@
 
 
 class World:
-    def __init__(self, **teams: Any) -> None:
-        self.settings = settings(**teams)
+    def __init__(self, raw: dict[str, Any] | None = None) -> None:
+        self.settings = check(raw or raw_settings(), Operator())
         self.now = 100.0
         self.store = FakeState()
         self.workers: dict[str, Worker] = {}
@@ -204,6 +215,8 @@
         self.users = Users(self.settings, self.store, self.mirror, SKUS, lambda: WallTime(self.now))  # type: ignore[arg-type]
         self.frozen = False  # the leader stands still, its clock goes on
         self.probes = 0
+        self.store.applied = self._check_blocks
+        self.blocked: set[str] = set()  # machines that stood in a block
         self.rng = random.Random(7)
         self.former: list[Scheduler] = []
 
@@ -271,11 +284,22 @@
 
     # ---- users -------------------------------------------------------------------------
 
+    def accepted_before(self, data: dict[str, Any]) -> None:
+        """A job of a live record that stands there already."""
+        spec = data["spec"]
+        bits = int(data.get("done", "0"), 16)
+        base = data.get("base", 0)
+        done = [n for n in range(spec["shards"]) if n < base or bits >> (n - base) & 1]
+        self.specs[spec["uid"]] = {
+            **spec, "_runs": 10.0, "_done": {f"{spec['uid']}/{n}" for n in done}
+        }  # fmt: skip
+
     def submit(self, spec: Any) -> Response:
         body = spec if isinstance(spec, bytes) else wire.encode(spec)
         response = self._serve(self.users.submit, body)
         if response.status in (200, 201) and isinstance(spec, dict):
             self.specs.setdefault(spec["uid"], spec)
+            self._check_phase(spec["uid"], response)
         return response
 
     def poll(self, id: str) -> Response:
@@ -313,10 +337,21 @@
         self.mirror = Mirror(self.settings, self.store, lambda: self.now)  # type: ignore[arg-type]
         self.users = Users(self.settings, self.store, self.mirror, SKUS, self.users.wall)  # type: ignore[arg-type]
 
+    def poll_elsewhere(self, id: str) -> Response:
+        """At a controller that was started just now."""
+        mirror, users = self.mirror, self.users
+        self._other_controller()
+        response = self.poll(id)
+        self.mirror, self.users = mirror, users
+        return response
+
     def poll_across_cancel(self, id: str, seconds: float) -> Response:
         """We stand still after we have read the answer to a poll; meanwhile another controller
         cancels the job and says so."""
+        self.cancel_after_reading(id, seconds)
+        return self.poll(id)
 
+    def cancel_after_reading(self, id: str, seconds: float) -> None:
         async def meanwhile() -> None:
             mirror, users = self.mirror, self.users
             self._other_controller()
@@ -329,7 +364,6 @@
             self.now += seconds
 
         self.store.meanwhile = meanwhile
-        return self.poll(id)
 
     def _serve(self, call: Any, argument: Any) -> Response:
         async def serve() -> Response:
@@ -347,6 +381,9 @@
                 self.broken.append(f"forgotten: {id}")
             return None
         phase: str = _decode(response.body)["phase"]
+        for need in self.specs.get(id, {}).get("waits_on") or ():
+            if self.ended.get(need) == wire.CANCELLED and phase != wire.CANCELLED:
+                self.broken.append(f"orphaned: {id} is {phase}, {need} was cancelled")
         if id in self.ended and phase != self.ended[id]:
             self.broken.append(f"went_back: {id} was {self.ended[id]}, is {phase}")
         if phase in (wire.DONE, wire.CANCELLED):
@@ -399,9 +436,10 @@
             batch = scheduler.writer.next_batch(Instant(self.now))
             if batch is None or self.store.mode == "down":
                 return
-            assert len(batch.writes) <= 8
             try:
                 revision = curio.run(self.store.commit, batch.conditions, batch.writes)
+            except state.TooLarge:
+                return
             except (state.Conflict, state.Unknown):
                 for key, _ in batch.conditions:
                     scheduler.writer.reread(key, self.store.keys.get(key))
@@ -523,6 +561,10 @@
         if name in spec.get("_done", ()):
             self.broken.append(f"{name} started again after it was done")
         self.starts[name] = self.starts.get(name, 0) + 1
+        for need in spec.get("waits_on") or ():
+            past = self.store.keys.get(Key(PAST + need))
+            if past is None or past.data["phase"] != wire.DONE:
+                self.broken.append(f"too_early: {name} started before {need} was done")
         for other in self.workers.values():
             task = other.tasks.get(name)
             if task is not None and task.phase != wire.EXITED and not other.dead:
@@ -572,10 +614,23 @@
                 self.broken.append(f"quota: {team.name} uses {used[team.name]}")
         for key in self.store.keys:
             if key.startswith(PAST) and self.store.keys[key].data["phase"] == wire.DONE:
-                spec = self.specs[key[len(PAST) :]]
+                spec = self.specs.get(key[len(PAST) :])
+                if spec is None:
+                    continue  # a record that the scenario wrote itself
                 if len(spec.get("_done", ())) < spec["shards"] and spec["shape"] != wire.GANG:
                     self.broken.append(f"not_done: {spec['uid']}")
 
+    def _check_blocks(self) -> None:
+        stored = {
+            name
+            for key, got in self.store.keys.items()
+            if key.startswith(BLOCKS)
+            for name in got.data["hosts"]
+        }
+        self.blocked = (self.blocked | stored) & set(self.workers)
+        for name in self.blocked - stored:
+            self.broken.append(f"{name} stands in no block any more")
+
     def running(self, id: str) -> list[tuple[str, str]]:
         return [
             (name, worker.host)
--- a/umberward/jobs.py
+++ b/umberward/jobs.py
@@ -182,7 +182,7 @@
             bits = bits & ((1 << self.window) - 1) | saved >> max(0, self.base - base)
             if bits >> self.window:
                 return None
-        ready = self.ready_at if self.ready_at != self.at else 0.0
+        ready = self.ready_at if self.ready_at != self.at else None
         return JobRecord(self.spec, self.at, marked, self.base, f"{bits:x}", ready=ready)
 
     def adopt(self, record: JobRecord, stamp: Stamp) -> None:
--- a/umberward/state.py
+++ b/umberward/state.py
@@ -37,6 +37,10 @@
         self.wait = wait
 
 
+class RateLimited(Unavailable):
+    """Above the state service's rate: not executed, and fine in a moment."""
+
+
 class TooLarge(Unavailable):
     """The state service takes no value or transaction of that size: asking again is no use."""
 
@@ -84,6 +88,11 @@
         need = min(need, self.rate)
         return max(0.0, (need - self.tokens) / self.rate)
 
+    def drain(self) -> None:
+        """Others have used up what there was."""
+        self._fill()
+        self.tokens = min(self.tokens, 0.0)
+
     async def take(self, count: int, priority: int, patience: float) -> None:
         deadline = time.monotonic() + patience
         while True:
@@ -149,7 +158,9 @@
             log.info("the state service has refused a request for its rate: using the lower limits")
             self.limits = self.lower
             self.share(self.leading)
-        if response.status in (429, 503):
+        if response.status == 429:
+            raise RateLimited(f"{method} {target}: 429")
+        if response.status == 503:
             raise Unavailable(f"{method} {target}: {response.status}")
         return response
 
@@ -197,8 +208,19 @@
         body = {"if": [{"path": key, "stamp": stamp} for key, stamp in conditions]}
         if writes:
             body["writes"] = writes
-            await self.writes.take(len(writes), priority, patience)
-        response = await self._call("POST", "/commit", body, timeout, priority, patience)
+        deadline = time.monotonic() + patience
+        while True:
+            left = max(0.0, deadline - time.monotonic())
+            if writes:
+                await self.writes.take(len(writes), priority, left)
+            try:
+                response = await self._call("POST", "/commit", body, timeout, priority, left)
+                break
+            except RateLimited:
+                # All controllers together were too fast: we pause too, and ask again.
+                self.writes.drain()
+                if time.monotonic() >= deadline:
+                    raise
         if response.status == 200:
             return Revision(self._generation(response.body).generation)
         if response.status == 409:
--- a/umberward/wire.py
+++ b/umberward/wire.py
@@ -184,7 +184,7 @@
     base: int = 0
     done: str = "0"
     needs: str = ""
-    ready: float = 0.0
+    ready: float | None = None
 
 
 class FinalRecord(msgspec.Struct, omit_defaults=True):
@@ -192,7 +192,7 @@
 
     phase: str
     done: int = 0
-    at: float = 0.0
+    at: float | None = None
     because: str = ""
 
 
--- a/umberward/writer.py
+++ b/umberward/writer.py
@@ -159,7 +159,7 @@
         if not job.complete:
             return None
         # When it ended matters to those that wait for it only.
-        at = round(self.scheduler.wall(), 3) if job.id in graph.heirs else 0.0
+        at = round(self.scheduler.wall(), 3) if job.id in graph.heirs else None
         return wire.FinalRecord(wire.DONE, job.size, at)
 
     def _interim(self, now: Instant) -> list[Job]:
