--- a/umberward/cli.py
+++ b/umberward/cli.py
@@ -78,13 +78,21 @@
 
 @main.command()
 @_server
+@click.option(
+    "--after", "after", multiple=True, metavar="JOB_ID",
+    help="A job that must be done before this one starts; may be given several times.",
+)  # fmt: skip
 @click.argument("job", type=click.File("rb"))
-def submit(server: Address, job: Any) -> None:
+def submit(server: Address, after: tuple[str, ...], job: Any) -> None:
     """Submit the job described in the JSON file JOB ('-': standard input)."""
     try:
         body = msgspec.json.decode(job.read())
     except msgspec.DecodeError as error:
         raise click.ClickException(f"not JSON: {error}") from None
+    if after:
+        if not isinstance(body, dict):
+            raise click.ClickException("not a JSON object")
+        body["waits_on"] = [*(body.get("waits_on") or ()), *after]
     _show(_ask(server, "POST", "/v1/jobs", wire.encode(body)))
 
 
@@ -92,7 +100,7 @@
 @_server
 @click.argument("job_id")
 def status(server: Address, job_id: str) -> None:
-    """Show the state of a job."""
+    """Show the state of a job, what it waits for, and which job's cancellation ended it."""
     _show(_ask(server, "GET", f"/v1/jobs/{job_id}"))
 
 
@@ -100,7 +108,7 @@
 @_server
 @click.argument("job_id")
 def cancel(server: Address, job_id: str) -> None:
-    """Cancel a job."""
+    """Cancel a job, and with it all jobs that wait for it."""
     _show(_ask(server, "POST", f"/v1/jobs/{job_id}/cancel"))
 
 
