--- a/tests/world.py
+++ b/tests/world.py
@@ -241,7 +241,7 @@
         """All controllers ended at once: the new leader has what the last one stored."""
         assert self.scheduler is not None and self.provisioner is not None
         told = hints.gather(self.scheduler, self.provisioner, Instant(self.now))
-        for number, part in enumerate(hints.parts(told, 2)):
+        for number, part in enumerate(hints.parts(told, 2, 1000)):
             self.store.apply([], [state.put(Key(f"{wire.HINTS}{number}"), part)])
         self.take_blocks()
         for key, got in sorted(self.store.keys.items()):
--- a/umberward/hints.py
+++ b/umberward/hints.py
@@ -110,26 +110,35 @@
         provisioner.refused.setdefault(offer, (Instant(now + rest - age), pause))
 
 
-def parts(hints: Hints, machines: int) -> list[Hints]:
-    """What is worth storing, in parts with so many machines at most. The first has the rest."""
+def parts(hints: Hints, machines: int, limit: int) -> list[Hints]:
+    """What is worth storing, in parts with so many machines and bytes at most. The first has what
+    is not about single machines."""
+    rest = Hints(hints.epoch, [], {}, hints.runtime, round(hints.peak, 1), hints.accelerated)
+    found = [rest] if wire.json_size(rest) <= limit else []
     names = sorted(hints.machines)
-    found = []
-    for first in range(0, max(1, len(names)), machines):
-        part = names[first : first + machines]
-        used = sorted({number for name in part for number in hints.machines[name]})
-        places = {number: place for place, number in enumerate(used)}
-        made = Hints(
-            epoch=hints.epoch,
-            images=[hints.images[number] for number in used],
-            machines={name: [places[n] for n in hints.machines[name]] for name in part},
-        )
-        if first == 0:
-            made.runtime, made.peak = hints.runtime, round(hints.peak, 1)
-            made.accelerated = hints.accelerated
-        found.append(made)
+    chunks = [names[first : first + machines] for first in range(0, len(names), machines)]
+    while chunks:
+        chunk = chunks.pop(0)
+        made = _part(hints, chunk)
+        if wire.json_size(made) <= limit:
+            found.append(made)
+        elif len(chunk) > 1:
+            half = len(chunk) // 2
+            chunks[:0] = [chunk[:half], chunk[half:]]
     return found
 
 
+def _part(hints: Hints, names: list[str]) -> Hints:
+    """What is known of these machines."""
+    used = sorted({number for name in names for number in hints.machines[name]})
+    places = {number: place for place, number in enumerate(used)}
+    return Hints(
+        epoch=hints.epoch,
+        images=[hints.images[number] for number in used],
+        machines={name: [places[n] for n in hints.machines[name]] for name in names},
+    )
+
+
 def dumps(hints: Hints) -> bytes:
     made: Any = msgspec.to_builtins(hints)
     return bytes(cbor2.dumps(made))
--- a/umberward/holder.py
+++ b/umberward/holder.py
@@ -405,11 +405,14 @@
             made = hints.parts(
                 hints.gather(self.scheduler, self.provisioner, _now()),
                 self.scheduler.writer.block_size,
+                self.scheduler.value_limit,
             )
+            if not made:
+                continue
             number = (number + 1) % len(made)
             key, part = Key(f"{HINTS}{number}"), wire.builtins(made[number])
             changed = {**part, "epoch": 0} != stored.get(key)
-            if not changed or wire.json_size(part) > self.scheduler.value_limit:
+            if not changed:
                 continue
             try:
                 await self.store.commit(
--- a/umberward/users.py
+++ b/umberward/users.py
@@ -53,6 +53,7 @@
         try:
             return await self._submit(body)
         except state.OverBudget as error:
+            log.info("submission not taken: our part of the writes is used up")
             return Response(429, retry_after=max(RETRY_S, error.wait))
         except (state.Unavailable, state.Unknown) as error:
             log.info("submission not taken: %s", error)
