--- a/umberward/users.py
+++ b/umberward/users.py
@@ -257,4 +257,5 @@
 
 
 def _problem(status: int, text: str) -> Response:
+    log.info("submission refused with %d: %s", status, text)
     return Response(status, wire.encode({"error": text}))
