A look-up under way is not taken for its outcome: accepted jobs got 422

Cause: the mark that a look-up in jobs/past/ leaves was read as "nobody submitted it" by whoever asked meanwhile, so of two users who named (or polled) the same job that was over, one got 422 (404). As old as the code; pipelines name the same job at once. Ruled out: the reading's age, records on their way from live to past.

--- a/tests/guards.py
+++ b/tests/guards.py
@@ -175,6 +175,16 @@
     patch.setattr(Mirror, "state", state)
 
 
+def look_up_first(patch: pytest.MonkeyPatch) -> None:
+    """As it was: the mark of a look-up under way is taken for its outcome."""
+
+    async def found(self: Mirror, id: Any) -> Any:
+        known = self.finals.get(id) or self.live.get(id)
+        return await self._past(id) if known is None and id not in self.absent else known
+
+    patch.setattr(Mirror, "_found", found)
+
+
 def ask_again(patch: pytest.MonkeyPatch) -> None:
     whole = Client.request
 
@@ -298,6 +308,7 @@
     "fresh-answers": fresh_answers,
     "absent-known": absent_known,
     "ask-again": ask_again,
+    "look-up-first": look_up_first,
     "blame-jobs": blame_jobs,
     "blame-undone": blame_undone,
     "ever-rarer": ever_rarer,
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -298,6 +298,11 @@
     def do_poll_elsewhere(self, id: str) -> None:
         self.last = self.world.poll_elsewhere(id)
 
+    def do_poll_elsewhere_at_once(self, id: str, times: str) -> None:
+        """Several users ask a controller that was started just now; how many get the answer."""
+        responses = self.world.poll_elsewhere_at_once(id, int(times))
+        self.answers = sum(response.status == 200 for response in responses)
+
     def do_late_cancel(self, id: str) -> None:
         self.world.cancel_elsewhere(id)
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -84,6 +84,7 @@
 
     async def get(self, key: Key, *_: Any, **__: Any) -> Got | None:
         self.requests += 1
+        await curio.sleep(0)  # others run meanwhile
         if self.mode == "down":
             raise state.Unavailable("down")
         return self.keys.get(key)
@@ -345,6 +346,15 @@
         self.mirror, self.users = mirror, users
         return response
 
+    def poll_elsewhere_at_once(self, id: str, times: int) -> list[Response]:
+        async def polls(id: JobId) -> Any:
+            asked = [await curio.spawn(self.users.poll, id) for _ in range(times)]
+            return [await task.join() for task in asked]
+
+        self._other_controller()
+        answers: Any = self._serve(polls, JobId(id))
+        return list(answers)
+
     def poll_across_cancel(self, id: str, seconds: float) -> Response:
         """We stand still after we have read the answer to a poll; meanwhile another controller
         cancels the job and says so."""
--- a/umberward/mirror.py
+++ b/umberward/mirror.py
@@ -29,6 +29,7 @@
 ANSWER_S = 1.2  # users wait 2 s for the answer to a poll
 STALE_S = 0.4  # what was read so long ago is read again: we stood still, or were kept waiting
 LULL_S = 10.0  # without polls a copy is brought up to date so often, as old changes are dropped
+NOBODYS = object()  # nobody has submitted the job
 
 
 class Live(NamedTuple):
@@ -58,7 +59,8 @@
         self.graph = Graph(self.live.__contains__)
         self.finals: OrderedDict[JobId, FinalRecord] = OrderedDict()
         # Ids that nobody had submitted when they were looked up; a submission shows as a change.
-        self.absent: OrderedDict[JobId, None] = OrderedDict()
+        # While the look-up is under way its own mark stands there, and nothing is known yet.
+        self.absent: OrderedDict[JobId, object] = OrderedDict()
         self.most_finals = settings.operator.poll_cache
         self.after: Revision | None = None
         self.read_at = 0.0  # when the latest changes were asked for
@@ -101,7 +103,7 @@
     async def _found(self, id: JobId) -> Live | FinalRecord | None:
         # A final state may have been told to its user while we waited: it comes first.
         found = self.finals.get(id) or self.live.get(id)
-        if found is None and id not in self.absent:
+        if found is None and self.absent.get(id) is not NOBODYS:
             return await self._past(id)
         if isinstance(found, Live) and found.waits and not found.marked:
             # A job before it may have been cancelled: then this one is, whatever its own record
@@ -120,7 +122,8 @@
 
     async def _past(self, id: JobId) -> FinalRecord | None:
         # Noted before it is looked up: whatever is submitted meanwhile takes the note away.
-        self.absent[id] = None
+        mark = object()
+        self.absent[id] = mark
         while len(self.absent) > self.most_finals:
             self.absent.popitem(last=False)
         try:
@@ -129,6 +132,9 @@
             self.absent.pop(id, None)
             raise
         if past is None:
+            # Only now: somebody else who asked meanwhile must not take the mark for an answer.
+            if self.absent.get(id) is mark:
+                self.absent[id] = NOBODYS
             return None
         record = wire.converted(past.data, FinalRecord)
         self.keep(id, record)
