--- a/umberward/state.py
+++ b/umberward/state.py
@@ -23,6 +23,10 @@
 ALL = 0.98
 LEADERS_CALLS = 0.38
 LEADERS_WRITES = 0.58
+# Submissions come in bursts, and rarely at all controllers at once: so the others' writes may use so
+# much of the second's worth that the state service allows, though their rate is lower. If they do all
+# at once, it refuses some, and they are tried again.
+OTHERS_BURST = 0.4
 
 
 class Unavailable(Exception):
@@ -62,22 +66,25 @@
 
 
 class Budget:
-    """A token bucket of one second's worth. Lower priorities leave some for the higher ones."""
+    """A token bucket, of one second's worth if nothing else is said. Lower priorities leave some
+    for the higher ones."""
 
     RESERVE = (0.0, 0.15, 0.4)
 
     def __init__(self, rate: float) -> None:
         self.rate = rate
+        self.depth = rate
         self.tokens = rate
         self.at = time.monotonic()
 
-    def set_rate(self, rate: float) -> None:
+    def set_rate(self, rate: float, depth: float = 0.0) -> None:
         self._fill()
         self.rate = rate
+        self.depth = max(rate, depth)
 
     def _fill(self) -> None:
         now = time.monotonic()
-        self.tokens = min(self.rate, self.tokens + (now - self.at) * self.rate)
+        self.tokens = min(self.depth, self.tokens + (now - self.at) * self.rate)
         self.at = now
 
     def wait(self, count: int, priority: int) -> float:
@@ -134,7 +141,8 @@
         if not leading:
             calls, writes = (ALL - calls) / self.others, (ALL - writes) / self.others
         self.calls.set_rate(self.limits.rps * calls)
-        self.writes.set_rate(self.limits.write_rps * writes)
+        burst = 0.0 if leading else OTHERS_BURST * self.limits.write_rps
+        self.writes.set_rate(self.limits.write_rps * writes, burst)
 
     async def _call(
         self,
