--- a/umberward/state.py
+++ b/umberward/state.py
@@ -23,9 +23,9 @@
 ALL = 0.98
 LEADERS_CALLS = 0.38
 LEADERS_WRITES = 0.58
-# Submissions come in bursts, and rarely at all controllers at once: so the others' writes may use so
-# much of the second's worth that the state service allows, though their rate is lower. If they do all
-# at once, it refuses some, and they are tried again.
+# Submissions come in bursts, and rarely at all controllers at once: so the others' writes may use
+# so much of the second's worth that the state service allows, though their rate is lower. If they
+# do all at once, it refuses some, and they are tried again.
 OTHERS_BURST = 0.4
 
 
