--- a/umberward/holder.py
+++ b/umberward/holder.py
@@ -41,6 +41,12 @@
 TICK_S = 0.2
 PASS_S = 0.06  # the least time between two placing passes
 PASS_PART = 4.0  # ... and so many times as long as the last one took: reports must be answered
+# With thousands of jobs waiting a pass takes long and changes little: such passes are made more
+# rarely, up to so many times more of their length for one that takes SLOW_PASS_S or longer.
+SLOW_PART = 6.0
+SLOW_PASS_S = 0.1
+CLOUD_S = 0.3  # how often it is asked what to rent and to return
+PONDER_PART = 10.0  # ... and so many times as long as the answer took
 IDLE_PASS_S = 1.0  # a pass is made so often even if nothing seems to have changed
 DO_TIMEOUT_S = 2.0
 PROBE_TIMEOUT_S = 1.0
@@ -117,6 +123,7 @@
         self.queued: dict[MachineId, list[Command]] = {}
         self.to_write = curio.Event()
         self.next_pass = 0.0
+        self.pondered = 0.0  # seconds that it took to find what to rent and to return
         self.tasks: Any = None
 
     # ---- the term ----------------------------------------------------------------------
@@ -201,7 +208,7 @@
         due = scheduler.want_pass and now >= self.next_pass
         if (due or now >= self.next_pass + IDLE_PASS_S) and self.membership.leading():
             scheduler.place(now)
-            self.next_pass = now + max(PASS_S, PASS_PART * (_now() - now))
+            self.next_pass = now + pass_pause(_now() - now)
         await self._flush()
         return answer
 
@@ -430,7 +437,8 @@
         listed = 0.0
         refreshed = _now()
         while True:
-            await curio.sleep(0.3)
+            await curio.sleep(max(CLOUD_S, PONDER_PART * self.pondered))
+            self.pondered = 0.0
             if not self.membership.leading():
                 continue
             try:
@@ -448,7 +456,9 @@
 
     async def _deletions(self) -> None:
         now = _now()
-        for machine in self.provisioner.idle(now):
+        idle = self.provisioner.idle(now)
+        self.pondered += _now() - now
+        for machine in idle:
             log.info("returning %s (%s)", machine.id, machine.type)
             machine.returning = True
         ids = self.provisioner.deletions(now)[: wire.DELETE_LIMIT]
@@ -462,7 +472,10 @@
         self.provisioner.removed(ids)
 
     async def _rentals(self) -> None:
-        for rental in self.provisioner.rentals(_now()):
+        now = _now()
+        rentals = self.provisioner.rentals(now)
+        self.pondered += _now() - now
+        for rental in rentals:
             log.info("renting %d of %s as %s", rental.many, rental.offer, rental.claim)
             while self.membership.leading():
                 try:
@@ -488,6 +501,11 @@
             await self.cloud.delete(failed[: wire.DELETE_LIMIT], self.membership.leading)
 
 
+def pass_pause(took: float) -> float:
+    """Seconds from the beginning of a pass that took so long to the next one."""
+    return max(PASS_S, (PASS_PART + SLOW_PART * min(1.0, took / SLOW_PASS_S)) * took)
+
+
 def _now() -> Instant:
     return Instant(time.monotonic())
 
