--- a/tests/guards.py
+++ b/tests/guards.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from umberward import blame, hints, mirror, placement, scheduler, users
+from umberward import blame, hints, holder, mirror, pipelines, placement, scheduler, users
 from umberward.blame import Blame
 from umberward.http import Client
 from umberward.jobs import Job
@@ -252,6 +252,7 @@
 
 def claims(patch: pytest.MonkeyPatch) -> None:
     patch.setattr(Pipelines, "claim", lambda *_: NO_CLAIM)
+    patch.setattr(pipelines, "HABIT_SHARE", 2.0)
 
 
 def part_in_order(patch: pytest.MonkeyPatch) -> None:
@@ -265,6 +266,14 @@
     patch.setattr(Writer, "_part", part)
 
 
+def rarer_passes(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(holder, "SLOW_PART", 0.0)
+
+
+def habits(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(pipelines, "HABIT_SHARE", 2.0)
+
+
 def fits(patch: pytest.MonkeyPatch) -> None:
     def record(self: Job, marked: int) -> JobRecord:
         return JobRecord(self.spec, self.at, marked, self.base, f"{self.bits:x}")
@@ -300,6 +309,8 @@
     "claims": claims,
     "part-in-order": part_in_order,
     "fits": fits,
+    "habits": habits,
+    "rarer-passes": rarer_passes,
     "thrift": thrift,
     "deaf": deaf,
     "few-at-once": few_at_once,
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -17,7 +17,7 @@
 from guards import GUARDS
 from world import Worker, World, raw_settings
 
-from umberward import wire
+from umberward import holder, wire
 from umberward.http import Client, NotSent, Request, Response, Server
 from umberward.jobs import Job
 from umberward.settings import NextLimits, Operator, SettingsError, StateLimits, check
@@ -369,6 +369,11 @@
                 found |= (set(got.data) | set(got.data.get("spec", ()))) - known
         return ",".join(sorted(found)) or "none"
 
+    def see_pass_share(self, milliseconds: str) -> int:
+        """Which percentage of the time goes into passes that take so long each."""
+        took = float(milliseconds) / 1000
+        return int(100 * took / holder.pass_pause(took))
+
     def see_retry_after(self) -> bool:
         return self.last.retry_after is not None
 
--- a/umberward/pipelines.py
+++ b/umberward/pipelines.py
@@ -127,6 +127,8 @@
     late: float  # the time of day by which it must be done
 
 
+HABIT_PART = 0.1  # how much one job says about its class
+HABIT_SHARE = 0.5  # of the jobs of a class must be needed by others for it to be expected
 NO_CLAIM = Claim(max(wire.RANKS.values()), math.inf)
 
 
@@ -137,6 +139,9 @@
         self.scheduler = scheduler
         self.jobs: dict[JobId, Job] = {}
         self.claims: dict[JobId, Claim] = {}
+        # class -> share of its jobs that others needed, and the rank of those: some users submit
+        # the last job of a pipeline only when the others are over, which should get through.
+        self.habits: dict[str, tuple[float, int]] = {}
         self.graph = Graph(lambda id: id in scheduler.jobs or id in self.jobs)
 
     def add(self, job: Job, needs: Iterable[JobId]) -> None:
@@ -149,6 +154,7 @@
         heirs = list(self.graph.heirs.get(id, ()))
         needs = list(self.graph.needs.get(id, ()))
         ready = self.graph.ended(id, phase)
+        self._learn(id)
         self.claims.pop(id, None)
         self._withdraw(needs)
         for heir in heirs:
@@ -172,6 +178,20 @@
     def claim(self, id: JobId) -> Claim:
         return self.claims.get(id, NO_CLAIM)
 
+    def served_as(self, job: Job) -> tuple[int, int]:
+        """Its place in the order of service. Nothing is stopped on an expectation: that takes a
+        live job that needs this one."""
+        share, rank = self.habits.get(job.spec.jobclass, (0.0, job.rank))
+        guaranteed, own = job.standing
+        return (guaranteed, min(own, rank) if share > HABIT_SHARE else own)
+
+    def _learn(self, id: JobId) -> None:
+        job = self.scheduler.jobs.get(id)
+        if job is not None and job.spec.jobclass in self.habits:
+            share, rank = self.habits[job.spec.jobclass]
+            asked = 1.0 if id in self.claims else 0.0
+            self.habits[job.spec.jobclass] = (share + HABIT_PART * (asked - share), rank)
+
     # ---- what those after a job ask of it ------------------------------------------------
 
     def _asks(self, id: JobId) -> Claim:
@@ -216,5 +236,9 @@
             self.claims.pop(id, None)
         else:
             self.claims[id] = claim
+        job = self.scheduler.jobs.get(id) or self.jobs.get(id)
+        if job is not None and claim.rank < wire.RANKS[job.spec.rank]:
+            share, _ = self.habits.get(job.spec.jobclass, (1.0, 0))
+            self.habits[job.spec.jobclass] = (share, claim.rank)
         if id in self.scheduler.jobs:
             self.scheduler.want_grades = self.scheduler.want_pass = True
--- a/umberward/scheduler.py
+++ b/umberward/scheduler.py
@@ -794,7 +794,7 @@
         ready.sort(
             key=lambda job: (
                 job.mistaken,
-                job.standing,
+                self.pipelines.served_as(job),
                 self.deadline(job),
             )
         )
