--- a/umberward/writer.py
+++ b/umberward/writer.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import logging
+import math
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 from umberward import state, wire
@@ -145,6 +146,9 @@
                 if record is None:
                     job.committed_at = now  # too wide as yet: looked at again by and by
                     continue
+                if wire.json_size(record) > self.value_limit:
+                    self._set_aside(job)
+                    continue
                 batch.writes.append(state.put(key, record))
                 batch.jobs.append((job, record))
             batch.conditions.append((key, job.stamp))
@@ -162,6 +166,16 @@
         at = round(self.scheduler.wall(), 3) if job.id in graph.heirs else None
         return wire.FinalRecord(wire.DONE, job.size, at)
 
+    def _set_aside(self, job: Job) -> None:
+        """A description that was accepted under wider limits leaves no room for a mark. Without one
+        nothing may start; the job waits for its user to cancel it, and must not hold up others."""
+        log.error("%s: its record does not fit the limits of the state service", job.id)
+        job.hold_until = math.inf
+        self.urgent.discard(job.id)
+        for placement in list(job.placed.values()):
+            if not placement.ready:
+                self.scheduler.stop(placement, 0.0)
+
     def _interim(self, now: Instant) -> list[Job]:
         """Jobs whose completions are to be written though they go on.
 
