--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -7,19 +7,25 @@
 from __future__ import annotations
 
 import contextlib
-from collections.abc import Callable
+import subprocess
+import tempfile
+import threading
+import time
+from collections.abc import Callable, Iterator
 from pathlib import Path
 from typing import Any
 
 import curio
 import msgspec
 import pytest
+from click.testing import CliRunner
 from guards import GUARDS
 from world import Worker, World, raw_settings
 
-from umberward import holder, wire
+from umberward import cli, holder, wire
 from umberward.http import Client, NotSent, Request, Response, Server
 from umberward.jobs import Job
+from umberward.node import Node
 from umberward.settings import NextLimits, Operator, SettingsError, StateLimits, check
 from umberward.state import State, delete
 from umberward.types import Address, Instant, JobId, Key
@@ -230,6 +236,58 @@
     def see_answers(self) -> int:
         return self.answers
 
+    # ---- the README --------------------------------------------------------------------
+
+    def do_readme(self, *words: str) -> None:
+        """Type what the README says after these words, with the job of its worked example, and
+        compare what is printed."""
+        text = (Path(__file__).parent.parent / "README.md").read_text()
+        job = text[text.index("    {") : text.index("\n\n", text.index("    {"))]
+        lines = text[text.index(" ".join(words)) :].splitlines()
+        shown = [line[4:] for line in lines if line.startswith("    ")]
+        self.answers = 0
+        with (
+            self._serving() as server,
+            tempfile.TemporaryDirectory() as folder,
+            contextlib.chdir(folder),
+        ):
+            Path("hello.json").write_text(job)
+            while shown:
+                typed = shown.pop(0).removeprefix("$ ").replace("10.0.0.1:8080", server)
+                if not typed.startswith("umberward"):
+                    subprocess.run(typed, shell=True, check=True)
+                    continue
+                result = CliRunner().invoke(cli.main, typed.split()[1:])
+                if result.output.strip() != shown.pop(0):
+                    raise Failed(f"{typed}: printed {result.output}")
+                self.answers += 1
+
+    @contextlib.contextmanager
+    def _serving(self) -> Iterator[str]:
+        """A controller's address for users, with the world's state service behind it."""
+        node = Node(self.world.settings)
+        node.users = self.world.users
+        over = threading.Event()
+
+        async def serve() -> None:
+            server = Server(Address("127.0.0.1", 29391), node._serve, 8)
+            running = [
+                await curio.spawn(part, daemon=True) for part in (server.run, self.world.mirror.run)
+            ]
+            while not over.is_set():
+                await curio.sleep(0.02)
+            for task in running:
+                await task.cancel()
+
+        thread = threading.Thread(target=curio.run, args=(serve,))
+        thread.start()
+        time.sleep(0.1)
+        try:
+            yield "127.0.0.1:29391"
+        finally:
+            over.set()
+            thread.join()
+
     # ---- settings ----------------------------------------------------------------------
 
     def do_settings(self, field: str, value: str) -> None:
