Searches of a pass look at what has room or may be stopped, not at every machine

A profile showed the search for what may be stopped (every machine for every waiting job at every look), what to rent (every machine for every job) and the reserve's weights.

Change: what may be stopped is summed by machine until its tasks change, and looked through once for all jobs of equal standing; nothing is looked at where nothing has a lower standing. Only machines with room for the least that waits are tried. Weights and yielding room are kept by machine.

--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -122,6 +122,10 @@
         now = self.world.now
         self.world.workers[name] = Worker(name, flavor, zone, "spot" in kind, now, now)
 
+    def do_machines(self, count: str, flavor: str, zone: str) -> None:
+        for number in range(1, int(count) + 1):
+            self.do_machine(f"m{number}", flavor, zone)
+
     def do_lead(self) -> None:
         self.world.takeover()
 
@@ -458,6 +462,17 @@
     def cost_searching(self, seconds: str) -> int:
         return self._counted("searches", seconds)
 
+    def cost_looking(self, seconds: str) -> int:
+        """Machines that are looked at for work that may be stopped."""
+        return self._counted("looks", seconds)
+
+    def cost_renting(self) -> int:
+        """How often a machine's room is compared with what waits, to find what to rent."""
+        assert self.world.provisioner is not None
+        self.world.provisioner.tried = 0
+        self.world.provisioner.rentals(Instant(self.world.now))
+        return self.world.provisioner.tried
+
     def cost_probing(self, seconds: str) -> int:
         before = self.world.probes
         self.world.run(float(seconds))
--- a/umberward/clearing.py
+++ b/umberward/clearing.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 from umberward import preemption
-from umberward.fleet import Machine
+from umberward.fleet import Machine, StopKey, with_room
 from umberward.jobs import Job, Placement
 from umberward.types import (
     MAX_TASKS,
@@ -45,51 +45,61 @@
 
 
 class Stoppable:
-    """What runs on the machines, summed by standing, for one pass: who may be stopped for whom."""
+    """What may be stopped for whom, for one pass.
+
+    Most searches are over at once: nothing that runs has a lower standing. For the others the
+    machines are looked through once for all jobs of equal standing, with sums that each machine
+    keeps until its tasks change.
+    """
 
     def __init__(self, scheduler: Scheduler) -> None:
-        self.jobs = scheduler.jobs
-        self.machines = [m for m in scheduler.machines.values() if m.usable and m.held]
-        self.sums: dict[MachineId, dict[tuple[bool, int, tuple[int, int]], Amount]] = {}
+        self.scheduler = scheduler
+        self.keys = {
+            StopKey(job.need.accelerators > 0, job.rank, job.standing)
+            for job in scheduler.jobs.values()
+            if job.placed
+        }
+        self.found: dict[StopKey, dict[MachineId, tuple[Machine, Amount]]] = {}
         self.futile: set[Any] = set()  # kinds of jobs for which nothing can be stopped
 
-    def most(self, machine: Machine, job: Job, room: Amount) -> Amount:
-        """How much room there would be if all that may be stopped for the job were."""
-        sums = self.sums.get(machine.id)
-        if sums is None:
-            sums = self.sums[machine.id] = {}
-            for placement in machine.held.values():
-                owner = self.jobs.get(placement.task.job)
-                if owner is not None and placement.stop is None:
-                    key = (placement.need.accelerators > 0, placement.rank, owner.standing)
-                    sums[key] = sums.get(key, NOTHING).plus(placement.need)
-        for (accelerated, rank, standing), amount in sums.items():
-            if self._may_stop(job, accelerated, rank, standing):
-                room = room.plus(amount)
-        return room
+    def rooms(self, job: Job) -> dict[MachineId, tuple[Machine, Amount]]:
+        """The machines where something may be stopped for the job, and how much room that is."""
+        key = StopKey(job.need.accelerators > 0, job.rank, job.standing)
+        found = self.found.get(key)
+        if found is None:
+            found = self.found[key] = {}
+            weaker = {other for other in self.keys if may_stop(key, other)}
+            for machine in self.scheduler.machines.values() if weaker else ():
+                if not machine.held or not machine.usable:
+                    continue
+                self.scheduler.looks += 1
+                sums = machine.stoppable(self.scheduler.grades, self.scheduler.standing_of)
+                room = NOTHING
+                for other, amount in sums.items():
+                    if other in weaker:
+                        room = room.plus(amount)
+                if room is not NOTHING:
+                    found[machine.id] = (machine, room)
+        return found
 
     def victims(self, machine: Machine, job: Job) -> list[Placement]:
+        key = StopKey(job.need.accelerators > 0, job.rank, job.standing)
         found = []
         for placement in machine.held.values():
-            owner = self.jobs.get(placement.task.job)
-            if (
-                owner is not None
-                and placement.stop is None
-                and self._may_stop(
-                    job, placement.need.accelerators > 0, placement.rank, owner.standing
-                )
-            ):
-                found.append(placement)
+            standing = self.scheduler.standing_of(placement)
+            if standing is not None and placement.stop is None:
+                other = StopKey(placement.need.accelerators > 0, placement.rank, standing)
+                if may_stop(key, other):
+                    found.append(placement)
         return found
 
-    @staticmethod
-    def _may_stop(job: Job, accelerated: bool, rank: int, standing: tuple[int, int]) -> bool:
-        # Accelerated work is never stopped for ordinary work, whatever their standing: so it may
-        # stop ordinary work of lower rank, and the two cannot take turns.
-        mine = job.need.accelerators > 0
-        if mine != accelerated:
-            return mine and (rank > job.rank or standing > job.standing)
-        return standing > job.standing
+
+def may_stop(mine: StopKey, other: StopKey) -> bool:
+    # Accelerated work is never stopped for ordinary work, whatever their standing: so it may
+    # stop ordinary work of lower rank, and the two cannot take turns.
+    if mine.accelerated != other.accelerated:
+        return mine.accelerated and (other.rank > mine.rank or other.standing > mine.standing)
+    return other.standing > mine.standing
 
 
 class Clearing:
@@ -163,15 +173,16 @@
         kind = (job.kind, job.standing, job.rank)
         if job.plain and kind in stoppable.futile:
             return 0
+        suits = self.scheduler.suits(job)
         options = [
-            preemption.Option(m.id, room, stoppable.victims(m, job), image in m.images)
-            for m in stoppable.machines
-            if m.id not in self.cleared
-            and m.id not in barred
-            and (room := free.get(m.id)) is not None
+            preemption.Option(id, room, stoppable.victims(m, job), image in m.images)
+            for id, (m, more) in stoppable.rooms(job).items()
+            if m.offer in suits
             and (not near_image or image in m.images)
-            and job.need.fits(stoppable.most(m, job, room))
-            and self.scheduler.allowed(job, m.type, m.zone, m.spot)
+            and id not in self.cleared
+            and id not in barred
+            and (room := free.get(id)) is not None
+            and job.need.fits(room.plus(more))
             and zones.count(m.zone) < cap
             and (not job.spec.same_place or all(zone == m.zone for zone in zones))
         ]
@@ -234,6 +245,8 @@
             m for m in usable if m.id in kept and not self.scheduler.reserve.need.fits(free[m.id])
         ]
         shut.sort(key=lambda m: (m.booked.cores, m.id))
+        replicas = [job for job in self.scheduler.jobs.values() if job.service]
+        roomy = with_room(usable, free, replicas) if shut else []
         tries = 0
         for machine in shut:
             held = list(machine.held.values())
@@ -253,7 +266,7 @@
                     continue
                 tries += 1
                 image = ImageName(job.spec.bundle)
-                others = [m for m in usable if m.id not in able and image in m.images]
+                others = [m for m in roomy if m.id not in able and image in m.images]
                 chosen = [
                     id
                     for id in self.scheduler.choose(job, 1, others, free, set(), placement)
@@ -275,18 +288,18 @@
         """Room for a whole gang or none: half of a gang's room is of no use to anybody."""
         image = ImageName(job.spec.bundle)
         found: dict[ZoneName, list[tuple[int, float, MachineId, int, list[Placement]]]] = {}
+        suits = self.scheduler.suits(job)
+        rooms = stoppable.rooms(job)
         for id, room in free.items():
             machine = self.scheduler.machines[id]
-            if id in self.cleared or not self.scheduler.allowed(
-                job, machine.type, machine.zone, machine.spot
-            ):
+            if machine.offer not in suits or id in self.cleared:
                 continue
             zone = machine.zone if job.spec.same_place else ZoneName("")
             here = found.setdefault(zone, [])
             fits = job.need.times_into(room)
             if fits:
                 here.append((0, 0.0, id, fits, []))
-            elif job.need.fits(stoppable.most(machine, job, room)):
+            elif id in rooms and job.need.fits(room.plus(rooms[id][1])):
                 option = preemption.Option(
                     id, room, stoppable.victims(machine, job), image in machine.images
                 )
@@ -324,7 +337,7 @@
         self,
         job: Job,
         count: int,
-        usable: list[Machine],
+        roomy: list[Machine],
         free: dict[MachineId, Amount],
         able: set[MachineId],
         stoppable: Stoppable,
@@ -332,8 +345,8 @@
     ) -> int:
         """Room for replicas that is cleared where their image is, if there is too little free."""
         image = ImageName(job.spec.bundle)
-        near = [m for m in usable if image in m.images]
+        near = [m for m in roomy if image in m.images]
         lacking = count - len(self.scheduler.choose(job, count, near, free, able))
-        if lacking <= 0 or not near:
+        if lacking <= 0:
             return 0
         return self.preempt(job, lacking, stoppable, free, able, now, near_image=True)
--- a/umberward/fleet.py
+++ b/umberward/fleet.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Callable, Iterable
+from typing import NamedTuple
 
-from umberward.jobs import Placement
+from umberward.jobs import Job, Offer, Placement
 from umberward.types import (
     NOTHING,
     Amount,
@@ -22,6 +24,17 @@
 from umberward.wire import Sku
 
 
+class StopKey(NamedTuple):
+    """All that decides by whom a task may be stopped."""
+
+    accelerated: bool
+    rank: int
+    standing: tuple[int, int]
+
+
+Standings = Callable[[Placement], tuple[int, int] | None]
+
+
 class Machine:
     def __init__(
         self, id: MachineId, address: str, type: TypeName, zone: ZoneName, spot: bool, now: Instant
@@ -31,6 +44,7 @@
         self.type = type
         self.zone = zone
         self.spot = spot
+        self.offer = Offer(type, zone, spot)
         self.block: int | None = None  # its name stands in this committed block
         self.tenure = Tenure(0)
         self.serial = Serial(-1)
@@ -58,6 +72,17 @@
         self.lapsed = False  # its lease ran out and nothing was heard of it since
         # The tasks of the last report as they stood in it, if nothing was left to do about them.
         self.calm: bytes | None = None
+        # What is derived from `held` and asked for in every pass: None when it must be found anew.
+        self._free: tuple[Sku, Amount] | None = None
+        self._stoppable: tuple[int, dict[StopKey, Amount]] | None = None
+        self._loads: tuple[int, dict[tuple[bool, int], Amount]] | None = None
+
+    def tasks_changed(self) -> None:
+        """A task has come, is gone, or is being stopped."""
+        self.calm = None
+        self._free = None
+        self._stoppable = None
+        self._loads = None
 
     @property
     def sick(self) -> bool:
@@ -73,7 +98,35 @@
         )
 
     def free(self, sku: Sku) -> Amount:
-        return Amount(sku.cores, sku.accelerators, sku.mem_gb).minus(self.booked)
+        """The room that no task is booked on."""
+        if self._free is None or self._free[0] is not sku:
+            self._free = (sku, Amount(sku.cores, sku.accelerators, sku.mem_gb).minus(self.booked))
+        return self._free[1]
+
+    def stoppable(self, grades: int, standing_of: Standings) -> dict[StopKey, Amount]:
+        """What runs here and is not being stopped, summed by who may stop it.
+
+        `grades` numbers the gradings: with each new one, standings may have changed.
+        """
+        if self._stoppable is None or self._stoppable[0] != grades:
+            sums: dict[StopKey, Amount] = {}
+            for placement in self.held.values():
+                standing = standing_of(placement)
+                if standing is not None and placement.stop is None:
+                    key = StopKey(placement.need.accelerators > 0, placement.rank, standing)
+                    sums[key] = sums.get(key, NOTHING).plus(placement.need)
+            self._stoppable = (grades, sums)
+        return self._stoppable[1]
+
+    def loads(self, grades: int) -> dict[tuple[bool, int], Amount]:
+        """All that is on the machine, summed by whether it is accelerated and by rank."""
+        if self._loads is None or self._loads[0] != grades:
+            sums: dict[tuple[bool, int], Amount] = {}
+            for placement in self.held.values():
+                key = (placement.need.accelerators > 0, placement.rank)
+                sums[key] = sums.get(key, NOTHING).plus(placement.need)
+            self._loads = (grades, sums)
+        return self._loads[1]
 
     def note_image(self, image: ImageName, gb: float, room: float) -> None:
         """The worker caches the most recently used images."""
@@ -81,3 +134,24 @@
         self.images[image] = gb
         while len(self.images) > 1 and sum(self.images.values()) > room:
             del self.images[next(iter(self.images))]
+
+
+def with_room(
+    machines: list[Machine], free: dict[MachineId, Amount], jobs: Iterable[Job]
+) -> list[Machine]:
+    """The machines with room for the least that any of the jobs takes: of a full fleet, few."""
+    least = least_need(jobs)
+    return [] if least is None else [m for m in machines if least.fits(free[m.id])]
+
+
+def least_need(jobs: Iterable[Job], besides: Amount = NOTHING) -> Amount | None:
+    """The least of each resource that a task of any of the jobs takes; None: there is no task.
+
+    `besides`: one more task, if it takes anything.
+    """
+    needs = {job.need for job in jobs}
+    if besides != NOTHING:
+        needs.add(besides)
+    if not needs:
+        return None
+    return Amount(*(min(parts) for parts in zip(*needs, strict=True)))
--- a/umberward/hints.py
+++ b/umberward/hints.py
@@ -16,7 +16,8 @@
 import msgspec
 
 from umberward import wire
-from umberward.provision import Expected, Offer, Provisioner
+from umberward.jobs import Offer
+from umberward.provision import Expected, Provisioner
 from umberward.scheduler import Scheduler
 from umberward.types import Amount, ImageName, Instant, JobId, MachineId, TypeName, ZoneName
 
--- a/umberward/holder.py
+++ b/umberward/holder.py
@@ -450,6 +450,7 @@
                 if _now() - refreshed > SILENT_REFRESH_S:
                     refreshed = _now()
                     self.skus.update(await self.cloud.flavors())
+                    self.scheduler.types_changed()
             except CloudTrouble as error:
                 log.debug("cloud: %s", error)
                 await curio.sleep(0.5)
--- a/umberward/http.py
+++ b/umberward/http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 import time
 from collections import OrderedDict
 from collections.abc import Awaitable, Callable
@@ -19,6 +20,7 @@
 
 IDLE_S = 75.0  # a connection without a request is closed after this
 SLOW_S = 10.0  # a request must be complete this long after its first byte
+SWEEP_S = 1.0  # how often connections are looked at that have outlived these times
 KEEP_IDLE = 4  # pooled connections kept for one address
 READ = 16384
 
@@ -47,6 +49,21 @@
 Handler = Callable[[Request], Awaitable[Response]]
 
 
+class Peer:
+    """One client's connection, and until when what is under way on it must be over.
+
+    One sweep looks after all of them: a timer for each read and write of a thousand workers would
+    cost the event loop more than what they say.
+    """
+
+    __slots__ = ("sock", "deadline", "task")
+
+    def __init__(self, sock: Any) -> None:
+        self.sock = sock
+        self.deadline = 0.0
+        self.task: Any = None
+
+
 class Server:
     """Serves one address. Each connection is a task of its own, so that none hurts another."""
 
@@ -54,7 +71,11 @@
         self.address = address
         self.handler = handler
         self.most = most
-        self.open = 0
+        self.peers: set[Peer] = set()
+
+    @property
+    def open(self) -> int:
+        return len(self.peers)
 
     async def run(self) -> None:
         listener = sockets.socket(sockets.AF_INET, sockets.SOCK_STREAM)
@@ -62,6 +83,13 @@
         listener.bind(tuple(self.address))
         listener.listen(256)
         log.info("serving %s", self.address)
+        sweeper = await curio.spawn(self._sweep, daemon=True)
+        try:
+            await self._accept(listener)
+        finally:
+            await sweeper.cancel(blocking=False)
+
+    async def _accept(self, listener: Any) -> None:
         async with listener:
             while True:
                 try:
@@ -74,32 +102,45 @@
                 if self.open >= self.most:
                     await client.close()
                     continue
-                self.open += 1
-                await curio.spawn(self._serve, client, daemon=True)
+                peer = Peer(client)
+                peer.deadline = time.monotonic() + IDLE_S
+                self.peers.add(peer)
+                peer.task = await curio.spawn(self._serve, peer, daemon=True)
+
+    async def _sweep(self) -> None:
+        while True:
+            await curio.sleep(SWEEP_S)
+            for peer in list(self.peers):
+                if time.monotonic() > peer.deadline:
+                    await peer.task.cancel(blocking=False)
 
-    async def _serve(self, client: Any) -> None:
+    async def _serve(self, peer: Peer) -> None:
+        client = peer.sock
         try:
             client.setsockopt(sockets.IPPROTO_TCP, sockets.TCP_NODELAY, 1)
             async with client:
-                await self._converse(client)
-        except (OSError, curio.TaskTimeout, h11.LocalProtocolError):
-            pass  # the client is gone, or too slow
+                await self._converse(peer)
+        except (OSError, h11.LocalProtocolError):
+            pass  # the client is gone
+        except curio.CancelledError:
+            pass  # it was idle, or too slow
         except Exception:
             log.exception("connection on %s", self.address)
         finally:
-            self.open -= 1
+            self.peers.discard(peer)
 
-    async def _converse(self, client: Any) -> None:
+    async def _converse(self, peer: Peer) -> None:
         conn = h11.Connection(h11.SERVER, max_incomplete_event_size=BODY_LIMIT)
         while True:
             try:
-                request = await self._read(client, conn)
+                request = await self._read(peer, conn)
             except h11.RemoteProtocolError as error:
                 status = error.error_status_hint or 400
-                await self._refuse(client, conn, status)
+                await self._refuse(peer, conn, status)
                 return
             if request is None:
                 return
+            peer.deadline = math.inf  # its answer is ours to give
             try:
                 response = await self.handler(request)
             except curio.CancelledError:
@@ -107,27 +148,25 @@
             except Exception:
                 log.exception("%s %s", request.method, request.path)
                 response = Response(503, retry_after=1.0)
-            await self._write(client, conn, response)
+            await self._write(peer, conn, response)
             if conn.our_state is not h11.DONE or conn.their_state is not h11.DONE:
                 return
             conn.start_next_cycle()
 
-    async def _read(self, client: Any, conn: h11.Connection) -> Request | None:
+    async def _read(self, peer: Peer, conn: h11.Connection) -> Request | None:
+        client = peer.sock
         head: h11.Request | None = None
         body = b""
-        deadline = time.monotonic() + IDLE_S
+        peer.deadline = time.monotonic() + IDLE_S
         started = bool(conn.trailing_data[0])
         while True:
             event = conn.next_event()
             if event is h11.NEED_DATA:
-                wait = deadline - time.monotonic()
-                if wait <= 0:
-                    return None
-                data = await curio.timeout_after(wait, client.recv, READ)
+                data = await client.recv(READ)
                 if not started and data:
                     # A client that sends a byte now and then must not hold a socket for ever.
                     started = True
-                    deadline = time.monotonic() + SLOW_S
+                    peer.deadline = time.monotonic() + SLOW_S
                 conn.receive_data(data)
             elif isinstance(event, h11.Request):
                 head = event
@@ -150,7 +189,7 @@
             else:
                 return None
 
-    async def _write(self, client: Any, conn: h11.Connection, response: Response) -> None:
+    async def _write(self, peer: Peer, conn: h11.Connection, response: Response) -> None:
         headers = [
             ("content-type", "application/msgpack"),
             ("content-length", str(len(response.body))),
@@ -162,11 +201,12 @@
         data = conn.send(h11.Response(status_code=response.status, headers=headers)) or b""
         data += conn.send(h11.Data(data=response.body)) or b""
         data += conn.send(h11.EndOfMessage()) or b""
-        await curio.timeout_after(SLOW_S, client.sendall, data)
+        peer.deadline = time.monotonic() + SLOW_S
+        await peer.sock.sendall(data)
 
-    async def _refuse(self, client: Any, conn: h11.Connection, status: int) -> None:
+    async def _refuse(self, peer: Peer, conn: h11.Connection, status: int) -> None:
         if conn.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            await self._write(client, conn, Response(status))
+            await self._write(peer, conn, Response(status))
 
 
 class Client:
--- a/umberward/jobs.py
+++ b/umberward/jobs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import bisect
+from typing import NamedTuple
 
 from umberward import wire
 from umberward.types import (
@@ -14,6 +15,7 @@
     Stamp,
     TaskId,
     TeamName,
+    TypeName,
     WallTime,
     ZoneName,
 )
@@ -24,6 +26,14 @@
 WINDOW = 8192  # at most so many tasks may be between the first unfinished and the last started
 
 
+class Offer(NamedTuple):
+    """What the cloud rents: a machine type in a zone, spot or ordinary."""
+
+    type: TypeName
+    zone: ZoneName
+    spot: bool
+
+
 class Placement:
     """One attempt of one task on one machine, from the decision until it is surely gone."""
 
@@ -107,6 +117,8 @@
             self.need, tuple(spec.flavors) if spec.flavors is not None else None, spec.yard,
             spec.reclaimable,
         )  # fmt: skip
+        # The kinds of machines that suit it, and when that was found.
+        self.suits: tuple[int, set[Offer]] | None = None
         self.standing = (1, self.rank)  # the smaller, the earlier it is served
 
     @property
--- a/umberward/provision.py
+++ b/umberward/provision.py
@@ -6,8 +6,8 @@
 import math
 from typing import Any, NamedTuple
 
-from umberward.fleet import Machine
-from umberward.jobs import Job
+from umberward.fleet import Machine, least_need
+from umberward.jobs import Job, Offer
 from umberward.scheduler import Scheduler
 from umberward.types import (
     NOTHING,
@@ -29,12 +29,6 @@
 DEAD_BOOT = 5.0  # ... and is returned after so many
 
 
-class Offer(NamedTuple):
-    type: TypeName
-    zone: ZoneName
-    spot: bool
-
-
 class Rental(NamedTuple):
     claim: ClaimId
     offer: Offer
@@ -68,6 +62,7 @@
         self.scheduler = scheduler
         self.prefix = prefix
         self.claims = 0
+        self.tried = 0  # how often a machine's room was compared with what waits
         self.refused: dict[Offer, tuple[Instant, float]] = {}  # until, length of the pause
         self.expected: dict[MachineId, Expected] = {}
         self.strange: dict[MachineId, Instant] = {}  # listed and not reporting, since when
@@ -180,15 +175,8 @@
         skus = scheduler.skus
         for id in scheduler.machines:
             self.expected.pop(id, None)
-        virtual: list[Paper] = []
-        for machine in scheduler.machines.values():
-            if machine.usable and machine.type in skus:
-                offer = Offer(machine.type, machine.zone, machine.spot)
-                free = machine.free(skus[machine.type])
-                yielding = NOTHING
-                if scheduler.reserve.could_run(*offer):
-                    yielding = scheduler.reserve.yielding(machine)
-                virtual.append(Paper(offer, free, yielding))
+        lacking = scheduler.lacking(now)
+        virtual = self._standing_room(lacking)
         for expected in self.expected.values():
             sku = skus.get(expected.offer.type)
             if sku is None or now - expected.since > LATE_BOOT * sku.boot_s + 5.0:
@@ -197,23 +185,23 @@
             virtual.append(Paper(expected.offer, whole))
         wanted: dict[Offer, int] = {}
         self._reserve(virtual, wanted, now)
-        # Up to where the room was found to be too small for a kind of job: it only gets less.
+        # Up to where there is no room left for a kind of job: it only gets less.
         searched: dict[Any, int] = {}
-        for job, count in scheduler.lacking(now):
+        for job, count in lacking:
             need = job.need
             left = count
-            start = searched.get(job.kind, 0)
-            for paper in virtual[start:]:
-                if left <= 0:
-                    break
+            at = searched.get(job.kind, 0)
+            while left > 0 and at < len(virtual):
+                self.tried += 1
+                paper = virtual[at]
                 room = paper.room(need)
-                if not need.fits(room) or not scheduler.allowed(job, *paper.offer):
-                    continue
-                took = min(left, need.times_into(room))
-                paper.free = paper.free.minus(need, took)
-                left -= took
-            if left > 0:
-                searched[job.kind] = len(virtual)
+                if need.fits(room) and scheduler.allowed(job, *paper.offer):
+                    took = min(left, need.times_into(room))
+                    paper.free = paper.free.minus(need, took)
+                    left -= took
+                if left > 0:
+                    at += 1
+            searched[job.kind] = at
             while left > 0:
                 best = self._cheapest(job, left, now, wanted)
                 if best is None:
@@ -237,6 +225,25 @@
             made.append(Rental(claim, offer, min(count, RENT_LIMIT)))
         return made
 
+    def _standing_room(self, lacking: list[tuple[Job, int]]) -> list[Paper]:
+        """The machines that there are, less those that nothing which waits could use: of a fleet
+        that is full, nearly all."""
+        scheduler = self.scheduler
+        jobs = [job for job, _ in lacking] + [job for job, _ in scheduler.thrift.homeless]
+        least = least_need(jobs, scheduler.reserve.need)
+        yields = {offer: scheduler.reserve.could_run(*offer) for offer in scheduler.offers}
+        found = []
+        for machine in scheduler.machines.values():
+            if not machine.usable or machine.type not in scheduler.skus:
+                continue
+            free = machine.free(scheduler.skus[machine.type])
+            yielding = NOTHING
+            if yields[machine.offer]:
+                yielding = scheduler.reserve.yielding(machine, scheduler.grades)
+            if least is not None and least.fits(free.plus(yielding)):
+                found.append(Paper(machine.offer, free, yielding))
+        return found
+
     def _cheaper_room(self, virtual: list[Paper], wanted: dict[Offer, int], now: Instant) -> None:
         """Rent for replicas that should leave a dear machine and have nowhere to go."""
         scheduler = self.scheduler
--- a/umberward/reserve.py
+++ b/umberward/reserve.py
@@ -11,7 +11,7 @@
 from collections.abc import Iterable, Sequence
 
 from umberward.fleet import Machine
-from umberward.jobs import Job, Placement
+from umberward.jobs import Job, Offer, Placement
 from umberward.types import NOTHING, Amount, Instant, MachineId, TypeName, ZoneName
 from umberward.wire import RANKS, Sku, Spec
 
@@ -85,7 +85,7 @@
         )
 
     def split(
-        self, usable: Sequence[Machine], free: dict[MachineId, Amount]
+        self, usable: Sequence[Machine], free: dict[MachineId, Amount], grades: int
     ) -> tuple[set[MachineId], set[MachineId]]:
         """Machines whose room for accelerated work must stay open, or is to become so; and all
         that could do such work.
@@ -102,35 +102,38 @@
                 cores = self.skus[machine.type].cores
                 zones[machine.zone] = zones.get(machine.zone, 0.0) + cores
         able = []
+        runs: dict[Offer, bool] = {}  # the machines are many, their kinds few
         for machine in usable:
+            if machine.offer not in runs:
+                runs[machine.offer] = self.could_run(*machine.offer)
             room = free[machine.id]
-            if room.accelerators < need.accelerators or not self.could_run(
-                machine.type, machine.zone, machine.spot
-            ):
+            if not runs[machine.offer] or room.accelerators < need.accelerators:
                 continue
-            weight = sum(self._weight(p) for p in machine.held.values())
+            weight = sum(
+                room.cores * self._weight(*kind) for kind, room in machine.loads(grades).items()
+            )
             # Work that must be spread needs as much of a small zone as of a large one.
             able.append((not need.fits(room), -zones.get(machine.zone, 0.0), weight, machine.id))
         able.sort()
         names = [id for *_, id in able]
         return set(names[: self.size()]), set(names)
 
-    def _weight(self, placement: Placement) -> float:
-        """How much the placement keeps accelerated work out."""
-        if self.yields(placement):
-            return 0.01 * placement.need.cores
-        return placement.need.cores * (LASTING if placement.rank == 0 else 1.0)
+    def _weight(self, accelerated: bool, rank: int) -> float:
+        """How much such work keeps accelerated work out, for each core that it takes."""
+        if self._yields(accelerated, rank):
+            return 0.01
+        return LASTING if rank == 0 else 1.0
 
-    def yields(self, placement: Placement) -> bool:
+    def _yields(self, accelerated: bool, rank: int) -> bool:
         """Whether it is stopped at once when accelerated work comes."""
-        return placement.rank > self.rank and placement.need.accelerators <= 0
+        return rank > self.rank and not accelerated
 
-    def yielding(self, machine: Machine) -> Amount:
+    def yielding(self, machine: Machine, grades: int) -> Amount:
         """How much room stopping such work would make."""
         room = NOTHING
-        for placement in machine.held.values():
-            if self.yields(placement):
-                room = room.plus(placement.need)
+        for kind, amount in machine.loads(grades).items():
+            if self._yields(*kind):
+                room = room.plus(amount)
         return room
 
     def barred(
--- a/umberward/scheduler.py
+++ b/umberward/scheduler.py
@@ -17,7 +17,7 @@
 from umberward import wire
 from umberward.blame import Blame
 from umberward.clearing import Clearing
-from umberward.fleet import Machine
+from umberward.fleet import Machine, Offer, with_room
 from umberward.jobs import Job, Placement
 from umberward.pipelines import Pipelines
 from umberward.placement import Room, best_fit
@@ -126,12 +126,16 @@
         self.blame = Blame(self, now)
         self.writer = Writer(self, limits, self.value_limit, now)
         self.pipelines = Pipelines(self)
+        self.offers: set[Offer] = set()  # the kinds of machines there are
+        self.fleet_kinds = 0  # how often these, or the machine types, have changed
         self.kept: set[MachineId] = set()  # the machines that the reserve is made of
         self.attempts = 0
         self.read = 0  # reports that were read in full
+        self.looks = 0  # machines that were looked at for work that may be stopped
         self.searches = 0  # searches for room among all machines
         self.loaded = False
         self.want_grades = True
+        self.grades = 0  # how often standings were found
         self.all_settled = False
         self.want_pass = True
         self.want_epoch = False
@@ -181,6 +185,9 @@
         machine = self.machines.get(id)
         if machine is None:
             machine = self.machines[id] = Machine(id, address, type_, zone, spot, now)
+            if machine.offer not in self.offers:
+                self.offers.add(machine.offer)
+                self.fleet_kinds += 1
         return machine
 
     # ---- jobs --------------------------------------------------------------------------
@@ -503,7 +510,7 @@
     # ---- placements --------------------------------------------------------------------
 
     def _hold(self, machine: Machine, job: Job, placement: Placement) -> None:
-        machine.calm = None
+        machine.tasks_changed()
         machine.held[placement.task] = placement
         self.reserve.placed(placement)
         if not placement.ready:
@@ -515,7 +522,7 @@
 
     def _release(self, machine: Machine, placement: Placement, requeue: bool = True) -> None:
         """The attempt is surely gone from its machine."""
-        machine.calm = None
+        machine.tasks_changed()
         machine.held.pop(placement.task, None)
         self.reserve.released(placement)
         machine.booked = machine.booked.minus(placement.need) if machine.held else NOTHING
@@ -558,7 +565,7 @@
         if machine is None:
             return
         placement.stop_at = self.now
-        machine.calm = None
+        machine.tasks_changed()
         if not placement.sent:
             self._release(machine, placement)
             return
@@ -811,6 +818,7 @@
         # nothing from those that run. The rank is that of the live jobs that need it, which changes
         # only when users act.
         self.want_grades = False
+        self.grades += 1
         totals: dict[TeamName, Amount] = {}
         for job in sorted(self.jobs.values(), key=lambda job: (job.ready_at, job.id)):
             rank = min(wire.RANKS[job.spec.rank], self.pipelines.claim(job.id).rank)
@@ -835,6 +843,23 @@
             and (spec.reclaimable or not spot)
         )
 
+    def suits(self, job: Job) -> set[Offer]:
+        """The kinds of machines on which a task of the job may run, were they empty."""
+        if job.suits is None or job.suits[0] != self.fleet_kinds:
+            found = set()
+            for offer in self.offers:
+                sku = self.skus.get(offer.type)
+                if sku is None or not self.allowed(job, *offer):
+                    continue
+                if job.need.fits(Amount(sku.cores, sku.accelerators, sku.mem_gb)):
+                    found.add(offer)
+            job.suits = (self.fleet_kinds, found)
+        return job.suits[1]
+
+    def types_changed(self) -> None:
+        """The cloud was asked anew for its machine types."""
+        self.fleet_kinds += 1
+
     def place(self, now: Instant) -> None:
         """One pass over the waiting jobs."""
         self.want_pass = False
@@ -848,8 +873,10 @@
         waiting = self.waiting(now)
         self.reserve.note((job for job in waiting if not job.mistaken), now)
         self.clearing.keep(free, now)
-        kept, able = self.reserve.split(usable, free)
+        kept, able = self.reserve.split(usable, free, self.grades)
         self.kept = kept
+        roomy = with_room(usable, free, waiting)
+        names = {m.id for m in roomy}
         # Kinds of jobs for which nothing is left in this pass: thousands of tasks may wait.
         full: set[Any] = set()
         stoppable = self.clearing.look(waiting, now)
@@ -867,6 +894,8 @@
                     continue
                 count = job.size if job.gang else 1
             mine = self.clearing.give(job, free)
+            # What was cleared for the job counts as full for all others.
+            open_ = [m for m in usable if m.id in mine or m.id in names] if mine else roomy
             # Replicas stay long: they take accelerated machines only if nothing else is left.
             lasting = job.service and need.accelerators <= 0
             barred = self.barred(job, able if lasting else kept) - mine
@@ -878,10 +907,10 @@
                 coming = sum(1 for id in mine if id in free and not need.fits(free[id]))
                 if stoppable is not None and self.clearing.hurries(job):
                     coming += self.clearing.near_image(
-                        job, count - coming, usable, free, able, stoppable, now
+                        job, count - coming, open_, free, able, stoppable, now
                     )
             if coming < count and (mine or kind not in full):
-                chosen = self.choose(job, count - coming, usable, free, barred, prefer=mine)
+                chosen = self.choose(job, count - coming, open_, free, barred, prefer=mine)
                 if not chosen and not mine and job.plain:
                     full.add(kind)
             if len(chosen) + coming < count and stoppable is not None:
@@ -890,7 +919,7 @@
                 )
             for step, wider in enumerate((kept - mine, set()) if lasting else ()):
                 if len(chosen) + coming < count and (mine or (kind, step) not in full):
-                    chosen = self.choose(job, count - coming, usable, free, wider, prefer=mine)
+                    chosen = self.choose(job, count - coming, open_, free, wider, prefer=mine)
                     if not chosen and not mine and job.plain:
                         full.add((kind, step))
             if job.gang and len(chosen) < job.size:
@@ -899,7 +928,7 @@
             self.clearing.take_back(used, mine, free)
             self._start(job, chosen, free, now)
             if need.accelerators > 0 and chosen:
-                kept, able = self.reserve.split(usable, free)
+                kept, able = self.reserve.split(usable, free, self.grades)
                 self.kept = kept
         if stoppable is not None and self.all_settled:
             self.clearing.move_replicas(kept, able, usable, free, stoppable, now)
@@ -961,24 +990,21 @@
                 zones[placement.zone] = zones.get(placement.zone, 0) + 1
         if job.unsure and (spec.same_place or spec.apart):
             return []  # a task of the job may be in a zone that we cannot name
-        if barred:
-            free = {
-                id: room.minus(self.reserve.need) if id in barred else room
-                for id, room in free.items()
-            }
-        rooms = [
-            Room(m.id, m.zone, free[m.id], (m.id not in prefer, *self._order(job, m, image)))
+        suits = self.suits(job)
+        fitting = [
+            (m, room)
             for m in usable
-            if need.fits(free[m.id])
-            and self.allowed(job, m.type, m.zone, m.spot)
-            and m.id not in job.errors
+            if m.offer in suits
+            and need.fits(room := free[m.id])
+            and (m.id not in barred or need.fits(room := room.minus(self.reserve.need)))
+        ]
+        rooms = [
+            Room(m.id, m.zone, room, (m.id not in prefer, *self._order(job, m, image)))
+            for m, room in fitting
+            if m.id not in job.errors
         ]
         if not rooms and job.errors:
-            rooms = [
-                Room(m.id, m.zone, free[m.id], (-m.booked.cores,))
-                for m in usable
-                if need.fits(free[m.id]) and self.allowed(job, m.type, m.zone, m.spot)
-            ]
+            rooms = [Room(m.id, m.zone, room, (-m.booked.cores,)) for m, room in fitting]
         if not rooms:
             return []
         if spec.same_place:
@@ -995,6 +1021,10 @@
             distinct = min(3, job.size) if spec.apart else 1
         return best_fit(need, count, rooms, distinct, left)
 
+    def standing_of(self, placement: Placement) -> tuple[int, int] | None:
+        job = self.jobs.get(placement.task.job)
+        return None if job is None else job.standing
+
     def _choose_zone(
         self, job: Job, count: int, rooms: list[Room], taken: set[ZoneName]
     ) -> list[MachineId]:
--- a/umberward/thrift.py
+++ b/umberward/thrift.py
@@ -11,7 +11,7 @@
 import logging
 from typing import TYPE_CHECKING
 
-from umberward.fleet import Machine
+from umberward.fleet import Machine, with_room
 from umberward.jobs import Job, Placement
 from umberward.types import ImageName, Instant, MachineId, TypeName
 
@@ -59,16 +59,18 @@
         ]
         sources.sort(reverse=True)
         clearing = scheduler.clearing
+        if not sources:
+            return
         free = {m.id: m.free(scheduler.skus[m.type]) for m in usable}
         clearing.keep(free, now)
+        replicas = (job for job in scheduler.jobs.values() if job.service)
+        roomy = with_room(usable, free, replicas)
         tries = 0
         far: tuple[Placement, Machine, Job, MachineId] | None = None
         for _, _, machine in sources:
             bound = CHEAPER * self.unit_price(machine.type)
             others = [
-                m
-                for m in usable
-                if self.unit_price(m.type) < bound and m.id not in clearing.cleared
+                m for m in roomy if self.unit_price(m.type) < bound and m.id not in clearing.cleared
             ]
             for placement in list(machine.held.values()):
                 job = scheduler.jobs.get(placement.task.job)
