A controller in a zone that is cut off keeps its workers' sessions alive

Change: controllers borrow the machines of their zone from the leader and answer them, without orders, while they reach neither it nor the state service; both sides count so that cancellations and leases hold (docs/design.md, "A zone that is cut off"). The leader leaves such a zone alone for as long.

Six scenarios, each failing without its guard.

--- a/tests/guards.py
+++ b/tests/guards.py
@@ -7,14 +7,16 @@
 
 import pytest
 
-from umberward import blame, hints, holder, mirror, pipelines, placement, scheduler, users
+from umberward import blame, hints, holder, mirror, pipelines, placement, scheduler, tending, users
 from umberward.blame import Blame
+from umberward.fleet import Machine
 from umberward.http import Client
 from umberward.jobs import Job
 from umberward.mirror import Mirror
 from umberward.pipelines import NO_CLAIM, Graph, Pipelines
 from umberward.quota import Quota
 from umberward.scheduler import Scheduler
+from umberward.tending import Borrower, Lender
 from umberward.thrift import Thrift
 from umberward.types import JobId
 from umberward.users import Users
@@ -25,7 +27,47 @@
 
 
 def lease_wait(patch: pytest.MonkeyPatch) -> None:
-    patch.setattr(scheduler, "MARGIN_S", -8.0)
+    patch.setattr(tending, "MARGIN_S", -8.0)
+
+
+def loan_bound(patch: pytest.MonkeyPatch) -> None:
+    def session_over(self: Lender, zone: Any, answered: Any, lent: Any, now: Any) -> bool:
+        return bool(now - answered > self.lease_s)
+
+    patch.setattr(Lender, "session_over", session_over)
+
+
+def loan_ends(patch: pytest.MonkeyPatch) -> None:
+    whole = Borrower.__init__
+
+    def init(self: Borrower, *args: Any) -> None:
+        whole(self, *args)
+        self.span_s = 40.0
+
+    patch.setattr(Borrower, "__init__", init)
+
+
+def loan_age(patch: pytest.MonkeyPatch) -> None:
+    whole = Scheduler.lend
+
+    def lend(self: Scheduler, *args: Any) -> Any:
+        loan = whole(self, *args)
+        loan.age = 0.0
+        return loan
+
+    patch.setattr(Scheduler, "lend", lend)
+
+
+def loan_unused(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(Borrower, "idle", False)
+
+
+def loan_without_stops(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(Machine, "stopping", False)
+
+
+def zones_apart(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(Scheduler, "_zones_apart", lambda *_: set())
 
 
 def settle_first(patch: pytest.MonkeyPatch) -> None:
@@ -286,6 +328,12 @@
 
 
 GUARDS: dict[str, Patch] = {
+    "loan-bound": loan_bound,
+    "loan-ends": loan_ends,
+    "loan-age": loan_age,
+    "loan-unused": loan_unused,
+    "loan-without-stops": loan_without_stops,
+    "zones-apart": zones_apart,
     "lease-wait": lease_wait,
     "settle-first": settle_first,
     "settle-again": settle_again,
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -77,6 +77,15 @@
     def do_team(self, *words: str) -> None:
         self.world = World(raw_settings(**{k: float(v) for k, v in _pairs(list(words)).items()}))
 
+    def do_peer(self, label: str, zone: str) -> None:
+        """Another controller; to be said before anything else."""
+        raw = raw_settings()
+        raw["peers"] = [{"label": label, "site": zone, "addr": "127.0.0.1:5"}]
+        self.world = World(raw)
+
+    def do_zone(self, name: str, what: str) -> None:
+        self.world.cut_zone(name, what == "cut")
+
     def do_limits(self, *words: str) -> None:
         """The state service's limits that will be in force some day."""
         raw = raw_settings()
--- a/tests/world.py
+++ b/tests/world.py
@@ -20,7 +20,19 @@
 from umberward.scheduler import Command, Probe, Scheduler
 from umberward.settings import Operator, check
 from umberward.state import Got
-from umberward.types import Epoch, Instant, JobId, Key, Revision, Stamp, TypeName, WallTime
+from umberward.tending import Borrower
+from umberward.types import (
+    Epoch,
+    Instant,
+    JobId,
+    Key,
+    MachineId,
+    NodeName,
+    Revision,
+    Stamp,
+    TypeName,
+    WallTime,
+)
 from umberward.users import Users
 from umberward.wire import BLOCKS, LIVE, PAST, JobRecord, Report, ShardReport, Sku
 
@@ -220,6 +232,12 @@
         self.blocked: set[str] = set()  # machines that stood in a block
         self.rng = random.Random(7)
         self.former: list[Scheduler] = []
+        # The other controllers, with the zone of each, and the zones that are cut off.
+        self.borrowers = {
+            peer.label: (peer.site, Borrower(self.settings.platform.cluster.workers))
+            for peer in self.settings.platform.peers
+        }
+        self.apart: set[str] = set()
 
     # ---- controllers -------------------------------------------------------------------
 
@@ -280,6 +298,13 @@
         made.load_done()
         self.seen_changes = len(self.store.changes)
 
+    def cut_zone(self, zone: str, cut: bool) -> None:
+        """The zone's workers and controllers reach each other and nobody else."""
+        self.apart = self.apart | {zone} if cut else self.apart - {zone}
+        for worker in self.workers.values():
+            if worker.yard == zone:
+                worker.cut = cut
+
     def crash(self) -> None:
         self.scheduler = None
 
@@ -419,6 +444,9 @@
                 records.take_changes(scheduler, self.store.changes[self.seen_changes :])
                 self._look_up(scheduler)
                 self.seen_changes = len(self.store.changes)
+                scheduler.current = now
+            if self.store.mode != "down":
+                self._lend(scheduler, now)
             scheduler.tick(now)
             if scheduler.want_epoch and self.store.mode == "ok":
                 self.store.apply([], [state.put(Key("term"), 1)])
@@ -435,6 +463,12 @@
                     self.delete(id)
         self._check()
 
+    def _lend(self, scheduler: Scheduler, now: Instant) -> None:
+        for name, (zone, borrower) in self.borrowers.items():
+            if zone not in self.apart and now - borrower.asked >= 1.0:
+                loan = scheduler.lend(NodeName(name), borrower.serial, borrower.idle, now)
+                borrower.keep(loan, now, now)
+
     def _look_up(self, scheduler: Scheduler) -> None:
         for id in list(scheduler.pipelines.graph.unknown):
             found = self.store.keys.get(Key(PAST + id))
@@ -518,9 +552,18 @@
             self._hello(worker)
 
     def _hello(self, worker: Worker) -> None:
-        if worker.cut or self.scheduler is None or self.frozen:
-            return
         sent = self.now
+        if worker.cut:
+            # Another controller of its zone may answer, and only it.
+            for zone, borrower in self.borrowers.values():
+                if zone == worker.yard and zone in self.apart:
+                    told = borrower.may_answer(
+                        MachineId(worker.host), worker.epoch, Instant(self.now)
+                    )
+                    worker.session_at = sent if told else worker.session_at
+            return
+        if self.scheduler is None or self.frozen:
+            return
         body = wire.encode(self._report(worker))
         orders = self.scheduler.hello(wire.decode_head(body), body, Instant(self.now))
         if orders is None or worker.deaf or self.scheduler.epoch < worker.epoch:
--- a/umberward/fleet.py
+++ b/umberward/fleet.py
@@ -55,6 +55,7 @@
         self.heard = now
         self.met = False  # has reported since we took over
         self.answered: Instant | None = None  # when the last answered report came
+        self.lent: Instant | None = None  # when others were last told that they may answer it
         self.since = now
         self.idle_since = now
         self.held: dict[TaskId, Placement] = {}
@@ -103,6 +104,11 @@
             self._free = (sku, Amount(sku.cores, sku.accelerators, sku.mem_gb).minus(self.booked))
         return self._free[1]
 
+    @property
+    def stopping(self) -> bool:
+        """Whether something here is to end that has not ended yet."""
+        return any(placement.stop is not None for placement in self.held.values())
+
     def stoppable(self, grades: int, standing_of: Standings) -> dict[StopKey, Amount]:
         """What runs here and is not being stopped, summed by who may stop it.
 
--- a/umberward/holder.py
+++ b/umberward/holder.py
@@ -26,6 +26,7 @@
     JobId,
     Key,
     MachineId,
+    NodeName,
     Revision,
     Stamp,
     TypeName,
@@ -54,6 +55,7 @@
 STORE_HINTS_S = 3.0
 STORED_AGE_S = 15.0  # how old stored hints are taken to be
 REFUSED_S = 2.0  # a write that was refused as it is will be refused again
+WATCH_S = 2.0  # how old our knowledge of the jobs may become while nothing changes
 LOOKUP_S = 0.2  # how often ends that were not seen are looked up
 SUMMARY_S = 10.0  # how often the state of the fleet is logged
 
@@ -75,7 +77,18 @@
 
 
 class Changes(NamedTuple):
+    """All changes that stood in the state service at the moment `asked`, and maybe more."""
+
     changes: list[wire.Change]
+    asked: Instant
+
+
+class Lend(NamedTuple):
+    """A controller asks which machines of its zone it may answer if it is cut off."""
+
+    borrower: NodeName
+    seen: int
+    idle: bool
 
 
 class Ended(NamedTuple):
@@ -156,9 +169,9 @@
                             await self._stored_hints()
                     entries, after = await self.store.entries(LIVE)
                     await self.ask(entries)
-                news, after = await self.store.watch(JOBS, after, 10.0)
-                if news:
-                    await self.tell(Changes(news))
+                asked = _now()
+                news, after = await self.store.watch(JOBS, after, WATCH_S)
+                await self.tell(Changes(news, asked))
             except state.TooOld:
                 after = None
             except (state.Unavailable, state.Unknown) as error:
@@ -191,6 +204,9 @@
             scheduler.probed(message.probe, message.report, now)
         elif isinstance(message, Changes):
             records.take_changes(scheduler, message.changes)
+            scheduler.current = message.asked
+        elif isinstance(message, Lend):
+            answer = scheduler.lend(*message, now) if self.membership.leading() else None
         elif isinstance(message, Ended):
             records.take_end(scheduler, message.id, message.data)
         elif isinstance(message, list):
--- a/umberward/node.py
+++ b/umberward/node.py
@@ -12,14 +12,15 @@
 from umberward import hints, state, wire
 from umberward.cloud import Cloud, CloudTrouble
 from umberward.hints import Hints
-from umberward.holder import Hello, Holder
+from umberward.holder import Hello, Holder, Lend
 from umberward.http import Client, Request, Response, Server
 from umberward.membership import Membership
 from umberward.mirror import Mirror
 from umberward.peers import CONTACT_S, Peers
 from umberward.settings import Settings
 from umberward.state import State
-from umberward.types import Epoch, Instant, Key, TypeName, WallTime, parse_job_id
+from umberward.tending import Loan
+from umberward.types import Epoch, Instant, Key, NodeName, TypeName, WallTime, parse_job_id
 from umberward.users import Users
 from umberward.wire import Flavors, Sku
 
@@ -49,7 +50,9 @@
         self.membership = Membership(settings, self.store, self.rng, self._elected, self._lost)
         self.holder: Holder | None = None
         self.holder_task: Any = None
-        self.peers = Peers(settings, self.membership, self.client, self.rng, self._hints)
+        self.peers = Peers(
+            settings, self.membership, self.client, self.rng, self._hints, self._lend
+        )
 
     async def run(self) -> None:
         # Any of these ending means a fault of ours: it is logged, and the part starts again.
@@ -61,6 +64,7 @@
             self.mirror.run,
             self._know_flavors,
             self.peers.run,
+            self.peers.borrow,
         ]
         async with curio.TaskGroup() as group:
             for part in parts:
@@ -91,6 +95,10 @@
             return None
         return hints.gather(holder.scheduler, holder.provisioner, Instant(time.monotonic()))
 
+    async def _lend(self, borrower: NodeName, seen: int, idle: bool) -> Loan | None:
+        holder = self.holder
+        return None if holder is None else await holder.ask(Lend(borrower, seen, idle))
+
     # ---- machine types -----------------------------------------------------------------
 
     async def _know_flavors(self) -> None:
@@ -159,6 +167,9 @@
                 epoch = holder.scheduler.epoch
                 return Response(200, wire.encode({"epoch": epoch, "orders": orders}))
             return Response(421, wire.encode({}))
+        if holder is None and self.peers.may_answer(head.host, head.epoch):
+            # The leader and the state service are out of reach: the zone is cut off, or worse.
+            return Response(200, wire.encode({"epoch": head.epoch, "orders": []}))
         leader = self.membership.leader
         if leader is None or leader == self.membership.me:
             return Response(421, wire.encode({}))
--- a/umberward/peers.py
+++ b/umberward/peers.py
@@ -5,21 +5,26 @@
 import logging
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
+from urllib.parse import parse_qsl
 
 import cbor2
 import curio
+import msgspec
 
 from umberward import hints
 from umberward.hints import Hints
 from umberward.http import Client, NoAnswer, NotSent, Request, Response
 from umberward.membership import Membership
 from umberward.settings import Settings
+from umberward.tending import Borrower, Loan
+from umberward.types import Instant, MachineId, NodeName
 
 log = logging.getLogger(__name__)
 
 CONTACT_S = 2.5  # without the state service for so long, a node asks whether others have it
 HINTS_S = 2.0  # how often the leader is asked for what it has learnt
+BORROW_S = 1.0  # how often the leader is asked for a loan of our zone's machines
 TIMEOUT_S = 0.5  # a silent peer must not keep the others waiting
 
 
@@ -33,12 +38,18 @@
         client: Client,
         rng: random.Random,
         told: Callable[[], Hints | None],
+        lend: Callable[[NodeName, int, bool], Awaitable[Loan | None]],
     ) -> None:
         self.addresses = settings.peers
         self.membership = membership
         self.client = client
         self.rng = rng
         self.told = told
+        self.lend = lend
+        platform = settings.platform
+        self.me = platform.label
+        self.borrower = Borrower(platform.cluster.workers)
+        self.zoned = len(platform.cluster.zones) > 1  # else no zone can be cut off
         self.contact: dict[str, tuple[float, float]] = {}  # when it told, age it told
         self.latest: Hints | None = None  # of whoever led last
         self.latest_at = 0.0
@@ -57,6 +68,31 @@
                 asked = now
                 await self._ask_hints()
 
+    async def borrow(self) -> None:
+        """Keep a loan of our zone's machines at hand, for the case that the zone is cut off."""
+        while True:
+            await curio.sleep(BORROW_S * self.rng.uniform(0.9, 1.1))
+            address = self.addresses.get(str(self.membership.leader))
+            if address is None or not self.zoned:
+                continue
+            borrower = self.borrower
+            target = f"/peer/loan?for={self.me}&seen={borrower.serial}&idle={int(borrower.idle)}"
+            asked = Instant(time.monotonic())
+            try:
+                response = await self.client.request(address, "GET", target, b"", TIMEOUT_S)
+                if response.status == 200:
+                    loan = msgspec.convert(cbor2.loads(response.body), Loan)
+                    borrower.keep(loan, asked, Instant(time.monotonic()))
+            except (NotSent, NoAnswer, msgspec.ValidationError, cbor2.CBORDecodeError) as error:
+                log.debug("loan: %s", error)
+
+    def may_answer(self, host: str, epoch: int) -> bool:
+        """Whether we may keep this worker's session alive, cut off as we are from the others."""
+        now = Instant(time.monotonic())
+        if now - self.membership.good < CONTACT_S:
+            return False
+        return self.borrower.may_answer(MachineId(host), epoch, now)
+
     def others_have_contact(self) -> bool:
         now = time.monotonic()
         return any(now - at < 3.0 and age < CONTACT_S for at, age in self.contact.values())
@@ -103,6 +139,8 @@
                 "leader": self.membership.leader,
             }
             return Response(200, cbor2.dumps(told))
+        if request.path == "/peer/loan" and self.membership.leading():
+            return await self._loan(request.query)
         if request.path == "/peer/hints" and self.membership.leading():
             # Made once for all that ask at about the same time.
             if time.monotonic() - self.made_at > HINTS_S / 2:
@@ -112,3 +150,14 @@
                 self.made, self.made_at = hints.dumps(found), time.monotonic()
             return Response(200, self.made)
         return Response(404)
+
+    async def _loan(self, query: str) -> Response:
+        fields = dict(parse_qsl(query))
+        try:
+            borrower, seen = NodeName(fields["for"]), int(fields["seen"])
+        except (KeyError, ValueError):
+            return Response(400)
+        loan = await self.lend(borrower, seen, fields.get("idle") == "1")
+        if loan is None:
+            return Response(404)
+        return Response(200, cbor2.dumps(msgspec.to_builtins(loan)))
--- a/umberward/scheduler.py
+++ b/umberward/scheduler.py
@@ -24,6 +24,7 @@
 from umberward.quota import Quota
 from umberward.reserve import Reserve
 from umberward.settings import Settings
+from umberward.tending import DRIFT, MARGIN_S, Lender, Loan
 from umberward.thrift import Thrift
 from umberward.types import (
     NOTHING,
@@ -34,6 +35,7 @@
     Instant,
     JobId,
     MachineId,
+    NodeName,
     Serial,
     Stamp,
     TaskId,
@@ -49,14 +51,13 @@
 
 log = logging.getLogger(__name__)
 
-DRIFT = 1.001
-MARGIN_S = 0.5
 ESTIMATE_SPARE = 1.3  # some tasks of a job take longer than its estimate
 DEFAULT_WAIT_S = 120.0  # when a job should start for which nothing is said
 LEAST_WORKERS = 4  # with fewer it can't be told whether they or we are cut off
 MANY_WORKERS = 20  # so many report at moments spread evenly enough
 DEAF_MARGIN_S = 1.0
 FEW_PART = 0.1  # of the machines may die at once, more are rather cut off
+ZONE_PART = 0.5  # of a zone's machines: where fewer are heard, the zone may be cut off
 STOOD_STILL_S = 1.0  # without a message for so long, it was we who stood still: ticks are frequent
 
 
@@ -108,6 +109,10 @@
                 elif aim.kind == "finished":
                     finished = min(finished or aim.within_s, aim.within_s)
                 self.aims[aim.job_class] = (wait, finished)
+        platform = settings.platform
+        borrowers = {NodeName(peer.label): ZoneName(peer.site) for peer in platform.peers}
+        self.lender = Lender(cluster.workers, borrowers, epoch)
+        self.current = now  # of all that was cancelled until then we know
         self.epoch = epoch
         self.term = epoch
         self.started = now
@@ -507,6 +512,24 @@
             old = self.runtime.get(job.spec.jobclass, ratio)
             self.runtime[job.spec.jobclass] = old + 0.05 * (ratio - old)
 
+    def lend(self, borrower: NodeName, seen: int, idle: bool, now: Instant) -> Loan:
+        """The machines of its zone that this controller may answer if the zone is cut off."""
+        zone = self.lender.borrowers.get(borrower)
+        serial = self.lender.asked(borrower, seen, idle, now)
+        hosts = []
+        for machine in self.machines.values() if self.loaded else ():
+            if (
+                machine.zone == zone
+                and machine.settled
+                and machine.epoch == self.epoch
+                and now - machine.heard < self._silence()
+                and not (machine.strays or machine.returning or machine.lapsed)
+                and not machine.stopping
+            ):
+                machine.lent = now
+                hosts.append(str(machine.id))
+        return Loan(self.epoch, serial, max(0.0, now - self.current), hosts)
+
     # ---- placements --------------------------------------------------------------------
 
     def _hold(self, machine: Machine, job: Job, placement: Placement) -> None:
@@ -642,7 +665,6 @@
     def tick(self, now: Instant) -> None:
         """Notice what time alone tells. To be called a few times a second."""
         self.now = now
-        lease = self.workers.lease_s * DRIFT + MARGIN_S
         takeover = self.workers.cancel_s * DRIFT + 2 * MARGIN_S
         silence = self._silence()
         for machine in self.machines.values():
@@ -651,7 +673,9 @@
                 machine.probing = True
                 self.out.append(Probe(machine.id, machine.address))
             if machine.settled:
-                if machine.answered is not None and now - machine.answered > lease:
+                if machine.answered is not None and self.lender.session_over(
+                    machine.zone, machine.answered, machine.lent, now
+                ):
                     # Its lease has run out: it has killed all that it had.
                     self._expire(machine)
             elif not machine.cleared and now - self.started > takeover:
@@ -709,18 +733,37 @@
         taken = [m for m in silent if m.notice_at is not None]
         self.doomed.update(m.id for m in taken)
         recent = 1.25 * self.workers.report_s + DEAF_MARGIN_S
-        met = [m for m in self.machines.values() if m.met]
+        apart = self._zones_apart(now, recent)
+        silent = [m for m in silent if m.zone not in apart or m.lapsed or m.cleared]
+        met = [m for m in self.machines.values() if m.met and m.zone not in apart]
         alive = sum(1 for m in met if now - m.heard < recent)
         if self.deaf(now) or not alive:
             return
         # Those whose report is overdue count as well: of a cut, some are noticed before others.
-        overdue = len(met) - alive - len(taken)
+        overdue = len(met) - alive - sum(1 for m in taken if m.zone not in apart)
         if overdue <= max(3, FEW_PART * len(met)):
             self.doomed.update(m.id for m in silent)
         elif overdue <= 0.7 * alive:
             late = 0.8 * self.workers.lease_s
             self.doomed.update(m.id for m in silent if now - m.heard > late)
 
+    def _zones_apart(self, now: Instant, recent: float) -> set[ZoneName]:
+        """Zones of which hardly any machine is heard, and in which another controller may answer
+        them: what runs there goes on, for as long as that may be so.
+
+        A new leader may never have heard of any of them.
+        """
+        heard: dict[ZoneName, list[bool]] = {}
+        for machine in self.machines.values():
+            if machine.zone in self.lender.zones and machine.notice_at is None:
+                here = machine.met and now - machine.heard < recent
+                heard.setdefault(machine.zone, []).append(here)
+        return {
+            zone
+            for zone, here in heard.items()
+            if len(here) >= LEAST_WORKERS and sum(here) < ZONE_PART * len(here)
+        }
+
     def removed(self, ids: Iterable[MachineId], now: Instant) -> None:
         """The cloud has deleted these machines, or they stopped by themselves."""
         for id in ids:
