--- a/tests/guards.py
+++ b/tests/guards.py
@@ -7,21 +7,23 @@
 
 import pytest
 
-from umberward import blame, hints, holder, mirror, pipelines, placement, scheduler, tending, users
-from umberward.blame import Blame
-from umberward.fleet import Machine
-from umberward.http import Client
-from umberward.jobs import Job
-from umberward.mirror import Mirror
-from umberward.pipelines import NO_CLAIM, Graph, Pipelines
-from umberward.quota import Quota
-from umberward.scheduler import Scheduler
-from umberward.tending import Borrower, Lender
-from umberward.thrift import Thrift
-from umberward.types import JobId
-from umberward.users import Users
-from umberward.wire import DONE, FinalRecord, JobRecord
-from umberward.writer import Writer
+from umberward.control import hints, holder, mirror, users
+from umberward.control.mirror import Mirror
+from umberward.control.users import Users
+from umberward.core.types import JobId
+from umberward.decisions import blame, choice, pipelines, placement, tending, watch
+from umberward.decisions.blame import Blame
+from umberward.decisions.fleet import Machine
+from umberward.decisions.jobs import Job
+from umberward.decisions.pipelines import NO_CLAIM, Graph, Pipelines
+from umberward.decisions.quota import Quota
+from umberward.decisions.scheduler import Scheduler
+from umberward.decisions.tending import Borrower, Lender
+from umberward.decisions.thrift import Thrift
+from umberward.decisions.watch import Watch
+from umberward.decisions.writer import Writer
+from umberward.protocol.http import Client
+from umberward.protocol.wire import DONE, FinalRecord, JobRecord
 
 Patch = Callable[[pytest.MonkeyPatch], None]
 
@@ -67,7 +69,7 @@
 
 
 def zones_apart(patch: pytest.MonkeyPatch) -> None:
-    patch.setattr(Scheduler, "_zones_apart", lambda *_: set())
+    patch.setattr(Watch, "_zones_apart", lambda *_: set())
 
 
 def settle_first(patch: pytest.MonkeyPatch) -> None:
@@ -131,7 +133,7 @@
 
 def apart(patch: pytest.MonkeyPatch) -> None:
     patch.setattr(
-        scheduler,
+        choice,
         "best_fit",
         lambda need, count, rooms, distinct, left=None: placement.best_fit(
             need, count, rooms, distinct
@@ -141,9 +143,9 @@
 
 def same_place(patch: pytest.MonkeyPatch) -> None:
     patch.setattr(
-        Scheduler,
+        choice,
         "_choose_zone",
-        lambda self, job, count, rooms, taken: placement.best_fit(job.need, count, rooms, 1),
+        lambda job, count, rooms, taken: placement.best_fit(job.need, count, rooms, 1),
     )
 
 
@@ -178,13 +180,14 @@
 
 
 def mark_first(patch: pytest.MonkeyPatch) -> None:
-    def job_marked(self: Writer, batch: Any, *_: Any) -> None:
+    def job_marked(self: Writer, batch: Any, *_: Any) -> list[Any]:
         # The start goes out, but its mark never reaches the state service.
         for job, record in batch.jobs:
             job.marked = record.marked
             self.marked(job)
         for number, hosts in batch.blocks:
             self.block_stored(number, set(hosts))  # type: ignore[arg-type]
+        return []
 
     patch.setattr(Writer, "committed", job_marked)
 
@@ -254,17 +257,17 @@
 
 def deaf(patch: pytest.MonkeyPatch) -> None:
     # As it was: any machine that is heard speaks for our own ears.
-    patch.setattr(Scheduler, "deaf", lambda *_: False)
-    patch.setattr(scheduler, "DEAF_MARGIN_S", 4.0)
+    patch.setattr(Watch, "deaf", lambda *_: False)
+    patch.setattr(watch, "DEAF_MARGIN_S", 4.0)
 
 
 def few_at_once(patch: pytest.MonkeyPatch) -> None:
-    patch.setattr(scheduler, "FEW_PART", 1.0)
+    patch.setattr(watch, "FEW_PART", 1.0)
 
 
 def needs_first(patch: pytest.MonkeyPatch) -> None:
     def add(self: Pipelines, job: Job, needs: Any) -> None:
-        self.scheduler._admit(job)
+        self.cluster._admit(job)
 
     patch.setattr(Pipelines, "add", add)
 
@@ -276,7 +279,7 @@
     def completions(self: Writer, job: Job) -> None:
         whole(self, job)
         if job.complete:
-            self.scheduler.job_ended(job.id, FinalRecord(DONE), self.scheduler.wall())
+            self.cluster.job_ended(job.id, FinalRecord(DONE), self.cluster.wall())
 
     patch.setattr(Writer, "completions", completions)
 
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -22,14 +22,17 @@
 from guards import GUARDS
 from world import Worker, World, raw_settings
 
-from umberward import cli, holder, wire
-from umberward.http import Client, NotSent, Request, Response, Server
-from umberward.jobs import Job
-from umberward.node import Node
-from umberward.settings import NextLimits, Operator, SettingsError, StateLimits, check
-from umberward.state import State, delete
-from umberward.types import Address, Instant, JobId, Key
-from umberward.wire import JOBS, LIVE
+from umberward.cli import main as cli
+from umberward.clients.state import State
+from umberward.control import holder
+from umberward.control.node import Node
+from umberward.core.settings import NextLimits, Operator, SettingsError, StateLimits, check
+from umberward.core.types import Address, Instant, JobId, Key
+from umberward.decisions.jobs import Job
+from umberward.protocol import wire
+from umberward.protocol.changes import delete
+from umberward.protocol.http import Client, NotSent, Request, Response, Server
+from umberward.protocol.wire import JOBS, LIVE
 
 FILES = sorted((Path(__file__).parent / "scenarios").glob("*.txt"))
 PRODUCTION_SPEC = msgspec.json.decode(
--- a/tests/world.py
+++ b/tests/world.py
@@ -13,15 +13,12 @@
 
 import curio
 
-from umberward import hints, records, state, wire
-from umberward.http import Response
-from umberward.mirror import Mirror
-from umberward.provision import Provisioner
-from umberward.scheduler import Command, Probe, Scheduler
-from umberward.settings import Operator, check
-from umberward.state import Got
-from umberward.tending import Borrower
-from umberward.types import (
+from umberward.clients import state
+from umberward.control import hints
+from umberward.control.mirror import Mirror
+from umberward.control.users import Users
+from umberward.core.settings import Operator, check
+from umberward.core.types import (
     Epoch,
     Instant,
     JobId,
@@ -33,8 +30,15 @@
     TypeName,
     WallTime,
 )
-from umberward.users import Users
-from umberward.wire import BLOCKS, LIVE, PAST, JobRecord, Report, ShardReport, Sku
+from umberward.decisions import records
+from umberward.decisions.cluster import Command, Probe
+from umberward.decisions.provision import Provisioner
+from umberward.decisions.scheduler import Scheduler
+from umberward.decisions.tending import Borrower
+from umberward.protocol import changes, wire
+from umberward.protocol.changes import Got
+from umberward.protocol.http import Response
+from umberward.protocol.wire import BLOCKS, LIVE, PAST, JobRecord, Report, ShardReport, Sku
 
 STEP = 0.1
 
@@ -261,7 +265,7 @@
         assert self.scheduler is not None and self.provisioner is not None
         told = hints.gather(self.scheduler, self.provisioner, Instant(self.now))
         for number, part in enumerate(hints.parts(told, 2, 1000)):
-            self.store.apply([], [state.put(Key(f"{wire.HINTS}{number}"), part)])
+            self.store.apply([], [changes.put(Key(f"{wire.HINTS}{number}"), part)])
         self.take_blocks()
         for key, got in sorted(self.store.keys.items()):
             if key.startswith(wire.HINTS):
@@ -270,7 +274,7 @@
         self.take_jobs()
 
     def take_blocks(self) -> None:
-        self.store.apply([], [state.put(Key("leader"), {"node": "n", "nonce": "x"})])
+        self.store.apply([], [changes.put(Key("leader"), {"node": "n", "nonce": "x"})])
         self.epoch = self.store.revision
         if self.scheduler is not None:
             self.former.append(self.scheduler)
@@ -449,7 +453,7 @@
                 self._lend(scheduler, now)
             scheduler.tick(now)
             if scheduler.want_epoch and self.store.mode == "ok":
-                self.store.apply([], [state.put(Key("term"), 1)])
+                self.store.apply([], [changes.put(Key("term"), 1)])
                 scheduler.next_epoch(Epoch(self.store.revision))
                 self.epoch = self.store.revision
             if self.placing and self.store.mode != "down":
@@ -486,9 +490,9 @@
                 return
             except (state.Conflict, state.Unknown):
                 for key, _ in batch.conditions:
-                    scheduler.writer.reread(key, self.store.keys.get(key))
+                    scheduler.reread(key, self.store.keys.get(key))
                 return
-            scheduler.writer.committed(batch, Stamp(revision), Instant(self.now))
+            scheduler.committed(batch, Stamp(revision), Instant(self.now))
 
     def _flush(self, scheduler: Scheduler) -> None:
         for _ in range(6):
--- a/umberward/__main__.py
+++ b/umberward/__main__.py
@@ -1,4 +1,4 @@
-from umberward.cli import main
+from umberward.cli.main import main
 
 if __name__ == "__main__":
     main()
--- /dev/null
+++ b/umberward/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- a/umberward/cli.py
+++ b/umberward/cli/main.py
@@ -12,10 +12,11 @@
 import curio
 import msgspec
 
-from umberward import __version__, wire
-from umberward.http import Client, NoAnswer, NotSent, Response
-from umberward.settings import Settings, SettingsError, load
-from umberward.types import Address, parse_address
+from umberward import __version__
+from umberward.core.settings import Settings, SettingsError, load
+from umberward.core.types import Address, parse_address
+from umberward.protocol import wire
+from umberward.protocol.http import Client, NoAnswer, NotSent, Response
 
 LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
 
@@ -58,7 +59,7 @@
     """Run one controller until it is killed."""
     settings = _load(config, properties)
     _log_to_stderr()
-    from umberward.node import Node
+    from umberward.control.node import Node
 
     curio.run(Node(settings).run)
 
--- a/umberward/cloud.py
+++ b/umberward/clients/cloud.py
@@ -4,12 +4,11 @@
 
 from collections.abc import Callable
 
-from umberward import wire
-from umberward.http import Client, NoAnswer, NotSent, Response
-from umberward.provision import Rental
-from umberward.state import Budget, OverBudget
-from umberward.types import Address, MachineId, TypeName
-from umberward.wire import Flavors, Host, Hosts, Rented, Sku
+from umberward.clients.state import Budget, OverBudget
+from umberward.core.types import Address, MachineId, Rental, TypeName
+from umberward.protocol import wire
+from umberward.protocol.http import Client, NoAnswer, NotSent, Response
+from umberward.protocol.wire import Flavors, Host, Hosts, Rented, Sku
 
 TIMEOUT_S = 5.0
 
--- a/umberward/state.py
+++ b/umberward/clients/state.py
@@ -9,16 +9,15 @@
 from urllib.parse import quote
 
 import curio
-import msgspec
 
-from umberward import wire
-from umberward.http import Client, NoAnswer, NotSent, Response
-from umberward.settings import StateLimits
-from umberward.types import Address, Key, LeaseId, Revision, Stamp
+from umberward.core.settings import StateLimits
+from umberward.core.types import Address, Key, LeaseId, Revision, Stamp
+from umberward.protocol import wire
+from umberward.protocol.changes import COMMON, URGENT, Got
+from umberward.protocol.http import Client, NoAnswer, NotSent, Response
 
 log = logging.getLogger(__name__)
 
-URGENT, COMMON, LAZY = 0, 1, 2  # priorities under the limits
 # Parts of the state service's limits. A little stays free: clocks and bursts differ.
 ALL = 0.98
 LEADERS_CALLS = 0.38
@@ -112,11 +111,6 @@
             await curio.sleep(wait + 0.001)
 
 
-class Got(msgspec.Struct):
-    data: Any
-    stamp: Stamp
-
-
 class State:
     def __init__(self, address: Address, limits: StateLimits, size: int, client: Client) -> None:
         self.address = address
@@ -270,14 +264,3 @@
             raise Unavailable(f"watch: {response.status}")
         news = self._news(response.body)
         return news.news, Revision(news.generation)
-
-
-def put(key: Key, data: Any, lease: LeaseId | None = None) -> dict[str, Any]:
-    made: dict[str, Any] = {"write": key, "data": wire.builtins(data)}
-    if lease is not None:
-        made["charter"] = lease
-    return made
-
-
-def delete(key: Key) -> dict[str, Any]:
-    return {"delete": key}
--- /dev/null
+++ b/umberward/control/__init__.py
@@ -0,0 +1,1 @@
+"""The actors of one controller, which carry the decisions out."""
--- a/umberward/hints.py
+++ b/umberward/control/hints.py
@@ -15,11 +15,19 @@
 import cbor2
 import msgspec
 
-from umberward import wire
-from umberward.jobs import Offer
-from umberward.provision import Expected, Provisioner
-from umberward.scheduler import Scheduler
-from umberward.types import Amount, ImageName, Instant, JobId, MachineId, TypeName, ZoneName
+from umberward.core.types import (
+    Amount,
+    ImageName,
+    Instant,
+    JobId,
+    MachineId,
+    Offer,
+    TypeName,
+    ZoneName,
+)
+from umberward.decisions.provision import Expected, Provisioner
+from umberward.decisions.scheduler import Scheduler
+from umberward.protocol import wire
 
 OLD_S = 120.0  # hints that are older than this are not used: too much has changed
 
--- a/umberward/holder.py
+++ b/umberward/control/holder.py
@@ -10,17 +10,16 @@
 
 import curio
 
-from umberward import hints, records, state, wire
-from umberward.actor import Actor
-from umberward.cloud import Cloud, CloudTrouble, NoCapacity
-from umberward.hints import Hints
-from umberward.http import Client, NoAnswer, NotSent
-from umberward.membership import Membership
-from umberward.provision import Provisioner
-from umberward.scheduler import Command, Probe, Scheduler
-from umberward.settings import Settings
-from umberward.state import State
-from umberward.types import (
+from umberward.clients import state
+from umberward.clients.cloud import Cloud
+from umberward.clients.state import State
+from umberward.control import hints
+from umberward.control.hints import Hints
+from umberward.control.membership import Membership
+from umberward.control.renting import Renting
+from umberward.core.actor import Actor
+from umberward.core.settings import Settings
+from umberward.core.types import (
     Epoch,
     Instant,
     JobId,
@@ -34,8 +33,14 @@
     parse_address,
     parse_task_id,
 )
-from umberward.wire import BLOCKS, HINTS, JOBS, LIVE, PAST, FinalRecord, Report, Sku
-from umberward.writer import Batch
+from umberward.decisions import records
+from umberward.decisions.cluster import Command, Probe
+from umberward.decisions.provision import Provisioner
+from umberward.decisions.scheduler import Scheduler
+from umberward.decisions.writer import Batch
+from umberward.protocol import changes, wire
+from umberward.protocol.http import Client, NoAnswer, NotSent
+from umberward.protocol.wire import BLOCKS, HINTS, JOBS, LIVE, PAST, FinalRecord, Report, Sku
 
 log = logging.getLogger(__name__)
 
@@ -46,12 +51,9 @@
 # rarely, up to so many times more of their length for one that takes SLOW_PASS_S or longer.
 SLOW_PART = 6.0
 SLOW_PASS_S = 0.1
-CLOUD_S = 0.3  # how often it is asked what to rent and to return
-PONDER_PART = 10.0  # ... and so many times as long as the answer took
 IDLE_PASS_S = 1.0  # a pass is made so often even if nothing seems to have changed
 DO_TIMEOUT_S = 2.0
 PROBE_TIMEOUT_S = 1.0
-SILENT_REFRESH_S = 30.0
 STORE_HINTS_S = 3.0
 STORED_AGE_S = 15.0  # how old stored hints are taken to be
 REFUSED_S = 2.0  # a write that was refused as it is will be refused again
@@ -123,8 +125,6 @@
         self.membership = membership
         self.store = store
         self.client = client
-        self.cloud = cloud
-        self.skus = skus
         self.rng = rng
         self.final = final  # ends that this controller knows of anyway
         # What the last leader knew, and how old that is.
@@ -136,7 +136,7 @@
         self.queued: dict[MachineId, list[Command]] = {}
         self.to_write = curio.Event()
         self.next_pass = 0.0
-        self.pondered = 0.0  # seconds that it took to find what to rent and to return
+        self.renting = Renting(membership, cloud, self.scheduler, self.provisioner)
         self.tasks: Any = None
 
     # ---- the term ----------------------------------------------------------------------
@@ -148,7 +148,7 @@
             await self.tasks.spawn(self._load_and_watch)
             await self.tasks.spawn(self._ticker)
             await self.tasks.spawn(self._write)
-            await self.tasks.spawn(self._tend_cloud)
+            await self.tasks.spawn(self.renting.run)
             await self.tasks.spawn(self._store_hints)
             await self.tasks.spawn(self._look_up)
 
@@ -359,7 +359,7 @@
     async def _commit(self, batch: Batch) -> bool:
         conditions = [self.membership.condition(), *batch.conditions]
         # What is not urgent gives way at once: urgent writes may come while it waits.
-        patience = 2.0 if batch.priority == state.URGENT else 0.0
+        patience = 2.0 if batch.priority == changes.URGENT else 0.0
         try:
             revision = await self.store.commit(
                 conditions, batch.writes, priority=batch.priority, patience=patience
@@ -376,12 +376,12 @@
                 if not self.membership.leading():
                     return False
                 try:
-                    self.scheduler.writer.reread(key, await self.store.get(key, state.URGENT))
+                    self.scheduler.reread(key, await self.store.get(key, changes.URGENT))
                 except (state.Unavailable, state.Unknown) as error:
                     log.debug("read %s: %s", key, error)
                     return False
             return False
-        self.scheduler.writer.committed(batch, Stamp(revision), _now())
+        self.scheduler.committed(batch, Stamp(revision), _now())
         return True
 
     # ---- jobs that others wait for -------------------------------------------------------
@@ -439,84 +439,14 @@
                 continue
             try:
                 await self.store.commit(
-                    [self.membership.condition()], [state.put(key, part)],
-                    priority=state.LAZY, patience=0.0,
+                    [self.membership.condition()], [changes.put(key, part)],
+                    priority=changes.LAZY, patience=0.0,
                 )  # fmt: skip
             except (state.Unavailable, state.Unknown, state.Conflict, state.NoLease) as error:
                 log.debug("hints: %s", error)
             else:
                 stored[key] = {**part, "epoch": 0}
 
-    # ---- the cloud ---------------------------------------------------------------------
-
-    async def _tend_cloud(self) -> None:
-        listed = 0.0
-        refreshed = _now()
-        while True:
-            await curio.sleep(max(CLOUD_S, PONDER_PART * self.pondered))
-            self.pondered = 0.0
-            if not self.membership.leading():
-                continue
-            try:
-                await self._deletions()
-                await self._rentals()
-                if _now() - listed > 8.0:
-                    listed = _now()
-                    await self._list()
-                if _now() - refreshed > SILENT_REFRESH_S:
-                    refreshed = _now()
-                    self.skus.update(await self.cloud.flavors())
-                    self.scheduler.types_changed()
-            except CloudTrouble as error:
-                log.debug("cloud: %s", error)
-                await curio.sleep(0.5)
-
-    async def _deletions(self) -> None:
-        now = _now()
-        idle = self.provisioner.idle(now)
-        self.pondered += _now() - now
-        for machine in idle:
-            log.info("returning %s (%s)", machine.id, machine.type)
-            machine.returning = True
-        ids = self.provisioner.deletions(now)[: wire.DELETE_LIMIT]
-        if ids:
-            log.info("deleting %s", " ".join(ids))
-            await self.cloud.delete(ids, self.membership.leading)
-            self._removed(ids)
-
-    def _removed(self, ids: list[MachineId]) -> None:
-        self.scheduler.removed(ids, _now())
-        self.provisioner.removed(ids)
-
-    async def _rentals(self) -> None:
-        now = _now()
-        rentals = self.provisioner.rentals(now)
-        self.pondered += _now() - now
-        for rental in rentals:
-            log.info("renting %d of %s as %s", rental.many, rental.offer, rental.claim)
-            while self.membership.leading():
-                try:
-                    ids = await self.cloud.rent(rental, self.membership.leading)
-                except NoCapacity:
-                    log.info("no capacity: %s", rental.offer)
-                    self.provisioner.no_capacity(rental.offer, _now())
-                    break
-                except NoAnswer:
-                    # It may have been carried out: the same claim tells, and rents nothing twice.
-                    await curio.sleep(0.5)
-                    continue
-                self.provisioner.rented(rental, ids, _now())
-                break
-
-    async def _list(self) -> None:
-        hosts = await self.cloud.machines()
-        failed = self.provisioner.listed(hosts, _now())
-        if failed:
-            # A failed machine runs nothing any more; it stays listed until it is deleted.
-            log.info("failed machines: %s", " ".join(failed))
-            self._removed(failed)
-            await self.cloud.delete(failed[: wire.DELETE_LIMIT], self.membership.leading)
-
 
 def pass_pause(took: float) -> float:
     """Seconds from the beginning of a pass that took so long to the next one."""
--- a/umberward/membership.py
+++ b/umberward/control/membership.py
@@ -10,10 +10,11 @@
 
 import curio
 
-from umberward import state, wire
-from umberward.settings import Settings
-from umberward.state import State
-from umberward.types import Epoch, Instant, Key, LeaseId, NodeName, Revision, Stamp
+from umberward.clients import state
+from umberward.clients.state import State
+from umberward.core.settings import Settings
+from umberward.core.types import Epoch, Instant, Key, LeaseId, NodeName, Revision, Stamp
+from umberward.protocol import changes, wire
 
 log = logging.getLogger(__name__)
 
@@ -78,7 +79,9 @@
         assert self.epoch is not None
         self.term += 1
         record = wire.ControllerRecord(self.me, self.nonce, self.term, (0, 65536))
-        revision = await self.store.commit([self.condition()], [state.put(self.record_key, record)])
+        revision = await self.store.commit(
+            [self.condition()], [changes.put(self.record_key, record)]
+        )
         self.epoch = Epoch(revision)
         return self.epoch
 
@@ -192,8 +195,8 @@
         try:
             revision = await self.store.commit(
                 [(LEADER, self.leader_stamp)],
-                [state.put(LEADER, leader, self.lease), state.put(self.record_key, record)],
-                priority=state.URGENT,
+                [changes.put(LEADER, leader, self.lease), changes.put(self.record_key, record)],
+                priority=changes.URGENT,
             )
         except state.NoLease:
             self.lease = None
--- a/umberward/mirror.py
+++ b/umberward/control/mirror.py
@@ -15,13 +15,14 @@
 
 import curio
 
-from umberward import state, wire
-from umberward.actor import Ask
-from umberward.pipelines import Graph
-from umberward.settings import Settings
-from umberward.state import State
-from umberward.types import JobId, Key, Revision
-from umberward.wire import CANCELLED, JOBS, LIVE, PAST, FinalRecord, JobRecord
+from umberward.clients import state
+from umberward.clients.state import State
+from umberward.core.actor import Ask
+from umberward.core.settings import Settings
+from umberward.core.types import JobId, Key, Revision
+from umberward.decisions.pipelines import Graph
+from umberward.protocol import wire
+from umberward.protocol.wire import CANCELLED, JOBS, LIVE, PAST, FinalRecord, JobRecord
 
 log = logging.getLogger(__name__)
 
--- a/umberward/node.py
+++ b/umberward/control/node.py
@@ -9,20 +9,31 @@
 
 import curio
 
-from umberward import hints, state, wire
-from umberward.cloud import Cloud, CloudTrouble
-from umberward.hints import Hints
-from umberward.holder import Hello, Holder, Lend
-from umberward.http import Client, Request, Response, Server
-from umberward.membership import Membership
-from umberward.mirror import Mirror
-from umberward.peers import CONTACT_S, Peers
-from umberward.settings import Settings
-from umberward.state import State
-from umberward.tending import Loan
-from umberward.types import Epoch, Instant, Key, NodeName, TypeName, WallTime, parse_job_id
-from umberward.users import Users
-from umberward.wire import Flavors, Sku
+from umberward.clients import state
+from umberward.clients.cloud import Cloud, CloudTrouble
+from umberward.clients.state import State
+from umberward.control import hints
+from umberward.control.hints import Hints
+from umberward.control.holder import Hello, Holder, Lend
+from umberward.control.membership import Membership
+from umberward.control.mirror import Mirror
+from umberward.control.peers import CONTACT_S, Peers
+from umberward.control.users import Users
+from umberward.core.settings import Settings
+from umberward.core.types import (
+    Epoch,
+    Instant,
+    Key,
+    NodeName,
+    Stamp,
+    TypeName,
+    WallTime,
+    parse_job_id,
+)
+from umberward.decisions.tending import Loan
+from umberward.protocol import changes, wire
+from umberward.protocol.http import Client, Request, Response, Server
+from umberward.protocol.wire import Flavors, Sku
 
 log = logging.getLogger(__name__)
 
@@ -115,9 +126,7 @@
                 self.skus.update(await self.cloud.flavors())
                 record = Flavors(list(self.skus.values()))
                 if wire.json_size(record) < self.users.value_limit:
-                    await self.store.commit(
-                        [(FLAVORS, state.Stamp(0))], [state.put(FLAVORS, record)]
-                    )
+                    await self.store.commit([(FLAVORS, Stamp(0))], [changes.put(FLAVORS, record)])
             except (CloudTrouble, state.Unavailable, state.Unknown, state.Conflict) as error:
                 log.debug("flavors: %s", error)
                 await curio.sleep(self.rng.uniform(0.5, 1.5))
--- a/umberward/peers.py
+++ b/umberward/control/peers.py
@@ -12,13 +12,13 @@
 import curio
 import msgspec
 
-from umberward import hints
-from umberward.hints import Hints
-from umberward.http import Client, NoAnswer, NotSent, Request, Response
-from umberward.membership import Membership
-from umberward.settings import Settings
-from umberward.tending import Borrower, Loan
-from umberward.types import Instant, MachineId, NodeName
+from umberward.control import hints
+from umberward.control.hints import Hints
+from umberward.control.membership import Membership
+from umberward.core.settings import Settings
+from umberward.core.types import Instant, MachineId, NodeName
+from umberward.decisions.tending import Borrower, Loan
+from umberward.protocol.http import Client, NoAnswer, NotSent, Request, Response
 
 log = logging.getLogger(__name__)
 
--- a/umberward/users.py
+++ b/umberward/control/users.py
@@ -8,14 +8,24 @@
 
 import msgspec
 
-from umberward import state, wire
-from umberward.http import Response
-from umberward.mirror import Live, Mirror
-from umberward.quota import Quota
-from umberward.settings import Settings
-from umberward.state import State
-from umberward.types import Amount, JobId, Key, Stamp, TeamName, TypeName, WallTime, parse_job_id
-from umberward.wire import CANCELLED, LIVE, PAST, FinalRecord, JobRecord, Sku, Spec
+from umberward.clients import state
+from umberward.clients.state import State
+from umberward.control.mirror import Live, Mirror
+from umberward.core.settings import Settings
+from umberward.core.types import (
+    Amount,
+    JobId,
+    Key,
+    Stamp,
+    TeamName,
+    TypeName,
+    WallTime,
+    parse_job_id,
+)
+from umberward.decisions.quota import Quota
+from umberward.protocol import changes, wire
+from umberward.protocol.http import Response
+from umberward.protocol.wire import CANCELLED, LIVE, PAST, FinalRecord, JobRecord, Sku, Spec
 
 log = logging.getLogger(__name__)
 
@@ -90,9 +100,9 @@
                 past = self._wait_for(record, found)
             except Refused as error:
                 return _problem(422, str(error))
-        write = state.put(Key(LIVE + id), record)
+        write = changes.put(Key(LIVE + id), record)
         if past is not None:
-            write = state.put(Key(PAST + id), past)
+            write = changes.put(Key(PAST + id), past)
         conditions = [(Key(LIVE + id), Stamp(0)), (Key(PAST + id), Stamp(0))]
         for last in (False, True):
             try:
@@ -145,9 +155,9 @@
             return None
         record = wire.converted(live.data, JobRecord)
         past = FinalRecord(CANCELLED, record.base + int(record.done, 16).bit_count())
-        writes = [state.put(Key(PAST + id), past), state.delete(Key(LIVE + id))]
+        writes = [changes.put(Key(PAST + id), past), changes.delete(Key(LIVE + id))]
         try:
-            await self.store.commit([(Key(LIVE + id), live.stamp)], writes, priority=state.URGENT)
+            await self.store.commit([(Key(LIVE + id), live.stamp)], writes, priority=changes.URGENT)
         except (state.Conflict, state.Unknown):
             return None  # read again what became of it
         log.info("%s cancelled by its user", id)
--- a/umberward/settings.py
+++ b/umberward/core/settings.py
@@ -9,7 +9,7 @@
 import javaproperties
 import msgspec
 
-from umberward.types import Address, parse_address
+from umberward.core.types import Address, parse_address
 
 Positive = Annotated[float, msgspec.Meta(gt=0, lt=1e12)]
 NotNegative = Annotated[float, msgspec.Meta(ge=0, lt=1e12)]
--- a/umberward/types.py
+++ b/umberward/core/types.py
@@ -103,3 +103,19 @@
 
 
 NOTHING = Amount(0.0, 0.0, 0.0)
+
+
+class Offer(NamedTuple):
+    """What the cloud rents: a machine type in a zone, spot or ordinary."""
+
+    type: TypeName
+    zone: ZoneName
+    spot: bool
+
+
+class Rental(NamedTuple):
+    """So many machines of one offer; the claim makes sure that they are rented once."""
+
+    claim: ClaimId
+    offer: Offer
+    many: int
--- a/umberward/blame.py
+++ b/umberward/decisions/blame.py
@@ -11,14 +11,11 @@
 from __future__ import annotations
 
 import logging
-from typing import TYPE_CHECKING
 
-from umberward.fleet import Machine
-from umberward.jobs import Job, Placement
-from umberward.types import Instant, JobId
-
-if TYPE_CHECKING:
-    from umberward.scheduler import Scheduler
+from umberward.core.types import Instant, JobId
+from umberward.decisions.cluster import Cluster
+from umberward.decisions.fleet import Machine
+from umberward.decisions.jobs import Job, Placement
 
 log = logging.getLogger(__name__)
 
@@ -30,8 +27,8 @@
 
 
 class Blame:
-    def __init__(self, scheduler: Scheduler, now: Instant) -> None:
-        self.scheduler = scheduler
+    def __init__(self, cluster: Cluster, now: Instant) -> None:
+        self.cluster = cluster
         self.doubted: dict[JobId, Job] = {}  # jobs that have failed and never ran well
         self.look_at = now
 
@@ -79,7 +76,7 @@
         if job.mistaken:
             # Judged for the last time: what it did is not held against any machine.
             for id in job.errors:
-                machine = self.scheduler.machines.get(id)
+                machine = self.cluster.machines.get(id)
                 if machine is not None:
                     machine.failures.pop(job.id, None)
 
@@ -95,7 +92,7 @@
         if machine.sick_since is None:
             return False
         for id in machine.failures:
-            job = self.scheduler.jobs.get(id)
+            job = self.cluster.jobs.get(id)
             if job is not None and job.ran_well:
                 return True
         return now - machine.sick_since > DECIDED_S
@@ -125,16 +122,16 @@
             job.mistaken = False
             job.hold_until = 0.0
         self._judge_machines(job, now)
-        self.scheduler.want_pass = True
+        self.cluster.want_pass = True
 
     def _judge_machines(self, job: Job, now: Instant) -> None:
         for id in job.errors:
-            machine = self.scheduler.machines.get(id)
+            machine = self.cluster.machines.get(id)
             if machine is not None:
                 self._judge(machine, now)
 
     def _judge(self, machine: Machine, now: Instant) -> None:
-        jobs = self.scheduler.jobs
+        jobs = self.cluster.jobs
         count = 0
         for id, times in machine.failures.items():
             job = jobs.get(id)
@@ -145,5 +142,5 @@
             log.info("%s set aside: it failed %d tasks in a row", machine.id, count)
         elif count < SICK_AFTER and machine.sick_since is not None:
             machine.sick_since = None
-            self.scheduler.want_pass = True
+            self.cluster.want_pass = True
             log.info("%s is used again", machine.id)
--- a/umberward/clearing.py
+++ b/umberward/decisions/clearing.py
@@ -6,12 +6,9 @@
 from __future__ import annotations
 
 import logging
-from typing import TYPE_CHECKING, Any, NamedTuple
+from typing import Any, NamedTuple
 
-from umberward import preemption
-from umberward.fleet import Machine, StopKey, with_room
-from umberward.jobs import Job, Placement
-from umberward.types import (
+from umberward.core.types import (
     MAX_TASKS,
     NOTHING,
     Amount,
@@ -21,9 +18,11 @@
     MachineId,
     ZoneName,
 )
-
-if TYPE_CHECKING:
-    from umberward.scheduler import Scheduler
+from umberward.decisions import preemption
+from umberward.decisions.choice import choose
+from umberward.decisions.cluster import Cluster
+from umberward.decisions.fleet import Machine, StopKey, with_room
+from umberward.decisions.jobs import Job, Placement
 
 log = logging.getLogger(__name__)
 
@@ -52,11 +51,11 @@
     keeps until its tasks change.
     """
 
-    def __init__(self, scheduler: Scheduler) -> None:
-        self.scheduler = scheduler
+    def __init__(self, cluster: Cluster) -> None:
+        self.cluster = cluster
         self.keys = {
             StopKey(job.need.accelerators > 0, job.rank, job.standing)
-            for job in scheduler.jobs.values()
+            for job in cluster.jobs.values()
             if job.placed
         }
         self.found: dict[StopKey, dict[MachineId, tuple[Machine, Amount]]] = {}
@@ -69,11 +68,11 @@
         if found is None:
             found = self.found[key] = {}
             weaker = {other for other in self.keys if may_stop(key, other)}
-            for machine in self.scheduler.machines.values() if weaker else ():
+            for machine in self.cluster.machines.values() if weaker else ():
                 if not machine.held or not machine.usable:
                     continue
-                self.scheduler.looks += 1
-                sums = machine.stoppable(self.scheduler.grades, self.scheduler.standing_of)
+                self.cluster.looks += 1
+                sums = machine.stoppable(self.cluster.grades, self.cluster.standing_of)
                 room = NOTHING
                 for other, amount in sums.items():
                     if other in weaker:
@@ -86,7 +85,7 @@
         key = StopKey(job.need.accelerators > 0, job.rank, job.standing)
         found = []
         for placement in machine.held.values():
-            standing = self.scheduler.standing_of(placement)
+            standing = self.cluster.standing_of(placement)
             if standing is not None and placement.stop is None:
                 other = StopKey(placement.need.accelerators > 0, placement.rank, standing)
                 if may_stop(key, other):
@@ -103,8 +102,8 @@
 
 
 class Clearing:
-    def __init__(self, scheduler: Scheduler, now: Instant) -> None:
-        self.scheduler = scheduler
+    def __init__(self, cluster: Cluster, now: Instant) -> None:
+        self.cluster = cluster
         self.cleared: dict[MachineId, Cleared] = {}
         self.preempt_at = now
         self.move_at = now
@@ -114,7 +113,7 @@
     def keep(self, free: dict[MachineId, Amount], now: Instant) -> None:
         """Take it out of what is free: the victims would come back first."""
         for id, cleared in list(self.cleared.items()):
-            if cleared.until < now or cleared.job not in self.scheduler.jobs:
+            if cleared.until < now or cleared.job not in self.cluster.jobs:
                 del self.cleared[id]
             elif id in free:
                 free[id] = free[id].minus(cleared.room)
@@ -145,7 +144,7 @@
         if now < self.preempt_at and not any(job.service and self.hurries(job) for job in waiting):
             return None
         self.preempt_at = Instant(now + PREEMPT_EVERY_S)
-        return Stoppable(self.scheduler)
+        return Stoppable(self.cluster)
 
     def preempt(
         self,
@@ -163,7 +162,7 @@
             return 0
         if not (
             job.service or job.gang
-        ) and self.scheduler.wall() - job.ready_at < self.scheduler.patience(job):
+        ) and self.cluster.wall() - job.ready_at < self.cluster.patience(job):
             return 0  # tasks end all the time: the next free room is this job's anyway
         if job.gang and job.size > 1:
             return self._clear_for_gang(job, stoppable, free, now)
@@ -173,7 +172,7 @@
         kind = (job.kind, job.standing, job.rank)
         if job.plain and kind in stoppable.futile:
             return 0
-        suits = self.scheduler.suits(job)
+        suits = self.cluster.suits(job)
         options = [
             preemption.Option(id, room, stoppable.victims(m, job), image in m.images)
             for id, (m, more) in stoppable.rooms(job).items()
@@ -191,7 +190,7 @@
             if made >= min(count, CLEAR_AT_ONCE):
                 break
             # Room in one zone is of no use beyond what the job may have there.
-            zone = self.scheduler.machines[machine].zone
+            zone = self.cluster.machines[machine].zone
             if zones.count(zone) >= cap or any(victim.stop is not None for victim in victims):
                 continue
             zones.append(zone)
@@ -209,14 +208,14 @@
         self.cleared[machine] = Cleared(job.id, room, Instant(now + CLEARED_S))
         job.stopped_at = now
         for victim in victims:
-            owner = self.scheduler.jobs.get(victim.task.job)
+            owner = self.cluster.jobs.get(victim.task.job)
             grace = 0.0
             if owner is not None and not job.service:
                 grace = owner.spec.snapshot_cost_s
             log.debug("%s stopped on %s for %s", victim.task, machine, job.id)
             told = owner.placed.values() if owner is not None and owner.gang else [victim]
             for placement in list(told):  # a gang saves only if all of it is told in time
-                self.scheduler.stop(placement, grace)
+                self.cluster.stop(placement, grace)
         if victims:
             log.info("%d tasks stopped on %s for %s", len(victims), machine, job.id)
 
@@ -242,17 +241,17 @@
             return
         self.move_at = Instant(now + MOVE_EVERY_S)
         shut = [
-            m for m in usable if m.id in kept and not self.scheduler.reserve.need.fits(free[m.id])
+            m for m in usable if m.id in kept and not self.cluster.reserve.need.fits(free[m.id])
         ]
         shut.sort(key=lambda m: (m.booked.cores, m.id))
-        replicas = [job for job in self.scheduler.jobs.values() if job.service]
+        replicas = [job for job in self.cluster.jobs.values() if job.service]
         roomy = with_room(usable, free, replicas) if shut else []
         tries = 0
         for machine in shut:
             held = list(machine.held.values())
-            self.scheduler.rng.shuffle(held)  # those that find no room must not hide the others
+            self.cluster.rng.shuffle(held)  # those that find no room must not hide the others
             for placement in held:
-                job = self.scheduler.jobs.get(placement.task.job)
+                job = self.cluster.jobs.get(placement.task.job)
                 if (
                     tries >= MOVE_AT_ONCE
                     or job is None
@@ -269,7 +268,7 @@
                 others = [m for m in roomy if m.id not in able and image in m.images]
                 chosen = [
                     id
-                    for id in self.scheduler.choose(job, 1, others, free, set(), placement)
+                    for id in choose(self.cluster, job, 1, others, free, set(), placement)
                     if id not in self.cleared
                 ]
                 if chosen:
@@ -280,7 +279,7 @@
                 ):
                     continue
                 log.info("%s moves off %s", placement.task, machine.id)
-                self.scheduler.stop(placement, 0.0)
+                self.cluster.stop(placement, 0.0)
 
     def _clear_for_gang(
         self, job: Job, stoppable: Stoppable, free: dict[MachineId, Amount], now: Instant
@@ -288,10 +287,10 @@
         """Room for a whole gang or none: half of a gang's room is of no use to anybody."""
         image = ImageName(job.spec.bundle)
         found: dict[ZoneName, list[tuple[int, float, MachineId, int, list[Placement]]]] = {}
-        suits = self.scheduler.suits(job)
+        suits = self.cluster.suits(job)
         rooms = stoppable.rooms(job)
         for id, room in free.items():
-            machine = self.scheduler.machines[id]
+            machine = self.cluster.machines[id]
             if machine.offer not in suits or id in self.cleared:
                 continue
             zone = machine.zone if job.spec.same_place else ZoneName("")
@@ -326,11 +325,11 @@
 
     def hurries(self, job: Job) -> bool:
         """Whether its tasks would start too late if their image had to be fetched."""
-        wait, _ = self.scheduler.aims.get(job.spec.jobclass, (None, None))
+        wait, _ = self.cluster.aims.get(job.spec.jobclass, (None, None))
         if wait is None:
             return False
-        slowest = min((sku.fetch_gb_per_s for sku in self.scheduler.skus.values()), default=1.0)
-        left = wait - (self.scheduler.wall() - job.ready_at)
+        slowest = min((sku.fetch_gb_per_s for sku in self.cluster.skus.values()), default=1.0)
+        left = wait - (self.cluster.wall() - job.ready_at)
         return 0.0 < left < job.spec.pull_gb / slowest
 
     def near_image(
@@ -346,7 +345,7 @@
         """Room for replicas that is cleared where their image is, if there is too little free."""
         image = ImageName(job.spec.bundle)
         near = [m for m in roomy if image in m.images]
-        lacking = count - len(self.scheduler.choose(job, count, near, free, able))
+        lacking = count - len(choose(self.cluster, job, count, near, free, able))
         if lacking <= 0:
             return 0
         return self.preempt(job, lacking, stoppable, free, able, now, near_image=True)
--- /dev/null
+++ b/umberward/decisions/cluster.py
@@ -0,0 +1,286 @@
+"""The cluster as its holder sees it: jobs, machines, and the placements that tie them. No I/O.
+
+What one part decides, the others see here; the parts know the cluster and never each other's
+insides. Its methods are what several of them need: who may run where and by when, and the steps
+that keep the books of a placement from the decision until it is surely gone.
+"""
+
+from __future__ import annotations
+
+import logging
+import random
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from umberward.core.settings import Settings
+from umberward.core.types import (
+    NOTHING,
+    Amount,
+    Epoch,
+    Instant,
+    JobId,
+    MachineId,
+    Offer,
+    TaskId,
+    Tenure,
+    TypeName,
+    WallTime,
+    ZoneName,
+)
+from umberward.decisions.fleet import Machine
+from umberward.decisions.jobs import NO_CLAIM, Claim, Job, Placement
+from umberward.decisions.quota import Quota
+from umberward.decisions.reserve import Reserve
+from umberward.protocol import wire
+from umberward.protocol.wire import KILL, START, Sku
+
+log = logging.getLogger(__name__)
+
+ESTIMATE_SPARE = 1.3  # some tasks of a job take longer than its estimate
+DEFAULT_WAIT_S = 120.0  # when a job should start for which nothing is said
+
+
+class Command(NamedTuple):
+    """Send orders to a worker directly."""
+
+    machine: MachineId
+    address: str
+    epoch: Epoch
+    tenure: Tenure
+    orders: list[dict[str, Any]]
+
+
+class Probe(NamedTuple):
+    """Ask a worker for its report."""
+
+    machine: MachineId
+    address: str
+
+
+class Cluster:
+    def __init__(
+        self,
+        settings: Settings,
+        skus: dict[TypeName, Sku],
+        epoch: Epoch,
+        now: Instant,
+        wall: Callable[[], WallTime],
+        rng: random.Random,
+    ) -> None:
+        cluster = settings.platform.cluster
+        self.workers = cluster.workers
+        self.value_limit = int(cluster.state.least().value_kb * 1024)
+        self.operator = settings.operator
+        self.skus = skus
+        self.quota = Quota(cluster.teams)
+        # class -> (within how many seconds its tasks should start, its jobs be finished)
+        self.aims: dict[str, tuple[float | None, float | None]] = {}
+        self.guarantee_s: float | None = None  # how soon guaranteed work should start
+        for aim in cluster.objectives:
+            if aim.kind == "guarantee" and aim.within_s:
+                self.guarantee_s = aim.within_s
+            if aim.job_class is not None and aim.within_s:
+                wait, finished = self.aims.get(aim.job_class, (None, None))
+                if aim.kind == "wait":
+                    wait = min(wait or aim.within_s, aim.within_s)
+                elif aim.kind == "finished":
+                    finished = min(finished or aim.within_s, aim.within_s)
+                self.aims[aim.job_class] = (wait, finished)
+        self.current = now  # of all that was cancelled until then we know
+        self.epoch = epoch
+        self.term = epoch
+        self.started = now
+        self.now = now
+        self.awake = now  # when we last looked at the clock
+        self.heard = now  # when we last heard of any worker
+        self.wall = wall
+        self.rng = rng
+        self.jobs: dict[JobId, Job] = {}
+        self.claims: dict[JobId, Claim] = {}  # what the jobs after a job ask of it
+        self.urgent: set[JobId] = set()  # jobs with a mark or their end to write
+        self.machines: dict[MachineId, Machine] = {}
+        self.gone: dict[MachineId, None] = {}  # deleted machines: late reports are ignored
+        # Exited attempts whose start may still be under way, with the token it carries.
+        self.tainted_exits: dict[tuple[TaskId, int], int] = {}
+        self.reserve = Reserve(skus, now)
+        self.offers: set[Offer] = set()  # the kinds of machines there are
+        self.fleet_kinds = 0  # how often these, or the machine types, have changed
+        self.kept: set[MachineId] = set()  # the machines that the reserve is made of
+        self.read = 0  # reports that were read in full
+        self.looks = 0  # machines that were looked at for work that may be stopped
+        self.searches = 0  # searches for room among all machines
+        self.loaded = False
+        self.want_grades = True
+        self.grades = 0  # how often standings were found
+        self.all_settled = False
+        self.want_pass = True
+        self.want_epoch = False
+        self.out: list[Command | Probe] = []
+        self.doomed: set[MachineId] = set()  # to be deleted as soon as the cloud answers
+        self.runtime: dict[str, float] = {}  # class -> seen run time by what was estimated
+
+    def standing_of(self, placement: Placement) -> tuple[int, int] | None:
+        job = self.jobs.get(placement.task.job)
+        return None if job is None else job.standing
+
+    def allowed(self, job: Job, type_: TypeName, zone: ZoneName, spot: bool) -> bool:
+        spec = job.spec
+        return (
+            (spec.flavors is None or type_ in spec.flavors)
+            and (spec.yard is None or zone == spec.yard)
+            and (spec.reclaimable or not spot)
+        )
+
+    def suits(self, job: Job) -> set[Offer]:
+        """The kinds of machines on which a task of the job may run, were they empty."""
+        if job.suits is None or job.suits[0] != self.fleet_kinds:
+            found = set()
+            for offer in self.offers:
+                sku = self.skus.get(offer.type)
+                if sku is None or not self.allowed(job, *offer):
+                    continue
+                if job.need.fits(Amount(sku.cores, sku.accelerators, sku.mem_gb)):
+                    found.add(offer)
+            job.suits = (self.fleet_kinds, found)
+        return job.suits[1]
+
+    def types_changed(self) -> None:
+        """The cloud was asked anew for its machine types."""
+        self.fleet_kinds += 1
+
+    def deadline(self, job: Job) -> float:
+        """The time by which the job should start; the sooner, the earlier it is served.
+
+        It follows from the job's own deadline and from what the operators aim at for its class.
+        """
+        spec = job.spec
+        estimate = ESTIMATE_SPARE * self.estimate(job)
+        start_by = job.ready_at + DEFAULT_WAIT_S
+        wait, finished = self.aims.get(spec.jobclass, (None, None))
+        if wait is not None:
+            start_by = job.ready_at + wait
+        if finished is not None:
+            start_by = min(start_by, job.ready_at + finished - estimate)
+        if spec.due_s is not None:
+            start_by = job.at + spec.due_s - estimate
+        # Those after it leave it so much time.
+        return min(start_by, self.claims.get(job.id, NO_CLAIM).late - estimate)
+
+    def takes(self, job: Job) -> float:
+        """How long the job takes from when it may start, if there is room at once."""
+        slowest = min((sku.fetch_gb_per_s for sku in self.skus.values()), default=1.0)
+        return ESTIMATE_SPARE * self.estimate(job) + job.spec.pull_gb / slowest
+
+    def estimate(self, job: Job) -> float:
+        """How long a task of the job takes, by its owner's word and what was seen of its class."""
+        return job.spec.expect_s * self.runtime.get(job.spec.jobclass, 1.0)
+
+    def patience(self, job: Job) -> float:
+        """How long an array waits for room before others are stopped for it."""
+        if self.guarantee_s is not None:
+            return 0.5 * self.guarantee_s
+        return 0.3 * (self.deadline(job) - job.ready_at)
+
+    def barred(self, job: Job, kept: set[MachineId]) -> set[MachineId]:
+        spec = self.reserve.spec
+        wait = None if spec is None else self.aims.get(spec.jobclass, (None, None))[0]
+        return self.reserve.barred(job, kept, self.estimate(job), wait or DEFAULT_WAIT_S)
+
+    def hold(self, machine: Machine, job: Job, placement: Placement) -> None:
+        machine.tasks_changed()
+        machine.held[placement.task] = placement
+        self.reserve.placed(placement)
+        if not placement.ready:
+            job.unready += 1
+            self.urgent.add(job.id)
+        machine.booked = machine.booked.plus(placement.need)
+        job.placed[placement.task.number] = placement
+        self.quota.take(placement.team, placement.need)
+
+    def release(self, machine: Machine, placement: Placement, requeue: bool = True) -> None:
+        """The attempt is surely gone from its machine."""
+        machine.tasks_changed()
+        machine.held.pop(placement.task, None)
+        self.reserve.released(placement)
+        machine.booked = machine.booked.minus(placement.need) if machine.held else NOTHING
+        if not machine.held:
+            machine.idle_since = self.now
+        self.quota.give_back(placement.team, placement.need)
+        if placement.tainted >= machine.epoch and placement.tainted:
+            self.tainted_exits[(placement.task, placement.attempt)] = placement.tainted
+        self.want_pass = True
+        job = self.jobs.get(placement.task.job)
+        if job is None or job.ended:
+            return
+        if job.placed.get(placement.task.number) is placement:
+            del job.placed[placement.task.number]
+            if not placement.ready:
+                job.unready -= 1
+        if not requeue:
+            return
+        job.put_back(placement.task.number)
+        if job.gang:
+            # The rest of a gang is of no use without this task.
+            for other in list(job.placed.values()):
+                if other.stop is None:
+                    self.stop(other, 0.0)
+
+    def lose_tasks(self, machine: Machine, why: str) -> None:
+        if machine.held:
+            log.info("%s: %d tasks lost (%s)", machine.id, len(machine.held), why)
+        for placement in list(machine.held.values()):
+            placement.tainted = 0
+            self.release(machine, placement)
+        machine.lingering.clear()
+        machine.strays = 0
+
+    def stop(self, placement: Placement, grace: float) -> None:
+        if placement.stop is not None and placement.stop <= grace:
+            return
+        placement.stop = grace
+        machine = self.machines.get(placement.machine)
+        if machine is None:
+            return
+        placement.stop_at = self.now
+        machine.tasks_changed()
+        if not placement.sent:
+            self.release(machine, placement)
+            return
+        order = wire.order(KILL, str(placement.task), placement.attempt, grace)
+        self.command(machine, [order])
+
+    def command(self, machine: Machine, orders: list[dict[str, Any]]) -> None:
+        for item in self.out:
+            if isinstance(item, Command) and item.machine == machine.id:
+                item.orders.extend(orders)
+                return
+        self.out.append(
+            Command(machine.id, machine.address, self.epoch, machine.tenure, list(orders))
+        )
+
+    def send(self, placement: Placement) -> None:
+        machine = self.machines[placement.machine]
+        placement.sent = True
+        placement.inflight += 1
+        order = wire.order(START, str(placement.task), placement.attempt)
+        self.command(machine, [order])
+
+    def machine(
+        self,
+        id: MachineId,
+        address: str,
+        type_: TypeName,
+        zone: ZoneName,
+        spot: bool,
+        now: Instant,
+    ) -> Machine:
+        machine = self.machines.get(id)
+        if machine is None:
+            machine = self.machines[id] = Machine(id, address, type_, zone, spot, now)
+            if machine.offer not in self.offers:
+                self.offers.add(machine.offer)
+                self.fleet_kinds += 1
+        return machine
+
+    def silence(self) -> float:
+        return max(self.operator.silence_seconds, self.workers.report_s * 1.25 + 1.0)
--- a/umberward/fleet.py
+++ b/umberward/decisions/fleet.py
@@ -6,8 +6,7 @@
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
-from umberward.jobs import Job, Offer, Placement
-from umberward.types import (
+from umberward.core.types import (
     NOTHING,
     Amount,
     Epoch,
@@ -15,13 +14,15 @@
     Instant,
     JobId,
     MachineId,
+    Offer,
     Serial,
     TaskId,
     Tenure,
     TypeName,
     ZoneName,
 )
-from umberward.wire import Sku
+from umberward.decisions.jobs import Job, Placement
+from umberward.protocol.wire import Sku
 
 
 class StopKey(NamedTuple):
--- a/umberward/jobs.py
+++ b/umberward/decisions/jobs.py
@@ -3,35 +3,38 @@
 from __future__ import annotations
 
 import bisect
+import math
 from typing import NamedTuple
 
-from umberward import wire
-from umberward.types import (
+from umberward.core.types import (
     Amount,
     Attempt,
     Instant,
     JobId,
     MachineId,
+    Offer,
     Stamp,
     TaskId,
     TeamName,
-    TypeName,
     WallTime,
     ZoneName,
 )
-from umberward.wire import JobRecord, Spec
+from umberward.protocol import wire
+from umberward.protocol.wire import JobRecord, Spec
 
 RECORD_SPARE = 128  # bytes of a record besides the spec and the bitmap
 LEAST_WINDOW = 16
 WINDOW = 8192  # at most so many tasks may be between the first unfinished and the last started
 
 
-class Offer(NamedTuple):
-    """What the cloud rents: a machine type in a zone, spot or ordinary."""
+class Claim(NamedTuple):
+    """What the jobs after a job ask of it."""
 
-    type: TypeName
-    zone: ZoneName
-    spot: bool
+    rank: int
+    late: float  # the time of day by which it must be done
+
+
+NO_CLAIM = Claim(max(wire.RANKS.values()), math.inf)
 
 
 class Placement:
--- a/umberward/pipelines.py
+++ b/umberward/decisions/pipelines.py
@@ -9,17 +9,13 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Callable, Iterable
 from itertools import islice
-from typing import TYPE_CHECKING, NamedTuple
 
-from umberward import wire
-from umberward.jobs import Job
-from umberward.types import JobId, WallTime
-
-if TYPE_CHECKING:
-    from umberward.scheduler import Scheduler
+from umberward.core.types import JobId, WallTime
+from umberward.decisions.cluster import Cluster
+from umberward.decisions.jobs import NO_CLAIM, Claim, Job
+from umberward.protocol import wire
 
 
 class Graph:
@@ -120,29 +116,21 @@
                 walk.extend(self.heirs.get(id, ()))
 
 
-class Claim(NamedTuple):
-    """What the jobs after a job ask of it."""
-
-    rank: int
-    late: float  # the time of day by which it must be done
-
-
 HABIT_PART = 0.1  # how much one job says about its class
 HABIT_SHARE = 0.5  # of the jobs of a class must be needed by others for it to be expected
-NO_CLAIM = Claim(max(wire.RANKS.values()), math.inf)
 
 
 class Pipelines:
     """The leader's jobs that wait: nothing else knows of them until they may start."""
 
-    def __init__(self, scheduler: Scheduler) -> None:
-        self.scheduler = scheduler
+    def __init__(self, cluster: Cluster) -> None:
+        self.cluster = cluster
         self.jobs: dict[JobId, Job] = {}
-        self.claims: dict[JobId, Claim] = {}
+        self.claims = cluster.claims
         # class -> share of its jobs that others needed, and the rank of those: some users submit
         # the last job of a pipeline only when the others are over, which should get through.
         self.habits: dict[str, tuple[float, int]] = {}
-        self.graph = Graph(lambda id: id in scheduler.jobs or id in self.jobs)
+        self.graph = Graph(lambda id: id in cluster.jobs or id in self.jobs)
 
     def add(self, job: Job, needs: Iterable[JobId]) -> None:
         self.jobs[job.id] = job
@@ -186,7 +174,7 @@
         return (guaranteed, min(own, rank) if share > HABIT_SHARE else own)
 
     def _learn(self, id: JobId) -> None:
-        job = self.scheduler.jobs.get(id)
+        job = self.cluster.jobs.get(id)
         if job is not None and job.spec.jobclass in self.habits:
             share, rank = self.habits[job.spec.jobclass]
             asked = 1.0 if id in self.claims else 0.0
@@ -200,7 +188,7 @@
         rank, late = self.claim(id)
         if job.spec.due_s is not None:
             late = min(late, job.at + job.spec.due_s)
-        return Claim(min(rank, wire.RANKS[job.spec.rank]), late - self.scheduler.takes(job))
+        return Claim(min(rank, wire.RANKS[job.spec.rank]), late - self.cluster.takes(job))
 
     def _pass_on(self, ids: list[JobId]) -> None:
         """Something more is asked: it goes from job to job towards the first, while it matters."""
@@ -236,9 +224,9 @@
             self.claims.pop(id, None)
         else:
             self.claims[id] = claim
-        job = self.scheduler.jobs.get(id) or self.jobs.get(id)
+        job = self.cluster.jobs.get(id) or self.jobs.get(id)
         if job is not None and claim.rank < wire.RANKS[job.spec.rank]:
             share, _ = self.habits.get(job.spec.jobclass, (1.0, 0))
             self.habits[job.spec.jobclass] = (share, claim.rank)
-        if id in self.scheduler.jobs:
-            self.scheduler.want_grades = self.scheduler.want_pass = True
+        if id in self.cluster.jobs:
+            self.cluster.want_grades = self.cluster.want_pass = True
--- a/umberward/placement.py
+++ b/umberward/decisions/placement.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
-from umberward.types import Amount, MachineId, ZoneName
+from umberward.core.types import Amount, MachineId, ZoneName
 
 
 class Room(NamedTuple):
--- a/umberward/preemption.py
+++ b/umberward/decisions/preemption.py
@@ -5,8 +5,8 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from umberward.jobs import Placement
-from umberward.types import Amount, Instant, MachineId
+from umberward.core.types import Amount, Instant, MachineId
+from umberward.decisions.jobs import Placement
 
 
 class Option(NamedTuple):
--- a/umberward/provision.py
+++ b/umberward/decisions/provision.py
@@ -4,21 +4,23 @@
 
 import logging
 import math
-from typing import Any, NamedTuple
+from typing import Any
 
-from umberward.fleet import Machine, least_need
-from umberward.jobs import Job, Offer
-from umberward.scheduler import Scheduler
-from umberward.types import (
+from umberward.core.types import (
     NOTHING,
     Amount,
     ClaimId,
     Instant,
     MachineId,
+    Offer,
+    Rental,
     TypeName,
     ZoneName,
 )
-from umberward.wire import BOOTING, FAILED, RENT_LIMIT, Host, Sku
+from umberward.decisions.fleet import Machine, least_need
+from umberward.decisions.jobs import Job
+from umberward.decisions.scheduler import Scheduler
+from umberward.protocol.wire import BOOTING, FAILED, RENT_LIMIT, Host, Sku
 
 log = logging.getLogger(__name__)
 
@@ -29,12 +31,6 @@
 DEAD_BOOT = 5.0  # ... and is returned after so many
 
 
-class Rental(NamedTuple):
-    claim: ClaimId
-    offer: Offer
-    many: int
-
-
 class Expected:
     """A rented machine that has not reported yet."""
 
--- a/umberward/quota.py
+++ b/umberward/decisions/quota.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from umberward.settings import Team
-from umberward.types import NOTHING, Amount, TeamName
+from umberward.core.settings import Team
+from umberward.core.types import NOTHING, Amount, TeamName
 
 
 class Quota:
--- a/umberward/records.py
+++ b/umberward/decisions/records.py
@@ -6,10 +6,10 @@
 from collections.abc import Sequence
 from typing import Any
 
-from umberward import wire
-from umberward.scheduler import Scheduler
-from umberward.types import JobId, Stamp
-from umberward.wire import LIVE, PAST, FinalRecord, JobRecord
+from umberward.core.types import JobId, Stamp
+from umberward.decisions.scheduler import Scheduler
+from umberward.protocol import wire
+from umberward.protocol.wire import LIVE, PAST, FinalRecord, JobRecord
 
 log = logging.getLogger(__name__)
 
--- /dev/null
+++ b/umberward/decisions/reports.py
@@ -0,0 +1,355 @@
+"""What workers say: their reports, and the answers to our commands and questions. No I/O."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Iterable
+from typing import Any
+
+from umberward.core.types import (
+    Attempt,
+    Epoch,
+    ImageName,
+    Instant,
+    MachineId,
+    Serial,
+    TaskId,
+    Tenure,
+    TypeName,
+    ZoneName,
+    parse_task_id,
+)
+from umberward.decisions.blame import Blame
+from umberward.decisions.cluster import Cluster, Command, Probe
+from umberward.decisions.fleet import Machine
+from umberward.decisions.jobs import Job, Placement
+from umberward.decisions.writer import Writer
+from umberward.protocol import wire
+from umberward.protocol.wire import FORGET, KILL, START, Report
+
+log = logging.getLogger(__name__)
+
+
+class Reports:
+    def __init__(self, cluster: Cluster, blame: Blame, writer: Writer) -> None:
+        self.cluster = cluster
+        self.blame = blame
+        self.writer = writer
+
+    def hello(self, head: wire.Head, body: bytes, now: Instant) -> list[dict[str, Any]] | None:
+        """A periodic report; the orders for its response, or None: it is not ours to answer."""
+        if self._unchanged(head, now):
+            return []
+        try:
+            report = wire.decode_report(body)
+        except wire.Malformed as error:
+            log.info("report of %s: %s", head.host, error)
+            return None
+        self.cluster.read += 1
+        orders = self.report(report, now, hello=True)
+        if orders is not None and not orders:
+            self._note_calm(head)
+        return orders
+
+    def _unchanged(self, head: wire.Head, now: Instant) -> bool:
+        """Take in a report that says and needs nothing new; False if it must be read in full.
+
+        Most reports of a large fleet are of this kind, and cost the same however many tasks they
+        list.
+        """
+        machine = self.cluster.machines.get(MachineId(head.host))
+        if (
+            machine is None
+            or machine.calm is None
+            or head.tenure != machine.tenure
+            or head.serial <= machine.serial
+            or head.epoch != self.cluster.epoch
+            or head.reclaim_in_s is not None
+            or machine.returning
+            or machine.calm != bytes(head.shards)
+        ):
+            return False
+        machine.heard = machine.answered = self.cluster.heard = now
+        machine.silent = machine.lapsed = False
+        machine.serial = Serial(head.serial)
+        return True
+
+    def _note_calm(self, head: wire.Head) -> None:
+        """The response to this report had no orders: it may be given again to the next like it."""
+        machine = self.cluster.machines.get(MachineId(head.host))
+        if (
+            machine is not None
+            and machine.settled
+            and machine.block is not None
+            and machine.notice_at is None
+            and not (machine.lingering or machine.strays or machine.returning)
+            and all(p.seen and p.stop is None for p in machine.held.values())
+        ):
+            machine.calm = bytes(head.shards)
+
+    def report(self, report: Report, now: Instant, hello: bool) -> list[dict[str, Any]] | None:
+        """Take in a worker's report; the orders for its response, or None: not ours to answer."""
+        self.cluster.now = now
+        id = MachineId(report.host)
+        if report.epoch > self.cluster.epoch:
+            return None
+        if id in self.cluster.gone:
+            return []
+        machine = self.cluster.machines.get(id)
+        if machine is None:
+            if TypeName(report.flavor) not in self.cluster.skus:
+                return []
+            machine = self.cluster.machine(
+                id, report.address, TypeName(report.flavor), ZoneName(report.yard),
+                report.reclaimable, now,
+            )  # fmt: skip
+            log.info("new machine %s (%s, %s)", id, report.flavor, report.yard)
+        if machine.returning:
+            return []
+        if report.tenure < machine.min_tenure:
+            return []
+        if (report.tenure, report.serial) <= (machine.tenure, machine.serial):
+            return []  # late: something newer was seen
+        machine.calm = None
+        machine.heard = self.cluster.heard = now
+        machine.met = True
+        machine.silent = machine.lapsed = False
+        machine.address = report.address
+        if report.tenure > machine.tenure:
+            # A new session: the worker has killed and forgotten all it had.
+            if machine.tenure:
+                self.cluster.lose_tasks(machine, "session over")
+            machine.tenure = Tenure(report.tenure)
+        machine.serial = Serial(report.serial)
+        machine.epoch = Epoch(report.epoch)
+        if hello or machine.answered is None:
+            # Without an answer the worker's lease runs from the beginning of its session, which
+            # was before this report.
+            machine.answered = now
+        if report.reclaim_in_s is not None:
+            if machine.notice_at is None:
+                log.info("%s will be taken in %.0f s", id, report.reclaim_in_s)
+                self._leave(machine, report.reclaim_in_s)
+            machine.notice_at = Instant(now + report.reclaim_in_s)
+        if not machine.settled:
+            if report.epoch < self.cluster.term:
+                # A late command of a former holder could still be executed: raise the token first.
+                self.cluster.out.append(
+                    Command(id, machine.address, self.cluster.epoch, machine.tenure, [])
+                )
+                return []
+            machine.settled = True
+            self.cluster.want_pass = True
+        if machine.block is None and self.cluster.loaded:
+            self.writer.assign_block(machine)
+        return self._reconcile(machine, report, now, hello)
+
+    def _leave(self, machine: Machine, left_s: float) -> None:
+        """The machine is about to be taken: what can save its progress does so, and goes on
+        elsewhere. Other work may be done before."""
+        for placement in list(machine.held.values()):
+            job = self.cluster.jobs.get(placement.task.job)
+            if job is None or job.gang or job.spec.snapshot_every_s <= 0:
+                continue
+            if job.spec.snapshot_cost_s + 1.0 < left_s:
+                self.cluster.stop(placement, job.spec.snapshot_cost_s)
+
+    def _reconcile(
+        self, machine: Machine, report: Report, now: Instant, hello: bool
+    ) -> list[dict[str, Any]]:
+        orders: list[dict[str, Any]] = []
+        listed: set[TaskId] = set()
+        machine.lingering.clear()
+        machine.strays = 0
+        for shard in report.shards:
+            task = parse_task_id(shard.shard)
+            if task is None:
+                continue
+            listed.add(task)
+            placement = machine.held.get(task)
+            if placement is not None and placement.attempt != shard.attempt:
+                placement = None
+            if shard.phase == wire.EXITED:
+                machine.lingering.add(task)
+                self._exited(machine, task, shard, placement, now)
+                if hello and self.cluster.loaded and self._may_forget(machine, task, shard):
+                    orders.append(wire.order(FORGET, shard.shard, shard.attempt))
+                continue
+            if placement is None:
+                placement = self._stray(machine, task, shard, now)
+                if placement is None:
+                    machine.strays += 1
+                    if self.cluster.loaded:
+                        orders.append(wire.order(KILL, shard.shard, shard.attempt, 0.0))
+                    continue
+            placement.seen = True
+            self._progress(machine, placement, shard.phase, now)
+            if placement.stop is not None:
+                orders.append(wire.order(KILL, shard.shard, shard.attempt, placement.stop))
+        for task, placement in list(machine.held.items()):
+            if task in listed or not placement.sent:
+                continue
+            if placement.tainted and placement.tainted < machine.epoch:
+                placement.tainted = 0  # late starts carry a token that is too low now
+            if placement.seen:
+                self.cluster.release(machine, placement)
+                continue
+            if placement.stop is None:
+                # The start may be lost; repeating it has no effect where it was executed.
+                if hello:
+                    placement.hello_serial = report.serial
+                    orders.append(wire.order(START, str(task), placement.attempt))
+            elif not placement.inflight and not placement.tainted:
+                if hello and report.serial > placement.hello_serial:
+                    self.cluster.release(machine, placement)
+            elif not placement.inflight and now - placement.stop_at > 2.0:
+                # An unanswered start may be executed at any time: only a higher token ends that.
+                self.cluster.want_epoch = True
+        return orders
+
+    def _exited(
+        self,
+        machine: Machine,
+        task: TaskId,
+        shard: wire.ShardReport,
+        placement: Placement | None,
+        now: Instant,
+    ) -> None:
+        job = self.cluster.jobs.get(task.job)
+        if placement is not None:
+            placement.seen = True
+            self.cluster.release(machine, placement, requeue=shard.cause != wire.DONE)
+        if job is None:
+            return
+        if shard.cause == wire.DONE:
+            self.blame.worked(machine, job, placement, now)
+            if placement is not None and placement.running_at is not None:
+                self._note_runtime(job, now - placement.running_at)
+            indices: Iterable[int] = (task.number,)
+            if job.gang and placement is not None:
+                indices = range(job.size)  # if one task of a gang is done, all are
+            for index in indices:
+                job.mark_done(index)
+                other = job.placed.get(index)
+                if other is not None and not job.gang:
+                    self.cluster.stop(other, 0.0)
+            self.writer.completions(job)
+        elif placement is not None and shard.cause == "error":
+            self.blame.failed(machine, job, placement, now)
+        elif placement is not None:
+            log.debug("%s on %s exited: %s", task, machine.id, shard.cause)
+            if shard.cause in ("no_room", "in_use", "no_such"):
+                log.info("%s refused %s: %s", machine.id, task, shard.cause)
+                job.hold_until = max(job.hold_until, now + 0.5)
+
+    def _may_forget(self, machine: Machine, task: TaskId, shard: wire.ShardReport) -> bool:
+        """After a forget, a start that is still under way would start the task again."""
+        placement = machine.held.get(task)
+        if placement is not None and placement.attempt == shard.attempt:
+            return False
+        if self.cluster.tainted_exits.get((task, shard.attempt), -1) >= machine.epoch:
+            return False
+        self.cluster.tainted_exits.pop((task, shard.attempt), None)
+        job = self.cluster.jobs.get(task.job)
+        return job is None or shard.cause != wire.DONE or job.is_saved(task.number)
+
+    def _stray(
+        self, machine: Machine, task: TaskId, shard: wire.ShardReport, now: Instant
+    ) -> Placement | None:
+        """A task that a former holder started: ours from now on, unless it must go."""
+        job = self.cluster.jobs.get(task.job)
+        if (
+            not self.cluster.loaded
+            or job is None
+            or task.number >= job.size
+            or job.is_done(task.number)
+        ):
+            return None
+        if task in machine.held or task.number in job.placed:
+            return None
+        if task.number >= job.marked or job.gang and not self._same_attempt(job, shard.attempt):
+            return None
+        placement = Placement(task, Attempt(shard.attempt), machine.id, machine.zone, job, now)
+        job.ran.add(task.number)
+        placement.ready = placement.sent = placement.seen = placement.adopted = True
+        self.cluster.hold(machine, job, placement)
+        job.unsure.discard(task.number)
+        if task.number in job.again:
+            job.again.remove(task.number)
+        return placement
+
+    @staticmethod
+    def _same_attempt(job: Job, attempt: int) -> bool:
+        return all(placement.attempt == attempt for placement in job.placed.values())
+
+    def _progress(self, machine: Machine, placement: Placement, phase: str, now: Instant) -> None:
+        if placement.phase == phase:
+            return
+        placement.phase = phase
+        placement.fetched |= phase == wire.PULLING
+        job = self.cluster.jobs.get(placement.task.job)
+        if job is None:
+            return
+        if phase in (wire.RUNNING, wire.GATHERING):
+            spec = job.spec
+            room = (
+                self.cluster.skus[machine.type].local_gb
+                if machine.type in self.cluster.skus
+                else 0.0
+            )
+            machine.note_image(ImageName(spec.bundle), spec.pull_gb, room)
+        if phase == wire.RUNNING and placement.running_at is None:
+            placement.running_at = now
+            self._say_if_late(job, placement, now)
+
+    def _say_if_late(self, job: Job, placement: Placement, now: Instant) -> None:
+        """Where the time went, for work that its operators want to start sooner."""
+        wait, _ = self.cluster.aims.get(job.spec.jobclass, (None, None))
+        waited = self.cluster.wall() - job.ready_at
+        first = placement.task.number not in job.ran
+        if job.service:
+            job.ran.add(placement.task.number)
+        if wait is None or waited <= wait or placement.adopted or not first or not job.service:
+            return
+        log.info(
+            "%s (%s) runs %.1f s after its submission, %.1f s after it was given a place%s",
+            placement.task, job.spec.jobclass, waited, now - placement.at,
+            "; its image was fetched" if placement.fetched else "",
+        )  # fmt: skip
+
+    def _note_runtime(self, job: Job, seconds: float) -> None:
+        if job.spec.expect_s > 0:
+            ratio = min(max(seconds / job.spec.expect_s, 0.1), 10.0)
+            old = self.cluster.runtime.get(job.spec.jobclass, ratio)
+            self.cluster.runtime[job.spec.jobclass] = old + 0.05 * (ratio - old)
+
+    def commanded(
+        self, command: Command, report: Report | None, unknown: bool, now: Instant
+    ) -> None:
+        """A direct command was answered, or was not (`unknown`: it may still be executed)."""
+        machine = self.cluster.machines.get(command.machine)
+        if machine is None:
+            return
+        for made in command.orders:
+            task = parse_task_id(made["shard"])
+            placement = machine.held.get(task) if task is not None else None
+            if made["verb"] == START and placement is not None and placement.attempt == made["try"]:
+                placement.inflight -= 1
+                if unknown:
+                    placement.tainted = max(placement.tainted, command.epoch)
+        if report is not None:
+            self.report(report, now, hello=False)
+
+    def probed(self, probe: Probe, report: Report | None, now: Instant) -> None:
+        machine = self.cluster.machines.get(probe.machine)
+        if machine is None:
+            return
+        machine.probing = False
+        if report is not None:
+            if (report.tenure, report.serial) <= (machine.tenure, machine.serial):
+                machine.heard = self.cluster.heard = now
+            self.report(report, now, hello=False)
+        elif now - machine.heard > self.cluster.silence():
+            if not machine.silent:
+                log.info("%s is silent for %.1f s", machine.id, now - machine.heard)
+            machine.silent = True
--- a/umberward/reserve.py
+++ b/umberward/decisions/reserve.py
@@ -10,10 +10,10 @@
 import math
 from collections.abc import Iterable, Sequence
 
-from umberward.fleet import Machine
-from umberward.jobs import Job, Offer, Placement
-from umberward.types import NOTHING, Amount, Instant, MachineId, TypeName, ZoneName
-from umberward.wire import RANKS, Sku, Spec
+from umberward.core.types import NOTHING, Amount, Instant, MachineId, Offer, TypeName, ZoneName
+from umberward.decisions.fleet import Machine
+from umberward.decisions.jobs import Job, Placement
+from umberward.protocol.wire import RANKS, Sku, Spec
 
 FADE_S = 60.0  # the peak falls by two thirds of the way to the present need in so long
 BRIEF = 0.3  # of the time in which accelerated work should start: a task may take so long
--- /dev/null
+++ b/umberward/decisions/scheduler.py
@@ -0,0 +1,408 @@
+"""What a holder of machines decides. No I/O: reports and results come in, effects go out.
+
+The rules rest on one question: may a task still be on a machine? A `Placement` stands for "it
+may", from before its start is sent until one of these is known (docs/design.md, "Safety"):
+a newer report under our token does not list it and no start is in flight; the worker's session
+has changed; its lease has run out since the last answer it could have accepted; the cloud has
+deleted the machine.
+"""
+
+from __future__ import annotations
+
+import logging
+import random
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from umberward.core.settings import Settings
+from umberward.core.types import (
+    NOTHING,
+    Amount,
+    Attempt,
+    Epoch,
+    Instant,
+    JobId,
+    Key,
+    MachineId,
+    NodeName,
+    Stamp,
+    TaskId,
+    TeamName,
+    TypeName,
+    WallTime,
+    ZoneName,
+)
+from umberward.decisions.blame import Blame
+from umberward.decisions.choice import choose
+from umberward.decisions.clearing import Clearing
+from umberward.decisions.cluster import Cluster, Command, Probe
+from umberward.decisions.fleet import Machine, with_room
+from umberward.decisions.jobs import Job, Placement
+from umberward.decisions.pipelines import Pipelines
+from umberward.decisions.reports import Reports
+from umberward.decisions.tending import Lender, Loan
+from umberward.decisions.thrift import Thrift
+from umberward.decisions.watch import Watch
+from umberward.decisions.writer import Batch, Writer
+from umberward.protocol import wire
+from umberward.protocol.changes import Got
+from umberward.protocol.wire import JobRecord, Report, Sku
+
+log = logging.getLogger(__name__)
+
+
+class Scheduler(Cluster):
+    """The cluster, and all that is decided about it: the one thing that a holder speaks to."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        skus: dict[TypeName, Sku],
+        epoch: Epoch,
+        now: Instant,
+        wall: Callable[[], WallTime],
+        rng: random.Random,
+    ) -> None:
+        super().__init__(settings, skus, epoch, now, wall, rng)
+        platform = settings.platform
+        borrowers = {NodeName(peer.label): ZoneName(peer.site) for peer in platform.peers}
+        self.lender = Lender(self.workers, borrowers, epoch)
+        self.clearing = Clearing(self, now)
+        self.thrift = Thrift(self, self.clearing, now)
+        self.blame = Blame(self, now)
+        self.pipelines = Pipelines(self)
+        self.writer = Writer(self, self.pipelines, platform.cluster.state.least(), now)
+        self.watch = Watch(self, self.lender)
+        self.reports = Reports(self, self.blame, self.writer)
+        self.attempts = 0
+
+    # ---- what is said to it: passed on to the part that knows ----------------------------
+
+    def hello(self, head: wire.Head, body: bytes, now: Instant) -> list[dict[str, Any]] | None:
+        return self.reports.hello(head, body, now)
+
+    def commanded(
+        self, command: Command, report: Report | None, unknown: bool, now: Instant
+    ) -> None:
+        self.reports.commanded(command, report, unknown, now)
+
+    def probed(self, probe: Probe, report: Report | None, now: Instant) -> None:
+        self.reports.probed(probe, report, now)
+
+    def wake(self, now: Instant) -> None:
+        self.watch.wake(now)
+
+    def tick(self, now: Instant) -> None:
+        """Notice what time alone tells. To be called a few times a second."""
+        self.now = now
+        self.watch.tick(now)
+        self.blame.tick(now)
+        self.watch.pick_doomed(now)
+
+    def cut_off(self, now: Instant) -> bool:
+        return self.watch.cut_off(now)
+
+    def lend(self, borrower: NodeName, seen: int, idle: bool, now: Instant) -> Loan:
+        return self.watch.lend(borrower, seen, idle, now)
+
+    def committed(self, batch: Batch, stamp: Stamp, now: Instant) -> None:
+        """A transaction of ours was carried out."""
+        for job, final in self.writer.committed(batch, stamp, now):
+            log.info("%s is %s", job.id, final.phase)
+            self.job_ended(job.id, final, final.at or self.wall())
+            self.job_gone(job.id)
+
+    def reread(self, key: Key, found: Got | None) -> None:
+        """What the state service has after a conflict or an unknown outcome."""
+        gone = self.writer.reread(key, found)
+        if gone is not None:
+            self.job_gone(gone)
+
+    # ---- taking over -------------------------------------------------------------------
+
+    def load_block(self, number: int, record: wire.BlockRecord, stamp: Stamp, now: Instant) -> None:
+        machines = []
+        for name, (address, type_, zone, spot) in record.hosts.items():
+            machine = self.machine(
+                MachineId(name), address, TypeName(type_), ZoneName(zone), spot, now
+            )
+            machines.append(machine)
+            if not machine.met and not machine.probing:
+                machine.probing = True
+                self.out.append(Probe(machine.id, address))
+        self.writer.load_block(number, stamp, machines)
+
+    def load_done(self) -> None:
+        self.loaded = True
+        for machine in self.machines.values():
+            if machine.settled:
+                # It reported before the jobs were read, so its tasks could not be told: until it
+                # has reported once more, they may run there and must not start elsewhere.
+                machine.settled = False
+                machine.calm = None
+                machine.probing = True
+                self.out.append(Probe(machine.id, machine.address))
+        self.want_pass = True
+        log.info(
+            "took over with token %d: %d machines, %d jobs",
+            self.epoch, len(self.machines), len(self.jobs),
+        )  # fmt: skip
+
+    def job_put(self, record: JobRecord, stamp: Stamp) -> None:
+        """A job's record was read or has come by the watch."""
+        id = JobId(record.spec.uid)
+        if id in self.jobs or id in self.pipelines.jobs:
+            return
+        job = Job(record, stamp, self.value_limit)
+        if record.needs and not record.marked:
+            # A job that waits for others is in nothing that counts queued work, and cannot start.
+            self.pipelines.add(job, wire.unpack_needs(record.needs))
+        else:
+            self._admit(job)
+        self.pipelines.graph.seen(id)
+
+    def _admit(self, job: Job) -> None:
+        self.jobs[job.id] = job
+        self.want_grades = True
+        self.want_pass = True
+
+    def job_ended(self, id: JobId, final: wire.FinalRecord, at: float) -> None:
+        """A job's end was read or committed: only now may those after it start."""
+        for job in self.pipelines.ended(id, final.phase, at):
+            log.info("%s may start: all that it waited for is done", job.id)
+            self._admit(job)
+
+    def job_gone(self, id: JobId) -> None:
+        """A job's live record is gone: it is done, or was cancelled by some controller."""
+        self.pipelines.gone(id)
+        job = self.jobs.pop(id, None)
+        if job is None:
+            return
+        job.ended = True
+        self.blame.forget(job, self.now)
+        self.want_grades = True
+        for placement in list(job.placed.values()):
+            self.stop(placement, 0.0)
+        self.want_pass = True
+
+    def removed(self, ids: Iterable[MachineId], now: Instant) -> None:
+        """The cloud has deleted these machines, or they stopped by themselves."""
+        for id in ids:
+            self.doomed.discard(id)
+            machine = self.machines.get(id)
+            if machine is None:
+                continue
+            machine.returning = True
+            self.lose_tasks(machine, "machine gone")
+            del self.machines[id]
+            self.gone[id] = None
+            while len(self.gone) > 5000:
+                del self.gone[next(iter(self.gone))]
+            self.writer.drop(machine)
+        self.want_pass = True
+
+    def next_epoch(self, epoch: Epoch) -> None:
+        self.epoch = epoch
+        self.want_epoch = False
+
+    def _unsure_usage(self) -> dict[TeamName, Amount]:
+        """What tasks may use that a former holder placed and nobody has found yet."""
+        usage: dict[TeamName, Amount] = {}
+        if not self.all_settled:
+            for job in self.jobs.values():
+                if job.unsure:
+                    old = usage.get(job.team, NOTHING)
+                    usage[job.team] = old.plus(job.need, len(job.unsure))
+        return usage
+
+    def waiting(self, now: Instant) -> list[Job]:
+        """Jobs with tasks to place, in the order in which they are served."""
+        ready = [
+            job
+            for job in self.jobs.values()
+            if (job.again or job.startable()) and job.hold_until <= now
+        ]
+        ready.sort(
+            key=lambda job: (
+                job.mistaken,
+                self.pipelines.served_as(job),
+                self.deadline(job),
+            )
+        )
+        return ready
+
+    def _grade(self) -> None:
+        """Each job's standing: who is served first and who may be stopped for whom.
+
+        A job is guaranteed if it fits its team's guarantee together with the team's earlier
+        unfinished jobs. That only ever changes from no to yes, and only work of a strictly lower
+        standing is stopped: so two jobs never take turns in stopping each other.
+        """
+        # The team's order is that in which its jobs became ready: one that waited for others takes
+        # nothing from those that run. The rank is that of the live jobs that need it, which changes
+        # only when users act.
+        self.want_grades = False
+        self.grades += 1
+        totals: dict[TeamName, Amount] = {}
+        for job in sorted(self.jobs.values(), key=lambda job: (job.ready_at, job.id)):
+            rank = min(wire.RANKS[job.spec.rank], self.pipelines.claim(job.id).rank)
+            if rank != job.rank:
+                job.rank = rank
+                for placement in job.placed.values():
+                    placement.rank = rank
+            total = totals.get(job.team, NOTHING).plus(job.need, job.size)
+            totals[job.team] = total
+            if job.rank == 0:
+                job.standing = (0, 0)
+            elif self.quota.fits_guarantee(job.team, total):
+                job.standing = (0, job.rank)
+            else:
+                job.standing = (1, job.rank)
+
+    def place(self, now: Instant) -> None:
+        """One pass over the waiting jobs."""
+        self.want_pass = False
+        if not self.loaded:
+            return
+        usable = [m for m in self.machines.values() if m.usable and m.type in self.skus]
+        free = {m.id: m.free(self.skus[m.type]) for m in usable}
+        unsure = self._unsure_usage()
+        if self.want_grades:
+            self._grade()
+        waiting = self.waiting(now)
+        self.reserve.note((job for job in waiting if not job.mistaken), now)
+        self.clearing.keep(free, now)
+        kept, able = self.reserve.split(usable, free, self.grades)
+        self.kept = kept
+        roomy = with_room(usable, free, waiting)
+        names = {m.id for m in roomy}
+        # Kinds of jobs for which nothing is left in this pass: thousands of tasks may wait.
+        full: set[Any] = set()
+        stoppable = self.clearing.look(waiting, now)
+        for job in waiting:
+            need = job.need
+            count = min(
+                job.startable(),
+                self.quota.room(job.team, need, unsure.get(job.team, NOTHING)),
+            )
+            if count <= 0 or (job.gang and (count < job.size or job.placed or job.unsure)):
+                continue
+            if job.mistaken:
+                # One try at a time, in room that happens to be there; nobody gives way for it.
+                if job.placed:
+                    continue
+                count = job.size if job.gang else 1
+            mine = self.clearing.give(job, free)
+            # What was cleared for the job counts as full for all others.
+            open_ = [m for m in usable if m.id in mine or m.id in names] if mine else roomy
+            # Replicas stay long: they take accelerated machines only if nothing else is left.
+            lasting = job.service and need.accelerators <= 0
+            barred = self.barred(job, able if lasting else kept) - mine
+            kind = (job.kind, lasting, bool(barred))
+            chosen: list[MachineId] = []
+            # Replicas wait for what is being cleared for them: it is gone in a moment.
+            coming = 0
+            if lasting:
+                coming = sum(1 for id in mine if id in free and not need.fits(free[id]))
+                if stoppable is not None and self.clearing.hurries(job):
+                    coming += self.clearing.near_image(
+                        job, count - coming, open_, free, able, stoppable, now
+                    )
+            if coming < count and (mine or kind not in full):
+                chosen = choose(self, job, count - coming, open_, free, barred, prefer=mine)
+                if not chosen and not mine and job.plain:
+                    full.add(kind)
+            if len(chosen) + coming < count and stoppable is not None:
+                coming += self.clearing.preempt(
+                    job, count - len(chosen) - coming, stoppable, free, mine, now
+                )
+            for step, wider in enumerate((kept - mine, set()) if lasting else ()):
+                if len(chosen) + coming < count and (mine or (kind, step) not in full):
+                    chosen = choose(self, job, count - coming, open_, free, wider, prefer=mine)
+                    if not chosen and not mine and job.plain:
+                        full.add((kind, step))
+            if job.gang and len(chosen) < job.size:
+                chosen = []
+            used = mine if len(chosen) == count else mine.intersection(chosen)
+            self.clearing.take_back(used, mine, free)
+            self._start(job, chosen, free, now)
+            if need.accelerators > 0 and chosen:
+                kept, able = self.reserve.split(usable, free, self.grades)
+                self.kept = kept
+        if stoppable is not None and self.all_settled:
+            self.clearing.move_replicas(kept, able, usable, free, stoppable, now)
+        if self.all_settled:
+            self.thrift.move(kept, usable, now)
+
+    def _start(
+        self, job: Job, chosen: list[MachineId], free: dict[MachineId, Amount], now: Instant
+    ) -> None:
+        if not chosen:
+            return
+        self.attempts += 1
+        attempt = Attempt((self.term << 20) + self.attempts)
+        left = [job.take() for _ in chosen]
+        pairs: list[tuple[int, MachineId]] = []
+        for id in chosen:
+            machine = self.machines[id]
+            for index in left:
+                task = TaskId(job.id, index)
+                if task not in machine.held and task not in machine.lingering:
+                    left.remove(index)
+                    pairs.append((index, id))
+                    break
+        if job.gang and left:
+            # One task would be refused where its last attempt is still listed: not without it.
+            left += [index for index, _ in pairs]
+            pairs = []
+        for index in left:
+            job.put_back(index)
+        for index, id in pairs:
+            machine = self.machines[id]
+            task = TaskId(job.id, index)
+            placement = Placement(task, attempt, id, machine.zone, job, now)
+            placement.ready = index < job.marked
+            self.hold(machine, job, placement)
+            free[id] = free[id].minus(job.need)
+            if placement.ready:
+                self.send(placement)
+
+    def fleet_lines(self) -> list[str]:
+        """The machines by offer: how many, how many of them empty, how full; and what waits."""
+        groups: dict[str, list[Machine]] = {}
+        for machine in self.machines.values():
+            kind = "spot" if machine.spot else "ordinary"
+            groups.setdefault(f"{machine.type} {machine.zone} {kind}", []).append(machine)
+        lines = []
+        for name, machines in sorted(groups.items()):
+            whole = sum(self.skus[m.type].cores for m in machines if m.type in self.skus)
+            booked = sum(m.booked.cores for m in machines)
+            empty = sum(1 for m in machines if not m.held)
+            unusable = sum(1 for m in machines if not m.usable)
+            lines.append(
+                f"{name}: {len(machines)}, {empty} empty, {unusable} not usable,"
+                f" {100 * booked / whole if whole else 0:.0f}% of the cores booked"
+            )
+        waits: dict[str, tuple[int, int, float]] = {}
+        for job in self.jobs.values():
+            tasks = job.startable()
+            if tasks:
+                jobs, total, first = waits.get(job.spec.jobclass, (0, 0, job.at))
+                waits[job.spec.jobclass] = (jobs + 1, total + tasks, min(first, job.at))
+        for name, (jobs, total, first) in sorted(waits.items()):
+            lines.append(
+                f"waiting {name}: {total} tasks of {jobs} jobs,"
+                f" the oldest job {self.wall() - first:.0f} s old"
+            )
+        return lines
+
+    def lacking(self, now: Instant) -> list[tuple[Job, int]]:
+        """Jobs with tasks for which there is no room, in the order of service."""
+        found = []
+        for job in self.waiting(now):
+            count = min(job.startable(), self.quota.room(job.team, job.need))
+            if job.gang and (job.placed or count < job.size):
+                continue
+            if count > 0 and not job.mistaken:
+                found.append((job, count))
+        return found
--- a/umberward/tending.py
+++ b/umberward/decisions/tending.py
@@ -18,8 +18,8 @@
 
 import msgspec
 
-from umberward.settings import Workers
-from umberward.types import Epoch, Instant, MachineId, NodeName, ZoneName
+from umberward.core.settings import Workers
+from umberward.core.types import Epoch, Instant, MachineId, NodeName, ZoneName
 
 DRIFT = 1.001
 MARGIN_S = 0.5
--- a/umberward/thrift.py
+++ b/umberward/decisions/thrift.py
@@ -9,14 +9,13 @@
 from __future__ import annotations
 
 import logging
-from typing import TYPE_CHECKING
 
-from umberward.fleet import Machine, with_room
-from umberward.jobs import Job, Placement
-from umberward.types import ImageName, Instant, MachineId, TypeName
-
-if TYPE_CHECKING:
-    from umberward.scheduler import Scheduler
+from umberward.core.types import ImageName, Instant, MachineId, TypeName
+from umberward.decisions.choice import choose
+from umberward.decisions.clearing import Clearing
+from umberward.decisions.cluster import Cluster
+from umberward.decisions.fleet import Machine, with_room
+from umberward.decisions.jobs import Job, Placement
 
 log = logging.getLogger(__name__)
 
@@ -29,8 +28,9 @@
 
 
 class Thrift:
-    def __init__(self, scheduler: Scheduler, now: Instant) -> None:
-        self.scheduler = scheduler
+    def __init__(self, cluster: Cluster, clearing: Clearing, now: Instant) -> None:
+        self.cluster = cluster
+        self.clearing = clearing
         self.look_at = now
         self.move_at = now
         # Replicas for which cheaper room must be rented first, and what a core may cost there.
@@ -38,19 +38,19 @@
 
     def unit_price(self, type_: TypeName) -> float:
         """What a core costs for an hour on an ordinary machine."""
-        sku = self.scheduler.skus[type_]
+        sku = self.cluster.skus[type_]
         return sku.hourly / sku.cores if sku.cores > 0 else sku.hourly
 
     def move(self, kept: set[MachineId], usable: list[Machine], now: Instant) -> None:
         """Stop one replica that has a cheaper place, with room kept for it there."""
-        if now < self.look_at or not self.scheduler.skus:
+        if now < self.look_at or not self.cluster.skus:
             return
         self.look_at = Instant(now + LOOK_EVERY_S)
         self.homeless = []
-        scheduler = self.scheduler
-        least = min(self.unit_price(type_) for type_ in scheduler.skus)
+        cluster = self.cluster
+        least = min(self.unit_price(type_) for type_ in cluster.skus)
         sources = [
-            (scheduler.skus[m.type].hourly - least * m.booked.cores, m.id, m)
+            (cluster.skus[m.type].hourly - least * m.booked.cores, m.id, m)
             for m in usable
             if m.held
             and m.id not in kept
@@ -58,12 +58,12 @@
             and all(p.rank == 0 and p.need.accelerators <= 0 for p in m.held.values())
         ]
         sources.sort(reverse=True)
-        clearing = scheduler.clearing
+        clearing = self.clearing
         if not sources:
             return
-        free = {m.id: m.free(scheduler.skus[m.type]) for m in usable}
+        free = {m.id: m.free(cluster.skus[m.type]) for m in usable}
         clearing.keep(free, now)
-        replicas = (job for job in scheduler.jobs.values() if job.service)
+        replicas = (job for job in cluster.jobs.values() if job.service)
         roomy = with_room(usable, free, replicas)
         tries = 0
         far: tuple[Placement, Machine, Job, MachineId] | None = None
@@ -73,24 +73,24 @@
                 m for m in roomy if self.unit_price(m.type) < bound and m.id not in clearing.cleared
             ]
             for placement in list(machine.held.values()):
-                job = scheduler.jobs.get(placement.task.job)
+                job = cluster.jobs.get(placement.task.job)
                 if job is None or tries >= TRIES or not self._may_move(job, placement, now):
                     continue
                 tries += 1
                 image = ImageName(job.spec.bundle)
                 near = [m for m in others if image in m.images]
-                chosen = scheduler.choose(job, 1, near, free, set(), placement)
+                chosen = choose(cluster, job, 1, near, free, set(), placement)
                 if chosen:
                     if now >= self.move_at:
                         self._move(placement, machine, job, chosen[0], AWAY_S, now)
                     return
-                chosen = scheduler.choose(job, 1, others, free, set(), placement)
+                chosen = choose(cluster, job, 1, others, free, set(), placement)
                 if not chosen:
                     self.homeless.append((job, bound))
                 elif far is None:
                     far = (placement, machine, job, chosen[0])
         if far is not None and now >= self.move_at:
-            slowest = min(sku.fetch_gb_per_s for sku in scheduler.skus.values())
+            slowest = min(sku.fetch_gb_per_s for sku in cluster.skus.values())
             placement, machine, job, target = far
             away = AWAY_S + job.spec.pull_gb / slowest
             self._move(placement, machine, job, target, away, now)
@@ -106,8 +106,8 @@
     ) -> None:
         log.info("%s moves off %s, a dear machine", placement.task, machine.id)
         self.move_at = Instant(now + away / self._away_at_once())
-        self.scheduler.clearing.reserve_room(job, target, now)
-        self.scheduler.stop(placement, 0.0)
+        self.clearing.reserve_room(job, target, now)
+        self.cluster.stop(placement, 0.0)
 
     def _may_move(self, job: Job, placement: Placement, now: Instant) -> bool:
         return (
@@ -121,5 +121,5 @@
 
     def _away_at_once(self) -> float:
         """How many replicas may be away on average, for the sake of moves."""
-        jobs = self.scheduler.jobs.values()
+        jobs = self.cluster.jobs.values()
         return max(0.01, AWAY_PART * sum(len(job.placed) for job in jobs if job.service))
--- /dev/null
+++ b/umberward/decisions/watch.py
@@ -0,0 +1,167 @@
+"""What time alone tells: who is silent, whose lease is over, and whether it is we who are cut off.
+
+No I/O.
+"""
+
+from __future__ import annotations
+
+import logging
+
+from umberward.core.types import (
+    Instant,
+    NodeName,
+    Tenure,
+    ZoneName,
+)
+from umberward.decisions.cluster import Cluster, Probe
+from umberward.decisions.fleet import Machine
+from umberward.decisions.tending import DRIFT, MARGIN_S, Lender, Loan
+
+log = logging.getLogger(__name__)
+
+LEAST_WORKERS = 4  # with fewer it can't be told whether they or we are cut off
+MANY_WORKERS = 20  # so many report at moments spread evenly enough
+DEAF_MARGIN_S = 1.0
+FEW_PART = 0.1  # of the machines may die at once, more are rather cut off
+ZONE_PART = 0.5  # of a zone's machines: where fewer are heard, the zone may be cut off
+STOOD_STILL_S = 1.0  # without a message for so long, it was we who stood still: ticks are frequent
+
+
+class Watch:
+    def __init__(self, cluster: Cluster, lender: Lender) -> None:
+        self.cluster = cluster
+        self.lender = lender
+
+    def wake(self, now: Instant) -> None:
+        """To be called before anything else is decided, with the clock read anew.
+
+        If we stood still, the machines were not silent: it was we who did not listen, and what they
+        sent meanwhile is still to be read. Their leases ran on all the same.
+        """
+        gap = now - self.cluster.awake
+        self.cluster.awake = now
+        if gap <= STOOD_STILL_S:
+            return
+        log.info("stood still for %.1f s", gap)
+        self.cluster.heard = min(now, Instant(self.cluster.heard + gap))
+        for machine in self.cluster.machines.values():
+            machine.heard = min(now, Instant(machine.heard + gap))
+
+    def tick(self, now: Instant) -> None:
+        """Sessions that are over, machines to ask, and whether all is settled."""
+        takeover = self.cluster.workers.cancel_s * DRIFT + 2 * MARGIN_S
+        silence = self.cluster.silence()
+        for machine in self.cluster.machines.values():
+            quiet = now - machine.heard
+            if quiet > silence and not machine.probing and not machine.returning:
+                machine.probing = True
+                self.cluster.out.append(Probe(machine.id, machine.address))
+            if machine.settled:
+                if machine.answered is not None and self.lender.session_over(
+                    machine.zone, machine.answered, machine.lent, now
+                ):
+                    # Its lease has run out: it has killed all that it had.
+                    self._expire(machine)
+            elif not machine.cleared and now - self.cluster.started > takeover:
+                # A former holder may answer reports for cancel_s - lease_s after it last held its
+                # lease, which was before we took over; lease_s after that all is gone.
+                machine.cleared = True
+        if not self.cluster.all_settled and self.cluster.loaded:
+            waiting = [m for m in self.cluster.machines.values() if not (m.settled or m.cleared)]
+            if not waiting:
+                self.cluster.all_settled = True
+                for job in self.cluster.jobs.values():
+                    job.settle()
+                self.cluster.want_pass = True
+                log.info("all machines settled after %.1f s", now - self.cluster.started)
+
+    def deaf(self, now: Instant) -> bool:
+        """Whether no worker at all is heard, though so many should report that one would be."""
+        met = sum(1 for m in self.cluster.machines.values() if m.met)
+        if met < LEAST_WORKERS:
+            return False
+        # Each reports at least so often; the more there are, the sooner one of them does.
+        longest = (
+            1.25 * self.cluster.workers.report_s * min(1.0, MANY_WORKERS / met) + DEAF_MARGIN_S
+        )
+        return now - self.cluster.heard > longest
+
+    def cut_off(self, now: Instant) -> bool:
+        """Whether the workers seem to be out of our reach, all but a few."""
+        if now - self.cluster.started < 2 * self.cluster.silence():
+            return False
+        if self.deaf(now):
+            return True
+        met = [m for m in self.cluster.machines.values() if m.met]
+        if len(met) < LEAST_WORKERS:
+            return False
+        heard = sum(1 for m in met if not m.silent and now - m.heard < self.cluster.silence() + 1.0)
+        return heard < 0.25 * len(met)
+
+    def _expire(self, machine: Machine) -> None:
+        self.cluster.lose_tasks(machine, "lease over")
+        machine.min_tenure = Tenure(machine.tenure + 1)
+        machine.answered = None
+        machine.lapsed = True
+
+    def pick_doomed(self, now: Instant) -> None:
+        """Silent machines are deleted: that frees their tasks before the lease does.
+
+        Many silent ones at once mean that we, or their zone, are cut off, not that they are dead:
+        what runs there goes on until their leases are nearly over, and so long they are left alone.
+        If hardly any is heard, it is us.
+        """
+        silent = [m for m in self.cluster.machines.values() if m.silent and not m.returning]
+        if not silent:
+            return
+        taken = [m for m in silent if m.notice_at is not None]
+        self.cluster.doomed.update(m.id for m in taken)
+        recent = 1.25 * self.cluster.workers.report_s + DEAF_MARGIN_S
+        apart = self._zones_apart(now, recent)
+        silent = [m for m in silent if m.zone not in apart or m.lapsed or m.cleared]
+        met = [m for m in self.cluster.machines.values() if m.met and m.zone not in apart]
+        alive = sum(1 for m in met if now - m.heard < recent)
+        if self.deaf(now) or not alive:
+            return
+        # Those whose report is overdue count as well: of a cut, some are noticed before others.
+        overdue = len(met) - alive - sum(1 for m in taken if m.zone not in apart)
+        if overdue <= max(3, FEW_PART * len(met)):
+            self.cluster.doomed.update(m.id for m in silent)
+        elif overdue <= 0.7 * alive:
+            late = 0.8 * self.cluster.workers.lease_s
+            self.cluster.doomed.update(m.id for m in silent if now - m.heard > late)
+
+    def _zones_apart(self, now: Instant, recent: float) -> set[ZoneName]:
+        """Zones of which hardly any machine is heard, and in which another controller may answer
+        them: what runs there goes on, for as long as that may be so.
+
+        A new leader may never have heard of any of them.
+        """
+        heard: dict[ZoneName, list[bool]] = {}
+        for machine in self.cluster.machines.values():
+            if machine.zone in self.lender.zones and machine.notice_at is None:
+                here = machine.met and now - machine.heard < recent
+                heard.setdefault(machine.zone, []).append(here)
+        return {
+            zone
+            for zone, here in heard.items()
+            if len(here) >= LEAST_WORKERS and sum(here) < ZONE_PART * len(here)
+        }
+
+    def lend(self, borrower: NodeName, seen: int, idle: bool, now: Instant) -> Loan:
+        """The machines of its zone that this controller may answer if the zone is cut off."""
+        zone = self.lender.borrowers.get(borrower)
+        serial = self.lender.asked(borrower, seen, idle, now)
+        hosts = []
+        for machine in self.cluster.machines.values() if self.cluster.loaded else ():
+            if (
+                machine.zone == zone
+                and machine.settled
+                and machine.epoch == self.cluster.epoch
+                and now - machine.heard < self.cluster.silence()
+                and not (machine.strays or machine.returning or machine.lapsed)
+                and not machine.stopping
+            ):
+                machine.lent = now
+                hosts.append(str(machine.id))
+        return Loan(self.cluster.epoch, serial, max(0.0, now - self.cluster.current), hosts)
--- a/umberward/writer.py
+++ b/umberward/decisions/writer.py
@@ -8,17 +8,16 @@
 
 import logging
 import math
-from typing import TYPE_CHECKING, Any, NamedTuple
+from typing import Any, NamedTuple
 
-from umberward import state, wire
-from umberward.fleet import Machine
-from umberward.jobs import Job
-from umberward.settings import StateLimits
-from umberward.types import Instant, JobId, Key, MachineId, Stamp
-from umberward.wire import BLOCKS, LIVE, PAST, JobRecord
-
-if TYPE_CHECKING:
-    from umberward.scheduler import Scheduler
+from umberward.core.settings import StateLimits
+from umberward.core.types import Instant, JobId, Key, MachineId, Stamp
+from umberward.decisions.cluster import Cluster
+from umberward.decisions.fleet import Machine
+from umberward.decisions.jobs import Job
+from umberward.decisions.pipelines import Pipelines
+from umberward.protocol import changes, wire
+from umberward.protocol.wire import BLOCKS, LIVE, PAST, JobRecord
 
 log = logging.getLogger(__name__)
 
@@ -39,19 +38,20 @@
 
 class Writer:
     def __init__(
-        self, scheduler: Scheduler, limits: StateLimits, value_limit: int, now: Instant
+        self, cluster: Cluster, pipelines: Pipelines, limits: StateLimits, now: Instant
     ) -> None:
-        self.scheduler = scheduler
+        self.cluster = cluster
+        self.pipelines = pipelines
         self.most = limits.txn_ops  # changes in one transaction
-        self.value_limit = value_limit
+        self.value_limit = cluster.value_limit
         self.interim_rate = INTERIM_PART * limits.write_rps
         self.blocks: dict[int, tuple[Stamp, set[MachineId]]] = {}
-        self.block_size = max(4, min(32, value_limit // 120))
+        self.block_size = max(4, min(32, cluster.value_limit // 120))
         self.dirty_blocks: set[int] = set()
         self.leaving: dict[int, set[MachineId]] = {}  # block -> machines that move to others
         self.pending_block: dict[MachineId, int] = {}
         self.touched: set[JobId] = set()  # jobs with completions to write by and by
-        self.urgent: set[JobId] = set()  # jobs with a mark or their end to write
+        self.urgent = cluster.urgent
         self.interim_at = now
 
     def completions(self, job: Job) -> None:
@@ -74,19 +74,19 @@
         return bool(
             self.urgent
             or self.dirty_blocks
-            or self.scheduler.pipelines.graph.doomed
+            or self.pipelines.graph.doomed
             or (self.touched and now >= self.interim_at)
         )
 
     def next_batch(self, now: Instant) -> Batch | None:
         """The most urgent writes that are due, as one transaction."""
         most = self.most
-        batch = Batch([], [], state.URGENT, [], [], [])
+        batch = Batch([], [], changes.URGENT, [], [], [])
         size = 0
         finals: list[Job] = []
         marks: list[Job] = []
         for id in list(self.urgent):
-            job = self.scheduler.jobs.get(id)
+            job = self.cluster.jobs.get(id)
             if job is not None and job.complete:
                 finals.append(job)
             elif job is not None and job.unready:
@@ -114,7 +114,7 @@
             stamp, _ = self.blocks[number]
             key = Key(f"{BLOCKS}{number}")
             batch.conditions.append((key, stamp))
-            batch.writes.append(state.put(key, wire.BlockRecord(hosts)))
+            batch.writes.append(changes.put(key, wire.BlockRecord(hosts)))
             batch.blocks.append((number, hosts))
             size += wire.json_size(batch.writes[-1])
         # A replica should run at once; a job's end may be told a little later.
@@ -122,11 +122,11 @@
         later = [job for job in marks if not job.service]
         # All controllers call a job cancelled as soon as one before it is, so its record may wait;
         # but something is always done about it.
-        dooms = self.scheduler.pipelines.dooms(most)
+        dooms = self.pipelines.dooms(most)
         due = at_once + finals + dooms[:1] + later + dooms[1:]
         if not due and not batch.writes:
             due = self._interim(now)
-            batch = batch._replace(priority=state.LAZY)
+            batch = batch._replace(priority=changes.LAZY)
         for job in due:
             final = self._final(job)
             ops = 1 if final is None else 2
@@ -134,8 +134,8 @@
                 break
             key = Key(LIVE + job.id)
             if final is not None:
-                batch.writes.append(state.put(Key(PAST + job.id), final))
-                batch.writes.append(state.delete(key))
+                batch.writes.append(changes.put(Key(PAST + job.id), final))
+                batch.writes.append(changes.delete(key))
                 batch.ended.append((job, final))
             else:
                 marked = max([job.marked, *(index + 1 for index in job.placed)])
@@ -149,7 +149,7 @@
                 if wire.json_size(record) > self.value_limit:
                     self._set_aside(job)
                     continue
-                batch.writes.append(state.put(key, record))
+                batch.writes.append(changes.put(key, record))
                 batch.jobs.append((job, record))
             batch.conditions.append((key, job.stamp))
             size += wire.json_size(batch.writes[-1])
@@ -157,13 +157,13 @@
 
     def _final(self, job: Job) -> wire.FinalRecord | None:
         """How the job has ended, if it has."""
-        graph = self.scheduler.pipelines.graph
+        graph = self.pipelines.graph
         if job.id in graph.doomed:
             return wire.FinalRecord(wire.CANCELLED, because=graph.doomed[job.id])
         if not job.complete:
             return None
         # When it ended matters to those that wait for it only.
-        at = round(self.scheduler.wall(), 3) if job.id in graph.heirs else None
+        at = round(self.cluster.wall(), 3) if job.id in graph.heirs else None
         return wire.FinalRecord(wire.DONE, job.size, at)
 
     def _set_aside(self, job: Job) -> None:
@@ -174,7 +174,7 @@
         self.urgent.discard(job.id)
         for placement in list(job.placed.values()):
             if not placement.ready:
-                self.scheduler.stop(placement, 0.0)
+                self.cluster.stop(placement, 0.0)
 
     def _interim(self, now: Instant) -> list[Job]:
         """Jobs whose completions are to be written though they go on.
@@ -186,7 +186,7 @@
             return []
         found = []
         for id in list(self.touched):
-            job = self.scheduler.jobs.get(id)
+            job = self.cluster.jobs.get(id)
             if job is None or not job.dirty:
                 self.touched.discard(id)
             elif now - job.committed_at > INTERIM_S:
@@ -196,16 +196,14 @@
         self.interim_at = Instant(now + max(0.25, len(found) / self.interim_rate))
         return found
 
-    def committed(self, batch: Batch, stamp: Stamp, now: Instant) -> None:
+    def committed(
+        self, batch: Batch, stamp: Stamp, now: Instant
+    ) -> list[tuple[Job, wire.FinalRecord]]:
+        """Note what stands in the state service now; returns the jobs that are over by it."""
         for number, hosts in batch.blocks:
             _, names = self.blocks[number]
             self.blocks[number] = (stamp, names)
             self.block_stored(number, {MachineId(name) for name in hosts})
-        for job, final in batch.ended:
-            if not job.ended:
-                log.info("%s is %s", job.id, final.phase)
-                self.scheduler.job_ended(job.id, final, final.at or self.scheduler.wall())
-                self.scheduler.job_gone(job.id)
         for job, record in batch.jobs:
             if job.ended:
                 continue
@@ -214,7 +212,8 @@
             job.saved = (record.base, int(record.done, 16))
             job.committed_at = now
             self.marked(job)
-        self.scheduler.want_pass = True
+        self.cluster.want_pass = True
+        return [(job, final) for job, final in batch.ended if not job.ended]
 
     def block_stored(self, number: int, stored: set[MachineId]) -> None:
         names = self.blocks[number][1]
@@ -223,7 +222,7 @@
             self.leaving.pop(number, None)
         for id in stored & names:
             self.pending_block.pop(id, None)
-            machine = self.scheduler.machines.get(id)
+            machine = self.cluster.machines.get(id)
             if machine is not None:
                 machine.block = number
 
@@ -232,11 +231,12 @@
             if index < job.marked and not placement.ready:
                 placement.ready = True
                 job.unready -= 1
-                if placement.stop is None and placement.machine in self.scheduler.machines:
-                    self.scheduler.send(placement)
+                if placement.stop is None and placement.machine in self.cluster.machines:
+                    self.cluster.send(placement)
 
-    def reread(self, key: Key, found: state.Got | None) -> None:
-        """What the state service has after a conflict or an unknown outcome."""
+    def reread(self, key: Key, found: changes.Got | None) -> JobId | None:
+        """What the state service has after a conflict or an unknown outcome. Returns a job whose
+        record is gone."""
         if key.startswith(BLOCKS):
             number = int(key[len(BLOCKS) :])
             if number in self.blocks:
@@ -247,16 +247,14 @@
                     record = wire.converted(found.data, wire.BlockRecord)
                     self.blocks[number] = (found.stamp, names)
                     self.block_stored(number, {MachineId(name) for name in record.hosts})
-            return
+            return None
         id = JobId(key[len(LIVE) :])
-        job = self.scheduler.jobs.get(id) or self.scheduler.pipelines.jobs.get(id)
-        if job is None:
-            return
-        if found is None:
-            self.scheduler.job_gone(id)
-            return
+        job = self.cluster.jobs.get(id) or self.pipelines.jobs.get(id)
+        if job is None or found is None:
+            return None if job is None else id
         job.adopt(wire.converted(found.data, JobRecord), found.stamp)
         self.marked(job)
+        return None
 
     # ---- blocks ------------------------------------------------------------------------
 
@@ -276,7 +274,7 @@
         return {
             str(id): (m.address, str(m.type), str(m.zone), m.spot)
             for id in sorted(self.blocks[number][1])
-            if (m := self.scheduler.machines.get(id)) is not None
+            if (m := self.cluster.machines.get(id)) is not None
         }
 
     def _part(self, number: int) -> None:
@@ -290,7 +288,7 @@
         names.difference_update(leaving)
         self.leaving.setdefault(number, set()).update(leaving)
         for id in leaving:
-            machine = self.scheduler.machines.get(id)
+            machine = self.cluster.machines.get(id)
             if machine is not None:
                 self.assign_block(machine)
 
--- a/umberward/http.py
+++ b/umberward/protocol/http.py
@@ -13,8 +13,8 @@
 import curio.socket as sockets
 import h11
 
-from umberward.types import Address
-from umberward.wire import BODY_LIMIT
+from umberward.core.types import Address
+from umberward.protocol.wire import BODY_LIMIT
 
 log = logging.getLogger(__name__)
 
--- a/umberward/wire.py
+++ b/umberward/protocol/wire.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from umberward.types import JOB_PREFIX, MAX_TASKS, JobId, parse_job_id
+from umberward.core.types import JOB_PREFIX, MAX_TASKS, JobId, parse_job_id
 
 BODY_LIMIT = 64 * 1024
 RENT_LIMIT = 50
