--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""What developers run; nothing of it is part of the service."""
