Polls are gathered, jobs to place stand in an index, and heads of messages are kept

Three controllers read the changes of the jobs 74 times a second for polls that users wait 2 s for; each pass and search for offers looked at all jobs under way; each message's head was checked and written anew.

Change: polls that come within 0.15 s share a reading, submissions and cancellations cut that short; `unplaced` holds the jobs that may have tasks to place; heads are kept; a kept connection is tested with one system call; best fit divides only into machines whose turn comes; no look for replicas to move while none may move.

--- a/tests/guards.py
+++ b/tests/guards.py
@@ -162,7 +162,7 @@
 
 
 def past_lookup(patch: pytest.MonkeyPatch) -> None:
-    async def state(self: Mirror, id: Any) -> Any:
+    async def state(self: Mirror, id: Any, urgent: bool = False) -> Any:
         await self._refresh()
         return self.live.get(id)
 
@@ -173,7 +173,7 @@
 def known_first(patch: pytest.MonkeyPatch) -> None:
     """Every job is taken for one that was submitted."""
 
-    async def known(self: Users, id: Any) -> Any:
+    async def known(self: Users, id: Any, urgent: bool = True) -> Any:
         return users._state(id or JobId("req-0"), "pending", 0)
 
     patch.setattr(Users, "_known", known)
@@ -212,7 +212,7 @@
 
 
 def absent_known(patch: pytest.MonkeyPatch) -> None:
-    async def state(self: Mirror, id: Any) -> Any:
+    async def state(self: Mirror, id: Any, urgent: bool = False) -> Any:
         self.absent.clear()
         return await whole(self, id)
 
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -474,6 +474,17 @@
     def cost_searching(self, seconds: str) -> int:
         return self._counted("searches", seconds)
 
+    def cost_considering(self, seconds: str) -> int:
+        """Jobs that are looked at for tasks to place."""
+        return self._counted("considered", seconds)
+
+    def cost_polls_one_by_one(self, id: str, times: str, gap_s: str) -> int:
+        """Requests to the state service for polls one after the other, in each 0.15 s."""
+        began, before = time.monotonic(), self.world.store.requests
+        self.world.polls_one_by_one(id, int(times), float(gap_s))
+        spans = 1 + (time.monotonic() - began) / 0.15
+        return round((self.world.store.requests - before) / spans)
+
     def cost_looking(self, seconds: str) -> int:
         """Machines that are looked at for work that may be stopped."""
         return self._counted("looks", seconds)
--- a/tests/world.py
+++ b/tests/world.py
@@ -350,6 +350,18 @@
         self._serve(polls, JobId(id))
         return self.store.requests - before
 
+    def polls_one_by_one(self, id: str, times: int, gap_s: float) -> None:
+        async def polls(id: JobId) -> Response:
+            asked = []
+            for _ in range(times):
+                asked.append(await curio.spawn(self.users.poll, id))
+                await curio.sleep(gap_s)
+            answers = [await task.join() for task in asked]
+            assert all(answer.status == 200 for answer in answers)
+            return answers[0]  # type: ignore[no-any-return]
+
+        self._serve(polls, JobId(id))
+
     def cancel(self, id: str) -> Response:
         response = self._serve(self.users.cancel, JobId(id))
         if response.status == 200 and self._check_phase(id, response) == wire.CANCELLED:
--- a/umberward/control/mirror.py
+++ b/umberward/control/mirror.py
@@ -29,6 +29,8 @@
 SHARE = 0.2  # of the state service's requests, for all controllers' copies together
 ANSWER_S = 1.2  # users wait 2 s for the answer to a poll
 STALE_S = 0.4  # what was read so long ago is read again: we stood still, or were kept waiting
+# Polls that come meanwhile are answered together; their users wait 2 s. Submissions do not wait.
+GATHER_S = 0.15
 LULL_S = 10.0  # without polls a copy is brought up to date so often, as old changes are dropped
 NOBODYS = object()  # nobody has submitted the job
 
@@ -66,17 +68,19 @@
         self.after: Revision | None = None
         self.read_at = 0.0  # when the latest changes were asked for
         self.mail: curio.Queue = curio.Queue()
+        self.hurry = curio.Event()
 
-    async def state(self, id: JobId) -> Live | FinalRecord | None:
-        """Raises state.Unavailable or state.Unknown. None: no controller has accepted it."""
+    async def state(self, id: JobId, urgent: bool = False) -> Live | FinalRecord | None:
+        """Raises state.Unavailable or state.Unknown. None: no controller has accepted it.
+
+        What is not urgent waits for others that come within GATHER_S.
+        """
         asked = self.clock()
         while True:
             final = self.finals.get(id)
             if final is not None:
                 return final
-            question = Ask(Fresh())
-            await self.mail.put(question)
-            failed = await question.wait()
+            failed = await self._ask(urgent)
             if failed is not None:
                 raise failed
             # A final state may have been told to its user while we waited: it comes first.
@@ -94,13 +98,19 @@
     async def states(self, ids: list[JobId]) -> dict[JobId, Live | FinalRecord | None]:
         """The same for many jobs, with one reading of what has changed. Whatever was accepted
         before the question is found; what ends meanwhile may show either way."""
-        question = Ask(Fresh())
-        await self.mail.put(question)
-        failed = await question.wait()
+        failed = await self._ask(urgent=True)
         if failed is not None:
             raise failed
         return {id: await self._found(id) for id in ids}
 
+    async def _ask(self, urgent: bool) -> Exception | None:
+        question = Ask(Fresh())
+        await self.mail.put(question)
+        if urgent:
+            await self.hurry.set()
+        failed: Exception | None = await question.wait()
+        return failed
+
     async def _found(self, id: JobId) -> Live | FinalRecord | None:
         # A final state may have been told to its user while we waited: it comes first.
         found = self.finals.get(id) or self.live.get(id)
@@ -156,6 +166,7 @@
             first = await curio.ignore_after(LULL_S, self.mail.get)
             if first is not None:
                 asked.append(first)
+            self.hurry.clear()
             while not self.mail.empty():
                 asked.append(await self.mail.get())
             failed: Exception | None = None
@@ -167,6 +178,7 @@
             for question in asked:
                 await question.reply(failed)
             await curio.sleep(self.pause)
+            await curio.ignore_after(GATHER_S, self.hurry.wait)
 
     async def _refresh(self) -> None:
         sent = self.clock()
--- a/umberward/control/users.py
+++ b/umberward/control/users.py
@@ -126,7 +126,7 @@
 
     async def poll(self, id: JobId) -> Response:
         try:
-            return await self._known(id) or Response(404)
+            return await self._known(id, urgent=False) or Response(404)
         except (state.Unavailable, state.Unknown) as error:
             log.debug("poll of %s: %s", id, error)
             return Response(503, retry_after=RETRY_S)
@@ -147,7 +147,7 @@
         live = await self.store.get(Key(LIVE + id))
         if live is None:
             # It moves from live to past at once: if it is known, it is over.
-            known = await self.mirror.state(id)
+            known = await self.mirror.state(id, urgent=True)
             if known is None:
                 return Response(404)
             if isinstance(known, FinalRecord):
@@ -166,8 +166,8 @@
 
     # ---- parts -------------------------------------------------------------------------
 
-    async def _known(self, id: JobId | None) -> Response | None:
-        known = None if id is None else await self.mirror.state(id)
+    async def _known(self, id: JobId | None, urgent: bool = True) -> Response | None:
+        known = None if id is None else await self.mirror.state(id, urgent)
         if id is None or known is None:
             return None
         return self._answer(id, known)
--- a/umberward/decisions/cluster.py
+++ b/umberward/decisions/cluster.py
@@ -96,6 +96,8 @@
         self.wall = wall
         self.rng = rng
         self.jobs: dict[JobId, Job] = {}
+        # Jobs that may have tasks to place, in the order in which they came to have some.
+        self.unplaced: dict[JobId, Job] = {}
         self.claims: dict[JobId, Claim] = {}  # what the jobs after a job ask of it
         self.urgent: set[JobId] = set()  # jobs with a mark or their end to write
         self.machines: dict[MachineId, Machine] = {}
@@ -107,6 +109,7 @@
         self.fleet_kinds = 0  # how often these, or the machine types, have changed
         self.kept: set[MachineId] = set()  # the machines that the reserve is made of
         self.read = 0  # reports that were read in full
+        self.considered = 0  # jobs that were looked at for tasks to place
         self.looks = 0  # machines that were looked at for work that may be stopped
         self.searches = 0  # searches for room among all machines
         self.loaded = False
@@ -219,6 +222,7 @@
         if not requeue:
             return
         job.put_back(placement.task.number)
+        self.unplaced[job.id] = job
         if job.gang:
             # The rest of a gang is of no use without this task.
             for other in list(job.placed.values()):
--- a/umberward/decisions/placement.py
+++ b/umberward/decisions/placement.py
@@ -32,7 +32,7 @@
     `zone_left` bounds how many more tasks of the job a zone may take.
     """
     ready = sorted((room for room in rooms if need.fits(room.free)), key=lambda room: room.order)
-    left = {room.machine: need.times_into(room.free) for room in ready}
+    left: dict[MachineId, int] = {}  # of the machines whose turn has come
     zones: dict[ZoneName, int] = {}
     if zone_left is not None:
         for room in ready:
@@ -46,6 +46,8 @@
     while ring and len(chosen) < count:
         turn %= len(ring)
         room = ring[turn]
+        if room.machine not in left:
+            left[room.machine] = need.times_into(room.free)
         if left[room.machine] <= 0 or zones.get(room.zone, 1) <= 0:
             if rest:
                 ring[turn] = rest.pop()
--- a/umberward/decisions/reports.py
+++ b/umberward/decisions/reports.py
@@ -234,6 +234,7 @@
                 if other is not None and not job.gang:
                     self.cluster.stop(other, 0.0)
             self.writer.completions(job)
+            self.cluster.unplaced[job.id] = job  # its window may have moved on
         elif placement is not None and shard.cause == "error":
             self.blame.failed(machine, job, placement, now)
         elif placement is not None:
--- a/umberward/decisions/scheduler.py
+++ b/umberward/decisions/scheduler.py
@@ -162,7 +162,7 @@
         self.pipelines.graph.seen(id)
 
     def _admit(self, job: Job) -> None:
-        self.jobs[job.id] = job
+        self.jobs[job.id] = self.unplaced[job.id] = job
         self.want_grades = True
         self.want_pass = True
 
@@ -176,6 +176,7 @@
         """A job's live record is gone: it is done, or was cancelled by some controller."""
         self.pipelines.gone(id)
         job = self.jobs.pop(id, None)
+        self.unplaced.pop(id, None)
         if job is None:
             return
         job.ended = True
@@ -217,11 +218,13 @@
 
     def waiting(self, now: Instant) -> list[Job]:
         """Jobs with tasks to place, in the order in which they are served."""
-        ready = [
-            job
-            for job in self.jobs.values()
-            if (job.again or job.startable()) and job.hold_until <= now
-        ]
+        ready = []
+        self.considered += len(self.unplaced)
+        for job in list(self.unplaced.values()):
+            if not job.startable():
+                del self.unplaced[job.id]
+            elif job.hold_until <= now:
+                ready.append(job)
         ready.sort(
             key=lambda job: (
                 job.mistaken,
--- a/umberward/decisions/thrift.py
+++ b/umberward/decisions/thrift.py
@@ -43,7 +43,7 @@
 
     def move(self, kept: set[MachineId], usable: list[Machine], now: Instant) -> None:
         """Stop one replica that has a cheaper place, with room kept for it there."""
-        if now < self.look_at or not self.cluster.skus:
+        if now < max(self.look_at, self.move_at) or not self.cluster.skus:
             return
         self.look_at = Instant(now + LOOK_EVERY_S)
         self.homeless = []
@@ -81,15 +81,14 @@
                 near = [m for m in others if image in m.images]
                 chosen = choose(cluster, job, 1, near, free, set(), placement)
                 if chosen:
-                    if now >= self.move_at:
-                        self._move(placement, machine, job, chosen[0], AWAY_S, now)
+                    self._move(placement, machine, job, chosen[0], AWAY_S, now)
                     return
                 chosen = choose(cluster, job, 1, others, free, set(), placement)
                 if not chosen:
                     self.homeless.append((job, bound))
                 elif far is None:
                     far = (placement, machine, job, chosen[0])
-        if far is not None and now >= self.move_at:
+        if far is not None:
             slowest = min(sku.fetch_gb_per_s for sku in cluster.skus.values())
             placement, machine, job, target = far
             away = AWAY_S + job.spec.pull_gb / slowest
--- a/umberward/decisions/watch.py
+++ b/umberward/decisions/watch.py
@@ -72,6 +72,7 @@
                 self.cluster.all_settled = True
                 for job in self.cluster.jobs.values():
                     job.settle()
+                    self.cluster.unplaced[job.id] = job
                 self.cluster.want_pass = True
                 log.info("all machines settled after %.1f s", now - self.cluster.started)
 
--- a/umberward/protocol/http.py
+++ b/umberward/protocol/http.py
@@ -4,9 +4,11 @@
 
 import logging
 import math
+import socket
 import time
 from collections import OrderedDict
 from collections.abc import Awaitable, Callable
+from functools import lru_cache
 from typing import Any, NamedTuple
 
 import curio
@@ -46,6 +48,31 @@
     retry_after: float | None = None
 
 
+# Most messages have the head of an earlier one, and to check and to write a head costs more than
+# all the rest: so heads are kept.
+HEADS = 4096
+END = h11.EndOfMessage()
+
+
+@lru_cache(HEADS)
+def _response_head(status: int, length: int, again: int | None, last: bool) -> h11.Response:
+    headers = [("content-type", "application/msgpack"), ("content-length", str(length))]
+    if again is not None:
+        headers.append(("retry-after", str(again)))
+    if last:
+        headers.append(("connection", "close"))
+    return h11.Response(status_code=status, headers=headers)
+
+
+@lru_cache(HEADS)
+def _request_head(method: str, target: str, host: str, length: int) -> h11.Request:
+    headers = [("host", host)]
+    if length or method == "POST":
+        headers.append(("content-type", "application/msgpack"))
+        headers.append(("content-length", str(length)))
+    return h11.Request(method=method, target=target, headers=headers)
+
+
 Handler = Callable[[Request], Awaitable[Response]]
 
 
@@ -159,8 +186,8 @@
         body = b""
         peer.deadline = time.monotonic() + IDLE_S
         started = bool(conn.trailing_data[0])
+        event: Any = conn.next_event() if started else h11.NEED_DATA
         while True:
-            event = conn.next_event()
             if event is h11.NEED_DATA:
                 data = await client.recv(READ)
                 if not started and data:
@@ -188,19 +215,18 @@
                 return Request(head.method.decode("ascii", "replace"), path, query, body)
             else:
                 return None
+            event = conn.next_event()
 
     async def _write(self, peer: Peer, conn: h11.Connection, response: Response) -> None:
-        headers = [
-            ("content-type", "application/msgpack"),
-            ("content-length", str(len(response.body))),
-        ]
+        again = None
         if response.retry_after is not None:
-            headers.append(("retry-after", str(max(1, round(response.retry_after)))))
-        if response.status == 413 or conn.their_state is h11.ERROR:
-            headers.append(("connection", "close"))
-        data = conn.send(h11.Response(status_code=response.status, headers=headers)) or b""
-        data += conn.send(h11.Data(data=response.body)) or b""
-        data += conn.send(h11.EndOfMessage()) or b""
+            again = max(1, round(response.retry_after))
+        last = response.status == 413 or conn.their_state is h11.ERROR
+        head = _response_head(response.status, len(response.body), again, last)
+        data = conn.send(head) or b""
+        if response.body:
+            data += conn.send(h11.Data(data=response.body)) or b""
+        data += conn.send(END) or b""
         peer.deadline = time.monotonic() + SLOW_S
         await peer.sock.sendall(data)
 
@@ -299,9 +325,8 @@
     def _usable(sock: Any) -> bool:
         """Nothing may come on an idle connection: data or an end both make it useless."""
         try:
-            with sock.blocking() as raw:
-                raw.setblocking(False)
-                raw.recv(1)
+            # One system call, where curio's way to a blocking socket takes four.
+            sock._socket.recv(1, socket.MSG_DONTWAIT | socket.MSG_PEEK)
         except BlockingIOError:
             return True
         except OSError:
@@ -322,27 +347,25 @@
         body: bytes,
         deadline: float,
     ) -> Response:
-        headers = [("host", str(address))]
-        if body or method == "POST":
-            headers.append(("content-type", "application/msgpack"))
-            headers.append(("content-length", str(len(body))))
-        data = conn.send(h11.Request(method=method, target=target, headers=headers)) or b""
+        data = conn.send(_request_head(method, target, str(address), len(body))) or b""
         if body:
             data += conn.send(h11.Data(data=body)) or b""
-        data += conn.send(h11.EndOfMessage()) or b""
+        data += conn.send(END) or b""
         wait = max(deadline - time.monotonic(), 0.001)
         return await curio.timeout_after(wait, self._round_trip, sock, conn, data)
 
     @staticmethod
     async def _round_trip(sock: Any, conn: h11.Connection, data: bytes) -> Response:
         await sock.sendall(data)
+        heard = False
         status = 0
         retry_after: float | None = None
         parts: list[bytes] = []
         while True:
-            event = conn.next_event()
+            event = conn.next_event() if heard else h11.NEED_DATA
             if event is h11.NEED_DATA:
                 conn.receive_data(await sock.recv(65536))
+                heard = True
             elif isinstance(event, h11.Response):
                 status = event.status_code
                 for name, value in event.headers:
