Structured logs: an event and its fields, as lines or as JSON

Need: lines were sentences that nobody could search or count by field.

Every event has a name and fields.

--- /dev/null
+++ b/tests/test_log.py
@@ -0,0 +1,39 @@
+"""The log's two forms, and that what is below the level costs no line."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+
+from umberward.core import log
+from umberward.core.types import JobId, TaskId
+
+
+@pytest.fixture(autouse=True)
+def quiet_again() -> object:
+    yield
+    log.configure("error", "lines", keep=False)
+
+
+def test_lines_for_people(capsys: pytest.CaptureFixture[str]) -> None:
+    log.configure("info", "lines", keep=False)
+    logger = log.logger("umberward.x")
+    logger.debug("not_said")
+    logger.info("moves", task=TaskId(JobId("req-1"), 2), reason="dear machine")
+    assert capsys.readouterr().err == "INFO umberward.x: moves task=req-1/2 reason='dear machine'\n"
+
+
+def test_one_object_a_line(capsys: pytest.CaptureFixture[str]) -> None:
+    log.configure("error", "json", keep=False)
+    logger = log.logger("umberward.x")
+    logger.info("not_said")
+    try:
+        raise ValueError("two\nlines")
+    except ValueError:
+        logger.exception("failed", task=TaskId(JobId("req-1"), 2), tries=3)
+    (line,) = capsys.readouterr().err.splitlines()
+    found = msgspec.json.decode(line)
+    assert "ValueError: two" in found.pop("exception")
+    assert found == {
+        "level": "error", "logger": "umberward.x", "event": "failed", "task": "req-1/2", "tries": 3
+    }  # fmt: skip
--- a/umberward/cli/main.py
+++ b/umberward/cli/main.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import logging
 import os
 import sys
 from pathlib import Path
@@ -18,8 +17,6 @@
 from umberward.protocol import wire
 from umberward.protocol.http import Client, NoAnswer, NotSent, Response
 
-LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
-
 _config = click.option(
     "--config", "config", required=True, type=click.Path(path_type=Path),
     help="The platform's settings file (TOML).",
@@ -58,7 +55,7 @@
 def run(config: Path, properties: Path | None) -> None:
     """Run one controller until it is killed."""
     settings = _load(config, properties)
-    _log_to_stderr()
+    _log_to_stderr(settings.operator.log_format)
     from umberward.control.node import Node
 
     curio.run(Node(settings).run)
@@ -121,14 +118,15 @@
         sys.exit(2)
 
 
-def _log_to_stderr() -> None:
+def _log_to_stderr(form: str) -> None:
+    from umberward.core import log
+
     level = os.environ.get("LOG_LEVEL", "info").lower()
-    if level not in LEVELS:
-        click.echo(f"umberward: LOG_LEVEL: {level!r} is none of {', '.join(LEVELS)}", err=True)
+    if level not in log.LEVELS:
+        names = ", ".join(log.LEVELS)
+        click.echo(f"umberward: LOG_LEVEL: {level!r} is none of {names}", err=True)
         sys.exit(2)
-    logging.basicConfig(
-        stream=sys.stderr, level=LEVELS[level], format="%(levelname)s %(name)s: %(message)s"
-    )
+    log.configure(level, form)
 
 
 def _ask(server: Address, method: str, path: str, body: bytes = b"") -> Response:
--- a/umberward/clients/state.py
+++ b/umberward/clients/state.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import logging
 import time
 from collections.abc import Iterable
 from typing import Any
@@ -10,13 +9,14 @@
 
 import curio
 
+from umberward.core.log import logger
 from umberward.core.settings import StateLimits
 from umberward.core.types import Address, Key, LeaseId, Revision, Stamp
 from umberward.protocol import wire
 from umberward.protocol.changes import COMMON, URGENT, Got
 from umberward.protocol.http import Client, NoAnswer, NotSent, Response
 
-log = logging.getLogger(__name__)
+log = logger(__name__)
 
 # Parts of the state service's limits. A little stays free: clocks and bursts differ.
 ALL = 0.98
@@ -157,7 +157,7 @@
             raise Unknown(str(error)) from None
         if response.status == 429 and self.limits is not self.lower:
             # It may have lowered its limits; if not, we have room to spare with the lower ones.
-            log.info("the state service has refused a request for its rate: using the lower limits")
+            log.info("lower_limits", reason="the state service refused a request for its rate")
             self.limits = self.lower
             self.share(self.leading)
         if response.status == 429:
@@ -229,7 +229,7 @@
             raise Conflict(repr(response.body[:200]))
         if response.status == 400 and b"no such lease" in response.body:
             raise NoLease
-        log.error("commit refused: %s %r", response.status, response.body[:300])
+        log.error("commit_refused", status=response.status, body=repr(response.body[:300]))
         if response.status == 400:
             raise TooLarge("commit: 400")
         raise Unavailable(f"commit: {response.status}")
--- a/umberward/control/holder.py
+++ b/umberward/control/holder.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import logging
 import random
 import time
 from collections.abc import Callable
@@ -18,6 +17,7 @@
 from umberward.control.membership import Membership
 from umberward.control.renting import Renting
 from umberward.core.actor import Actor
+from umberward.core.log import logger
 from umberward.core.settings import Settings
 from umberward.core.types import (
     Epoch,
@@ -42,7 +42,7 @@
 from umberward.protocol.http import Client, NoAnswer, NotSent
 from umberward.protocol.wire import BLOCKS, HINTS, JOBS, LIVE, PAST, FinalRecord, Report, Sku
 
-log = logging.getLogger(__name__)
+log = logger(__name__)
 
 TICK_S = 0.2
 PASS_S = 0.06  # the least time between two placing passes
@@ -175,7 +175,7 @@
             except state.TooOld:
                 after = None
             except (state.Unavailable, state.Unknown) as error:
-                log.debug("watch: %s", error)
+                log.debug("watch_failed", error=error)
                 await curio.sleep(self.rng.uniform(0.15, 0.3))
 
     async def _ticker(self) -> None:
@@ -185,8 +185,8 @@
             await self.ask(Tick())
             if _now() - said > SUMMARY_S and self.scheduler.loaded:
                 said = _now()
-                for line in self.scheduler.fleet_lines():
-                    log.info("%s", line)
+                for fields in self.scheduler.fleet_summary():
+                    log.info("fleet", **fields)
 
     # ---- messages ----------------------------------------------------------------------
 
@@ -246,9 +246,9 @@
         try:
             epoch = await self.membership.raise_epoch()
         except (state.Unavailable, state.Unknown, state.Conflict) as error:
-            log.info("raising the token: %s", error)
+            log.info("token_not_raised", error=error)
             return
-        log.info("token raised to %d", epoch)
+        log.info("token_raised", epoch=epoch)
         self.scheduler.next_epoch(epoch)
 
     # ---- commands ----------------------------------------------------------------------
@@ -326,7 +326,7 @@
         except NotSent:
             pass
         except (NoAnswer, wire.Malformed, ValueError) as error:
-            log.debug("command to %s: %s", command.machine, error)
+            log.debug("command_not_answered", machine=command.machine, error=error)
             unknown = True
         await self.tell(Commanded(command, report, unknown))
 
@@ -368,7 +368,7 @@
             await curio.sleep(REFUSED_S)
             return False
         except state.Unavailable as error:
-            log.debug("commit: %s", error)
+            log.debug("commit_failed", error=error)
             return False
         except (state.Conflict, state.Unknown, state.NoLease):
             # Each key is read again: what stands there decides, whoever wrote it.
@@ -378,7 +378,7 @@
                 try:
                     self.scheduler.reread(key, await self.store.get(key, changes.URGENT))
                 except (state.Unavailable, state.Unknown) as error:
-                    log.debug("read %s: %s", key, error)
+                    log.debug("read_failed", key=key, error=error)
                     return False
             return False
         self.scheduler.committed(batch, Stamp(revision), _now())
@@ -399,7 +399,7 @@
                     try:
                         past = await self.store.get(Key(PAST + id))
                     except (state.Unavailable, state.Unknown) as error:
-                        log.debug("looking up %s: %s", id, error)
+                        log.debug("look_up_failed", job=id, error=error)
                         break
                     if past is None:
                         continue  # it moves: the next change tells
@@ -415,7 +415,7 @@
             try:
                 self.hinted.append((wire.converted(entry.data, Hints), STORED_AGE_S))
             except wire.Malformed as error:
-                log.info("record %s: %s", entry.path, error)
+                log.info("record_malformed", key=entry.path, error=error)
 
     async def _store_hints(self) -> None:
         """One part after the other, if nothing else is to be written."""
@@ -443,7 +443,7 @@
                     priority=changes.LAZY, patience=0.0,
                 )  # fmt: skip
             except (state.Unavailable, state.Unknown, state.Conflict, state.NoLease) as error:
-                log.debug("hints: %s", error)
+                log.debug("hints_not_had", error=error)
             else:
                 stored[key] = {**part, "epoch": 0}
 
--- a/umberward/control/membership.py
+++ b/umberward/control/membership.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import contextlib
-import logging
 import random
 import time
 from collections.abc import Awaitable, Callable
@@ -12,11 +11,12 @@
 
 from umberward.clients import state
 from umberward.clients.state import State
+from umberward.core.log import logger
 from umberward.core.settings import Settings
 from umberward.core.types import Epoch, Instant, Key, LeaseId, NodeName, Revision, Stamp
 from umberward.protocol import changes, wire
 
-log = logging.getLogger(__name__)
+log = logger(__name__)
 
 LEADER = Key("leader")
 DRIFT = 0.999
@@ -88,7 +88,7 @@
     async def step_down(self, why: str) -> None:
         if self.epoch is None:
             return
-        log.warning("stepping down: %s", why)
+        log.warning("stepping_down", reason=why)
         lease, self.lease = self.lease, None
         await self._lose()
         if lease is not None:
@@ -103,7 +103,7 @@
             try:
                 await self._renew()
             except (state.Unavailable, state.Unknown) as error:
-                log.debug("lease: %s", error)
+                log.debug("lease_not_renewed", error=error)
             if self.epoch is not None and not self.tending():
                 await self._lose()
             # Shortly before the end, ask more often.
@@ -118,7 +118,7 @@
         try:
             await self.store.extend(self.lease, max(0.5, self.ttl / 3))
         except state.NoLease:
-            log.info("our lease is over")
+            log.info("lease_over")
             self.lease = None
             if self.epoch is not None:
                 await self._lose()
@@ -149,7 +149,7 @@
             except state.Conflict:
                 continue
             except (state.Unavailable, state.Unknown, state.TooOld, state.NoLease) as error:
-                log.debug("leader key: %s", error)
+                log.debug("leader_not_read", error=error)
                 await curio.sleep(self.rng.uniform(0.2, 0.4))
 
     async def _look(self) -> Revision:
@@ -178,7 +178,7 @@
         if self.epoch is not None:
             await self._lose()
         if self.leader != record.node:
-            log.info("%s leads", record.node)
+            log.info("leader", node=record.node)
         self.leader, self.leader_stamp = NodeName(record.node), stamp
         return revision
 
@@ -207,5 +207,5 @@
         self.leader, self.leader_stamp = self.me, stamp
         self.epoch = Epoch(stamp)
         self.store.share(leading=True)
-        log.info("leading with token %d", stamp)
+        log.info("leading", epoch=stamp)
         await self.elected(self.epoch)
--- a/umberward/control/mirror.py
+++ b/umberward/control/mirror.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import logging
 import time
 from collections import OrderedDict
 from collections.abc import Callable
@@ -18,13 +17,14 @@
 from umberward.clients import state
 from umberward.clients.state import State
 from umberward.core.actor import Ask
+from umberward.core.log import logger
 from umberward.core.settings import Settings
 from umberward.core.types import JobId, Key, Revision
 from umberward.decisions.pipelines import Graph
 from umberward.protocol import wire
 from umberward.protocol.wire import CANCELLED, JOBS, LIVE, PAST, FinalRecord, JobRecord
 
-log = logging.getLogger(__name__)
+log = logger(__name__)
 
 SHARE = 0.2  # of the state service's requests, for all controllers' copies together
 ANSWER_S = 1.2  # users wait 2 s for the answer to a poll
@@ -173,7 +173,7 @@
             try:
                 await self._refresh()
             except (state.Unavailable, state.Unknown, state.TooOld) as error:
-                log.debug("jobs' states: %s", error)
+                log.debug("states_not_read", error=error)
                 failed = state.Unavailable(str(error))
             for question in asked:
                 await question.reply(failed)
@@ -218,7 +218,7 @@
             try:
                 final = wire.converted(change.data, FinalRecord)
             except wire.Malformed as error:
-                log.error("record %s: %s", change.write, error)
+                log.error("record_malformed", key=change.write, error=error)
                 return
             self.keep(JobId(change.write[len(PAST) :]), final)
 
@@ -226,7 +226,7 @@
         try:
             record = wire.converted(data, JobRecord)
         except wire.Malformed as error:
-            log.error("record %s: %s", path, error)
+            log.error("record_malformed", key=path, error=error)
             return
         done = record.base + int(record.done, 16).bit_count()
         id = JobId(path[len(LIVE) :])
--- a/umberward/control/node.py
+++ b/umberward/control/node.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import logging
 import random
 import time
 from typing import Any
@@ -19,6 +18,7 @@
 from umberward.control.mirror import Mirror
 from umberward.control.peers import CONTACT_S, Peers
 from umberward.control.users import Users
+from umberward.core.log import logger
 from umberward.core.settings import Settings
 from umberward.core.types import (
     Epoch,
@@ -35,7 +35,7 @@
 from umberward.protocol.http import Client, Request, Response, Server
 from umberward.protocol.wire import Flavors, Sku
 
-log = logging.getLogger(__name__)
+log = logger(__name__)
 
 FLAVORS = Key("flavors")
 JOBS = "/v1/jobs"
@@ -93,7 +93,7 @@
 
     async def _lost(self) -> None:
         if self.holder_task is not None:
-            log.info("no longer leading")
+            log.info("no_longer_leading")
             found = self._hints()
             if found is not None:
                 self.peers.keep(found)  # we may lead again
@@ -121,14 +121,14 @@
                     self._learn(wire.converted(found.data, Flavors))
                     break
             except (state.Unavailable, state.Unknown, wire.Malformed) as error:
-                log.debug("stored flavors: %s", error)
+                log.debug("stored_types_not_read", error=error)
             try:
                 self.skus.update(await self.cloud.flavors())
                 record = Flavors(list(self.skus.values()))
                 if wire.json_size(record) < self.users.value_limit:
                     await self.store.commit([(FLAVORS, Stamp(0))], [changes.put(FLAVORS, record)])
             except (CloudTrouble, state.Unavailable, state.Unknown, state.Conflict) as error:
-                log.debug("flavors: %s", error)
+                log.debug("types_not_had", error=error)
                 await curio.sleep(self.rng.uniform(0.5, 1.5))
         while True:
             await curio.sleep(3600)
@@ -205,5 +205,5 @@
         except curio.CancelledError:
             raise
         except Exception:
-            log.exception("%s", getattr(part, "__qualname__", part))
+            log.exception("part_failed", part=getattr(part, "__qualname__", part))
         await curio.sleep(0.5)
--- a/umberward/control/peers.py
+++ b/umberward/control/peers.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import logging
 import random
 import time
 from collections.abc import Awaitable, Callable
@@ -15,12 +14,13 @@
 from umberward.control import hints
 from umberward.control.hints import Hints
 from umberward.control.membership import Membership
+from umberward.core.log import logger
 from umberward.core.settings import Settings
 from umberward.core.types import Instant, MachineId, NodeName
 from umberward.decisions.tending import Borrower, Loan
 from umberward.protocol.http import Client, NoAnswer, NotSent, Request, Response
 
-log = logging.getLogger(__name__)
+log = logger(__name__)
 
 CONTACT_S = 2.5  # without the state service for so long, a node asks whether others have it
 HINTS_S = 2.0  # how often the leader is asked for what it has learnt
@@ -84,7 +84,7 @@
                     loan = msgspec.convert(cbor2.loads(response.body), Loan)
                     borrower.keep(loan, asked, Instant(time.monotonic()))
             except (NotSent, NoAnswer, msgspec.ValidationError, cbor2.CBORDecodeError) as error:
-                log.debug("loan: %s", error)
+                log.debug("loan_not_had", error=error)
 
     def may_answer(self, host: str, epoch: int) -> bool:
         """Whether we may keep this worker's session alive, cut off as we are from the others."""
@@ -125,7 +125,7 @@
         try:
             response = await self.client.request(address, "GET", "/peer/hints", b"", TIMEOUT_S)
         except (NotSent, NoAnswer) as error:
-            log.debug("hints: %s", error)
+            log.debug("hints_not_had", error=error)
             return
         found = hints.loads(response.body) if response.status == 200 else None
         if found is not None:
--- a/umberward/control/renting.py
+++ b/umberward/control/renting.py
@@ -2,20 +2,20 @@
 
 from __future__ import annotations
 
-import logging
 import time
 
 import curio
 
 from umberward.clients.cloud import Cloud, CloudTrouble, NoCapacity
 from umberward.control.membership import Membership
+from umberward.core.log import logger
 from umberward.core.types import Instant, MachineId
 from umberward.decisions.provision import Provisioner
 from umberward.decisions.scheduler import Scheduler
 from umberward.protocol import wire
 from umberward.protocol.http import NoAnswer
 
-log = logging.getLogger(__name__)
+log = logger(__name__)
 
 CLOUD_S = 0.3  # how often it is asked what to rent and to return
 PONDER_PART = 10.0  # ... and so many times as long as the answer took
@@ -56,7 +56,7 @@
                     self.scheduler.skus.update(await self.cloud.flavors())
                     self.scheduler.types_changed()
             except CloudTrouble as error:
-                log.debug("cloud: %s", error)
+                log.debug("cloud_failed", error=error)
                 await curio.sleep(0.5)
 
     async def _deletions(self) -> None:
@@ -64,11 +64,11 @@
         idle = self.provisioner.idle(now)
         self.pondered += _now() - now
         for machine in idle:
-            log.info("returning %s (%s)", machine.id, machine.type)
+            log.info("returning", machine=machine.id, type=machine.type)
             machine.returning = True
         ids = self.provisioner.deletions(now)[: wire.DELETE_LIMIT]
         if ids:
-            log.info("deleting %s", " ".join(ids))
+            log.info("deleting", machines=" ".join(ids))
             await self.cloud.delete(ids, self.membership.leading)
             self._removed(ids)
 
@@ -81,12 +81,12 @@
         rentals = self.provisioner.rentals(now)
         self.pondered += _now() - now
         for rental in rentals:
-            log.info("renting %d of %s as %s", rental.many, rental.offer, rental.claim)
+            log.info("renting", many=rental.many, claim=rental.claim, **rental.offer._asdict())
             while self.membership.leading():
                 try:
                     ids = await self.cloud.rent(rental, self.membership.leading)
                 except NoCapacity:
-                    log.info("no capacity: %s", rental.offer)
+                    log.info("no_capacity", **rental.offer._asdict())
                     self.provisioner.no_capacity(rental.offer, _now())
                     break
                 except NoAnswer:
@@ -101,7 +101,7 @@
         failed = self.provisioner.listed(hosts, _now())
         if failed:
             # A failed machine runs nothing any more; it stays listed until it is deleted.
-            log.info("failed machines: %s", " ".join(failed))
+            log.info("machines_failed", machines=" ".join(failed))
             self._removed(failed)
             await self.cloud.delete(failed[: wire.DELETE_LIMIT], self.membership.leading)
 
--- a/umberward/control/users.py
+++ b/umberward/control/users.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import logging
 from collections.abc import Callable, Sequence
 from typing import Any
 
@@ -11,6 +10,7 @@
 from umberward.clients import state
 from umberward.clients.state import State
 from umberward.control.mirror import Live, Mirror
+from umberward.core.log import logger
 from umberward.core.settings import Settings
 from umberward.core.types import (
     Amount,
@@ -27,7 +27,7 @@
 from umberward.protocol.http import Response
 from umberward.protocol.wire import CANCELLED, LIVE, PAST, FinalRecord, JobRecord, Sku, Spec
 
-log = logging.getLogger(__name__)
+log = logger(__name__)
 
 PATIENCE_S = 0.4  # how long a submission may wait for its turn under the limits
 COMPLETIONS_BYTES = 512  # of a record are left for what is stored once the job runs
@@ -63,10 +63,10 @@
         try:
             return await self._submit(body)
         except state.OverBudget as error:
-            log.info("submission not taken: our part of the writes is used up")
+            log.info("submission_not_taken", error="our part of the writes is used up")
             return Response(429, retry_after=max(RETRY_S, error.wait))
         except (state.Unavailable, state.Unknown) as error:
-            log.info("submission not taken: %s", error)
+            log.info("submission_not_taken", error=error)
             return Response(503, retry_after=OUTAGE_RETRY_S)
 
     async def _submit(self, body: bytes) -> Response:
@@ -107,7 +107,7 @@
         for last in (False, True):
             try:
                 await self.store.commit(conditions, [write], patience=PATIENCE_S)
-                log.debug("%s accepted", id)
+                log.debug("accepted", job=id)
                 if past is not None:
                     self.mirror.keep(id, past)
                     return _final(id, past, status=201)
@@ -128,7 +128,7 @@
         try:
             return await self._known(id, urgent=False) or Response(404)
         except (state.Unavailable, state.Unknown) as error:
-            log.debug("poll of %s: %s", id, error)
+            log.debug("poll_not_answered", job=id, error=error)
             return Response(503, retry_after=RETRY_S)
 
     async def cancel(self, id: JobId) -> Response:
@@ -140,7 +140,7 @@
         except state.OverBudget as error:
             return Response(429, retry_after=max(RETRY_S, error.wait))
         except (state.Unavailable, state.Unknown) as error:
-            log.info("cancellation of %s not taken: %s", id, error)
+            log.info("cancellation_not_taken", job=id, error=error)
         return Response(503, retry_after=RETRY_S)
 
     async def _cancel(self, id: JobId) -> Response | None:
@@ -160,7 +160,7 @@
             await self.store.commit([(Key(LIVE + id), live.stamp)], writes, priority=changes.URGENT)
         except (state.Conflict, state.Unknown):
             return None  # read again what became of it
-        log.info("%s cancelled by its user", id)
+        log.info("cancelled_by_user", job=id)
         self.mirror.keep(id, past)
         return _state(id, CANCELLED, past.done)
 
@@ -267,5 +267,5 @@
 
 
 def _problem(status: int, text: str) -> Response:
-    log.info("submission refused with %d: %s", status, text)
+    log.info("submission_refused", status=status, error=text)
     return Response(status, wire.encode({"error": text}))
--- a/umberward/core/actor.py
+++ b/umberward/core/actor.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-import logging
 from typing import Any
 
 import curio
 
-log = logging.getLogger(__name__)
+from umberward.core.log import logger
+
+log = logger(__name__)
 
 
 class Ask:
@@ -53,7 +54,7 @@
                 except curio.CancelledError:
                     raise
                 except Exception:
-                    log.exception("message %s", type(message.message).__name__)
+                    log.exception("message_failed", message=type(message.message).__name__)
                 await message.reply(answer)
             else:
                 try:
@@ -61,7 +62,7 @@
                 except curio.CancelledError:
                     raise
                 except Exception:
-                    log.exception("message %s", type(message).__name__)
+                    log.exception("message_failed", message=type(message).__name__)
 
     async def handle(self, message: Any) -> Any:
         raise NotImplementedError
--- a/umberward/core/settings.py
+++ b/umberward/core/settings.py
@@ -4,7 +4,7 @@
 
 import tomllib
 from pathlib import Path
-from typing import Annotated, Any
+from typing import Annotated, Any, Literal
 
 import javaproperties
 import msgspec
@@ -132,6 +132,7 @@
     idle_seconds: Annotated[float, msgspec.Meta(ge=1.0, le=86400.0)] = 40.0
     silence_seconds: Annotated[float, msgspec.Meta(ge=2.0, le=3600.0)] = 4.0
     poll_cache: Annotated[int, msgspec.Meta(ge=0, le=1_000_000)] = 5000
+    log_format: Literal["lines", "json"] = "lines"
 
 
 class Settings(msgspec.Struct, frozen=True):
--- a/umberward/decisions/blame.py
+++ b/umberward/decisions/blame.py
@@ -10,14 +10,13 @@
 
 from __future__ import annotations
 
-import logging
-
+from umberward.core.log import logger
 from umberward.core.types import Instant, JobId
 from umberward.decisions.cluster import Cluster
 from umberward.decisions.fleet import Machine
 from umberward.decisions.jobs import Job, Placement
 
-log = logging.getLogger(__name__)
+log = logger(__name__)
 
 SICK_AFTER = 2  # failures, of jobs that are not to blame, that set a machine aside
 MISTAKEN_AFTER = 3  # machines on which a job must fail before it is blamed
@@ -41,12 +40,12 @@
         if job.mistaken:
             self._hold(job, now)
             return
-        log.debug("%s failed on %s after running %.1f s", placement.task, machine.id, ran)
+        log.debug("task_failed", task=placement.task, machine=machine.id, ran_s=round(ran, 1))
         if not job.ran_well:
             self.doubted[job.id] = job
             self._clear_if_running(job, now)
         if not job.ran_well and len(job.errors) >= MISTAKEN_AFTER:
-            log.info("%s is taken for mistaken: it failed on %d machines", job.id, len(job.errors))
+            log.info("job_blamed", job=job.id, machines=len(job.errors))
             job.mistaken = True
             self._hold(job, now)
             self._judge_machines(job, now)
@@ -118,7 +117,7 @@
         job.ran_well = True
         self.doubted.pop(job.id, None)
         if job.mistaken:
-            log.info("%s runs well after all", job.id)
+            log.info("job_cleared", job=job.id)
             job.mistaken = False
             job.hold_until = 0.0
         self._judge_machines(job, now)
@@ -139,8 +138,8 @@
                 count += times
         if count >= SICK_AFTER and machine.sick_since is None:
             machine.sick_since = now
-            log.info("%s set aside: it failed %d tasks in a row", machine.id, count)
+            log.info("machine_set_aside", machine=machine.id, failures=count)
         elif count < SICK_AFTER and machine.sick_since is not None:
             machine.sick_since = None
             self.cluster.want_pass = True
-            log.info("%s is used again", machine.id)
+            log.info("machine_used_again", machine=machine.id)
--- a/umberward/decisions/clearing.py
+++ b/umberward/decisions/clearing.py
@@ -5,9 +5,9 @@
 
 from __future__ import annotations
 
-import logging
 from typing import Any, NamedTuple
 
+from umberward.core.log import logger
 from umberward.core.types import (
     MAX_TASKS,
     NOTHING,
@@ -24,7 +24,7 @@
 from umberward.decisions.fleet import Machine, StopKey, with_room
 from umberward.decisions.jobs import Job, Placement
 
-log = logging.getLogger(__name__)
+log = logger(__name__)
 
 PREEMPT_EVERY_S = 0.1  # the search for work to stop looks at all that runs: not in every pass
 CLEAR_AT_ONCE = 16  # machines that are cleared for one job at once
@@ -212,12 +212,12 @@
             grace = 0.0
             if owner is not None and not job.service:
                 grace = owner.spec.snapshot_cost_s
-            log.debug("%s stopped on %s for %s", victim.task, machine, job.id)
+            log.debug("stopping", task=victim.task, machine=machine, for_job=job.id)
             told = owner.placed.values() if owner is not None and owner.gang else [victim]
             for placement in list(told):  # a gang saves only if all of it is told in time
                 self.cluster.stop(placement, grace)
         if victims:
-            log.info("%d tasks stopped on %s for %s", len(victims), machine, job.id)
+            log.info("room_made", tasks=len(victims), machine=machine, for_job=job.id)
 
     def reserve_room(self, job: Job, machine: MachineId, now: Instant) -> None:
         """Keep free room for one of the job's tasks that is about to move there."""
@@ -278,7 +278,7 @@
                     job, 1, stoppable, free, able, now, near_image=True, leaving=placement
                 ):
                     continue
-                log.info("%s moves off %s", placement.task, machine.id)
+                log.info("replica_moves", task=placement.task, machine=machine.id)
                 self.cluster.stop(placement, 0.0)
 
     def _clear_for_gang(
--- a/umberward/decisions/cluster.py
+++ b/umberward/decisions/cluster.py
@@ -7,11 +7,11 @@
 
 from __future__ import annotations
 
-import logging
 import random
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
+from umberward.core.log import logger
 from umberward.core.settings import Settings
 from umberward.core.types import (
     NOTHING,
@@ -34,7 +34,7 @@
 from umberward.protocol import wire
 from umberward.protocol.wire import KILL, START, Sku
 
-log = logging.getLogger(__name__)
+log = logger(__name__)
 
 ESTIMATE_SPARE = 1.3  # some tasks of a job take longer than its estimate
 DEFAULT_WAIT_S = 120.0  # when a job should start for which nothing is said
@@ -231,7 +231,7 @@
 
     def lose_tasks(self, machine: Machine, why: str) -> None:
         if machine.held:
-            log.info("%s: %d tasks lost (%s)", machine.id, len(machine.held), why)
+            log.info("tasks_lost", machine=machine.id, tasks=len(machine.held), reason=why)
         for placement in list(machine.held.values()):
             placement.tainted = 0
             self.release(machine, placement)
--- a/umberward/decisions/provision.py
+++ b/umberward/decisions/provision.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import logging
 import math
 from typing import Any
 
+from umberward.core.log import logger
 from umberward.core.types import (
     NOTHING,
     Amount,
@@ -22,7 +22,7 @@
 from umberward.decisions.scheduler import Scheduler
 from umberward.protocol.wire import BOOTING, FAILED, RENT_LIMIT, Host, Sku
 
-log = logging.getLogger(__name__)
+log = logger(__name__)
 
 FAIR_PRICE = 3.0  # up to so many times the lowest price, machines are rented at once
 PATIENT_PART = 0.3  # ... and dearer ones when so much of the time to the start is over
--- a/umberward/decisions/records.py
+++ b/umberward/decisions/records.py
@@ -2,16 +2,16 @@
 
 from __future__ import annotations
 
-import logging
 from collections.abc import Sequence
 from typing import Any
 
+from umberward.core.log import logger
 from umberward.core.types import JobId, Stamp
 from umberward.decisions.scheduler import Scheduler
 from umberward.protocol import wire
 from umberward.protocol.wire import LIVE, PAST, FinalRecord, JobRecord
 
-log = logging.getLogger(__name__)
+log = logger(__name__)
 
 
 def take_changes(scheduler: Scheduler, changes: Sequence[wire.Change]) -> None:
@@ -31,7 +31,7 @@
     try:
         scheduler.job_put(wire.converted(data, JobRecord), Stamp(stamp))
     except wire.Malformed as error:
-        log.error("record %s: %s", path, error)
+        log.error("record_malformed", key=path, error=error)
 
 
 def take_end(scheduler: Scheduler, id: JobId, data: Any, otherwise: float = 0.0) -> None:
@@ -40,6 +40,6 @@
     try:
         final = wire.converted(data, FinalRecord)
     except wire.Malformed as error:
-        log.error("record of the end of %s: %s", id, error)
+        log.error("record_malformed", job=id, error=error)
         return
     scheduler.job_ended(id, final, final.at or otherwise)
--- a/umberward/decisions/reports.py
+++ b/umberward/decisions/reports.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import logging
 from collections.abc import Iterable
 from typing import Any
 
+from umberward.core.log import logger
 from umberward.core.types import (
     Attempt,
     Epoch,
@@ -27,7 +27,7 @@
 from umberward.protocol import wire
 from umberward.protocol.wire import FORGET, KILL, START, Report
 
-log = logging.getLogger(__name__)
+log = logger(__name__)
 
 
 class Reports:
@@ -43,7 +43,7 @@
         try:
             report = wire.decode_report(body)
         except wire.Malformed as error:
-            log.info("report of %s: %s", head.host, error)
+            log.info("report_malformed", machine=head.host, error=error)
             return None
         self.cluster.read += 1
         orders = self.report(report, now, hello=True)
@@ -103,7 +103,7 @@
                 id, report.address, TypeName(report.flavor), ZoneName(report.yard),
                 report.reclaimable, now,
             )  # fmt: skip
-            log.info("new machine %s (%s, %s)", id, report.flavor, report.yard)
+            log.info("machine_new", machine=id, type=report.flavor, zone=report.yard)
         if machine.returning:
             return []
         if report.tenure < machine.min_tenure:
@@ -128,7 +128,7 @@
             machine.answered = now
         if report.reclaim_in_s is not None:
             if machine.notice_at is None:
-                log.info("%s will be taken in %.0f s", id, report.reclaim_in_s)
+                log.info("machine_will_be_taken", machine=id, in_s=report.reclaim_in_s)
                 self._leave(machine, report.reclaim_in_s)
             machine.notice_at = Instant(now + report.reclaim_in_s)
         if not machine.settled:
@@ -238,9 +238,9 @@
         elif placement is not None and shard.cause == "error":
             self.blame.failed(machine, job, placement, now)
         elif placement is not None:
-            log.debug("%s on %s exited: %s", task, machine.id, shard.cause)
+            log.debug("task_exited", task=task, machine=machine.id, cause=shard.cause)
             if shard.cause in ("no_room", "in_use", "no_such"):
-                log.info("%s refused %s: %s", machine.id, task, shard.cause)
+                log.info("start_refused", machine=machine.id, task=task, cause=shard.cause)
                 job.hold_until = max(job.hold_until, now + 0.5)
 
     def _may_forget(self, machine: Machine, task: TaskId, shard: wire.ShardReport) -> bool:
@@ -313,9 +313,8 @@
         if wait is None or waited <= wait or placement.adopted or not first or not job.service:
             return
         log.info(
-            "%s (%s) runs %.1f s after its submission, %.1f s after it was given a place%s",
-            placement.task, job.spec.jobclass, waited, now - placement.at,
-            "; its image was fetched" if placement.fetched else "",
+            "runs_late", task=placement.task, jobclass=job.spec.jobclass, waited_s=round(waited, 1),
+            since_placed_s=round(now - placement.at, 1), image_fetched=placement.fetched,
         )  # fmt: skip
 
     def _note_runtime(self, job: Job, seconds: float) -> None:
@@ -352,5 +351,7 @@
             self.report(report, now, hello=False)
         elif now - machine.heard > self.cluster.silence():
             if not machine.silent:
-                log.info("%s is silent for %.1f s", machine.id, now - machine.heard)
+                log.info(
+                    "machine_silent", machine=machine.id, seconds=round(now - machine.heard, 1)
+                )
             machine.silent = True
--- a/umberward/decisions/scheduler.py
+++ b/umberward/decisions/scheduler.py
@@ -9,11 +9,11 @@
 
 from __future__ import annotations
 
-import logging
 import random
 from collections.abc import Callable, Iterable
 from typing import Any
 
+from umberward.core.log import logger
 from umberward.core.settings import Settings
 from umberward.core.types import (
     NOTHING,
@@ -25,6 +25,7 @@
     Key,
     MachineId,
     NodeName,
+    Offer,
     Stamp,
     TaskId,
     TeamName,
@@ -48,7 +49,7 @@
 from umberward.protocol.changes import Got
 from umberward.protocol.wire import JobRecord, Report, Sku
 
-log = logging.getLogger(__name__)
+log = logger(__name__)
 
 
 class Scheduler(Cluster):
@@ -108,7 +109,7 @@
     def committed(self, batch: Batch, stamp: Stamp, now: Instant) -> None:
         """A transaction of ours was carried out."""
         for job, final in self.writer.committed(batch, stamp, now):
-            log.info("%s is %s", job.id, final.phase)
+            log.info("job_ended", job=job.id, phase=final.phase)
             self.job_ended(job.id, final, final.at or self.wall())
             self.job_gone(job.id)
 
@@ -143,10 +144,7 @@
                 machine.probing = True
                 self.out.append(Probe(machine.id, machine.address))
         self.want_pass = True
-        log.info(
-            "took over with token %d: %d machines, %d jobs",
-            self.epoch, len(self.machines), len(self.jobs),
-        )  # fmt: skip
+        log.info("took_over", epoch=self.epoch, machines=len(self.machines), jobs=len(self.jobs))
 
     def job_put(self, record: JobRecord, stamp: Stamp) -> None:
         """A job's record was read or has come by the watch."""
@@ -169,7 +167,7 @@
     def job_ended(self, id: JobId, final: wire.FinalRecord, at: float) -> None:
         """A job's end was read or committed: only now may those after it start."""
         for job in self.pipelines.ended(id, final.phase, at):
-            log.info("%s may start: all that it waited for is done", job.id)
+            log.info("job_may_start", job=job.id)
             self._admit(job)
 
     def job_gone(self, id: JobId) -> None:
@@ -370,34 +368,34 @@
             if placement.ready:
                 self.send(placement)
 
-    def fleet_lines(self) -> list[str]:
+    def fleet_summary(self) -> list[dict[str, Any]]:
         """The machines by offer: how many, how many of them empty, how full; and what waits."""
-        groups: dict[str, list[Machine]] = {}
+        groups: dict[Offer, list[Machine]] = {}
         for machine in self.machines.values():
-            kind = "spot" if machine.spot else "ordinary"
-            groups.setdefault(f"{machine.type} {machine.zone} {kind}", []).append(machine)
-        lines = []
-        for name, machines in sorted(groups.items()):
+            groups.setdefault(machine.offer, []).append(machine)
+        found: list[dict[str, Any]] = []
+        for offer, machines in sorted(groups.items()):
             whole = sum(self.skus[m.type].cores for m in machines if m.type in self.skus)
             booked = sum(m.booked.cores for m in machines)
-            empty = sum(1 for m in machines if not m.held)
-            unusable = sum(1 for m in machines if not m.usable)
-            lines.append(
-                f"{name}: {len(machines)}, {empty} empty, {unusable} not usable,"
-                f" {100 * booked / whole if whole else 0:.0f}% of the cores booked"
+            found.append(
+                {
+                    **offer._asdict(),
+                    "machines": len(machines),
+                    "empty": sum(1 for m in machines if not m.held),
+                    "not_usable": sum(1 for m in machines if not m.usable),
+                    "percent_booked": round(100 * booked / whole) if whole else 0,
+                }
             )
         waits: dict[str, tuple[int, int, float]] = {}
-        for job in self.jobs.values():
+        for job in self.unplaced.values():
             tasks = job.startable()
             if tasks:
                 jobs, total, first = waits.get(job.spec.jobclass, (0, 0, job.at))
                 waits[job.spec.jobclass] = (jobs + 1, total + tasks, min(first, job.at))
         for name, (jobs, total, first) in sorted(waits.items()):
-            lines.append(
-                f"waiting {name}: {total} tasks of {jobs} jobs,"
-                f" the oldest job {self.wall() - first:.0f} s old"
-            )
-        return lines
+            oldest = round(self.wall() - first)
+            found.append({"waiting": name, "tasks": total, "jobs": jobs, "oldest_s": oldest})
+        return found
 
     def lacking(self, now: Instant) -> list[tuple[Job, int]]:
         """Jobs with tasks for which there is no room, in the order of service."""
--- a/umberward/decisions/thrift.py
+++ b/umberward/decisions/thrift.py
@@ -8,8 +8,7 @@
 
 from __future__ import annotations
 
-import logging
-
+from umberward.core.log import logger
 from umberward.core.types import ImageName, Instant, MachineId, TypeName
 from umberward.decisions.choice import choose
 from umberward.decisions.clearing import Clearing
@@ -17,7 +16,7 @@
 from umberward.decisions.fleet import Machine, with_room
 from umberward.decisions.jobs import Job, Placement
 
-log = logging.getLogger(__name__)
+log = logger(__name__)
 
 CHEAPER = 0.5  # of the price of a core: what makes a move worth while
 LOOK_EVERY_S = 1.0
@@ -103,7 +102,7 @@
         away: float,
         now: Instant,
     ) -> None:
-        log.info("%s moves off %s, a dear machine", placement.task, machine.id)
+        log.info("replica_moves", task=placement.task, machine=machine.id, reason="dear machine")
         self.move_at = Instant(now + away / self._away_at_once())
         self.clearing.reserve_room(job, target, now)
         self.cluster.stop(placement, 0.0)
--- a/umberward/decisions/watch.py
+++ b/umberward/decisions/watch.py
@@ -5,8 +5,7 @@
 
 from __future__ import annotations
 
-import logging
-
+from umberward.core.log import logger
 from umberward.core.types import (
     Instant,
     NodeName,
@@ -17,7 +16,7 @@
 from umberward.decisions.fleet import Machine
 from umberward.decisions.tending import DRIFT, MARGIN_S, Lender, Loan
 
-log = logging.getLogger(__name__)
+log = logger(__name__)
 
 LEAST_WORKERS = 4  # with fewer it can't be told whether they or we are cut off
 MANY_WORKERS = 20  # so many report at moments spread evenly enough
@@ -42,7 +41,7 @@
         self.cluster.awake = now
         if gap <= STOOD_STILL_S:
             return
-        log.info("stood still for %.1f s", gap)
+        log.info("stood_still", seconds=round(gap, 1))
         self.cluster.heard = min(now, Instant(self.cluster.heard + gap))
         for machine in self.cluster.machines.values():
             machine.heard = min(now, Instant(machine.heard + gap))
@@ -74,7 +73,7 @@
                     job.settle()
                     self.cluster.unplaced[job.id] = job
                 self.cluster.want_pass = True
-                log.info("all machines settled after %.1f s", now - self.cluster.started)
+                log.info("all_settled", after_s=round(now - self.cluster.started, 1))
 
     def deaf(self, now: Instant) -> bool:
         """Whether no worker at all is heard, though so many should report that one would be."""
--- a/umberward/decisions/writer.py
+++ b/umberward/decisions/writer.py
@@ -6,10 +6,10 @@
 
 from __future__ import annotations
 
-import logging
 import math
 from typing import Any, NamedTuple
 
+from umberward.core.log import logger
 from umberward.core.settings import StateLimits
 from umberward.core.types import Instant, JobId, Key, MachineId, Stamp
 from umberward.decisions.cluster import Cluster
@@ -19,7 +19,7 @@
 from umberward.protocol import changes, wire
 from umberward.protocol.wire import BLOCKS, LIVE, PAST, JobRecord
 
-log = logging.getLogger(__name__)
+log = logger(__name__)
 
 INTERIM_PART = 0.2  # of all writes, for the completions of unfinished jobs
 INTERIM_S = 4.0  # how often the completions of an unfinished job are written
@@ -169,7 +169,7 @@
     def _set_aside(self, job: Job) -> None:
         """A description that was accepted under wider limits leaves no room for a mark. Without one
         nothing may start; the job waits for its user to cancel it, and must not hold up others."""
-        log.error("%s: its record does not fit the limits of the state service", job.id)
+        log.error("record_too_large", job=job.id)
         job.hold_until = math.inf
         self.urgent.discard(job.id)
         for placement in list(job.placed.values()):
--- a/umberward/protocol/http.py
+++ b/umberward/protocol/http.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import logging
 import math
 import socket
 import time
@@ -15,10 +14,11 @@
 import curio.socket as sockets
 import h11
 
+from umberward.core.log import logger
 from umberward.core.types import Address
 from umberward.protocol.wire import BODY_LIMIT
 
-log = logging.getLogger(__name__)
+log = logger(__name__)
 
 IDLE_S = 75.0  # a connection without a request is closed after this
 SLOW_S = 10.0  # a request must be complete this long after its first byte
@@ -109,7 +109,7 @@
         listener.setsockopt(sockets.SOL_SOCKET, sockets.SO_REUSEADDR, 1)
         listener.bind(tuple(self.address))
         listener.listen(256)
-        log.info("serving %s", self.address)
+        log.info("serving", address=self.address)
         sweeper = await curio.spawn(self._sweep, daemon=True)
         try:
             await self._accept(listener)
@@ -123,7 +123,7 @@
                     client, _ = await listener.accept()
                 except OSError as error:
                     # Out of sockets: wait rather than spin, clients are told by the refusal.
-                    log.error("accept on %s: %s", self.address, error)
+                    log.error("accept_failed", address=self.address, error=error)
                     await curio.sleep(0.05)
                     continue
                 if self.open >= self.most:
@@ -152,7 +152,7 @@
         except curio.CancelledError:
             pass  # it was idle, or too slow
         except Exception:
-            log.exception("connection on %s", self.address)
+            log.exception("connection_failed", address=self.address)
         finally:
             self.peers.discard(peer)
 
@@ -173,7 +173,7 @@
             except curio.CancelledError:
                 raise
             except Exception:
-                log.exception("%s %s", request.method, request.path)
+                log.exception("request_failed", method=request.method, path=request.path)
                 response = Response(503, retry_after=1.0)
             await self._write(peer, conn, response)
             if conn.our_state is not h11.DONE or conn.their_state is not h11.DONE:
