Who may stop what is kept by placement, and the event loop polls sparingly

Change: each placement carries what decides by whom it may be stopped, the cluster counts them, and a machine's sums are made anew only when its own tasks or their standing change. The reserve goes by kinds of machines.

--- a/umberward/cli/main.py
+++ b/umberward/cli/main.py
@@ -57,8 +57,9 @@
     settings = _load(config, properties)
     _log_to_stderr(settings.operator.log_format)
     from umberward.control.node import Node
+    from umberward.core import loop
 
-    curio.run(Node(settings).run)
+    loop.run(Node(settings).run)
 
 
 @main.command()
--- a/umberward/control/peers.py
+++ b/umberward/control/peers.py
@@ -49,6 +49,7 @@
         platform = settings.platform
         self.me = platform.label
         self.borrower = Borrower(platform.cluster.workers)
+        self.answering = False  # workers of our zone, in place of the leader
         self.zoned = len(platform.cluster.zones) > 1  # else no zone can be cut off
         self.contact: dict[str, tuple[float, float]] = {}  # when it told, age it told
         self.latest: Hints | None = None  # of whoever led last
@@ -90,8 +91,17 @@
         """Whether we may keep this worker's session alive, cut off as we are from the others."""
         now = Instant(time.monotonic())
         if now - self.membership.good < CONTACT_S:
+            self.answering = False
             return False
-        return self.borrower.may_answer(MachineId(host), epoch, now)
+        may = self.borrower.may_answer(MachineId(host), epoch, now)
+        if may and not self.answering:
+            self.answering = True
+            log.warning(
+                "answering_cut_off_zone",
+                machines=len(self.borrower.hosts),
+                for_s=round(self.borrower.until - now, 1),
+            )
+        return may
 
     def others_have_contact(self) -> bool:
         now = time.monotonic()
@@ -143,7 +153,7 @@
             return await self._loan(request.query)
         if request.path == "/peer/hints" and self.membership.leading():
             # Made once for all that ask at about the same time.
-            if time.monotonic() - self.made_at > HINTS_S / 2:
+            if time.monotonic() - self.made_at > 0.9 * HINTS_S:
                 found = self.told()
                 if found is None:
                     return Response(404)
--- a/umberward/decisions/clearing.py
+++ b/umberward/decisions/clearing.py
@@ -21,8 +21,8 @@
 from umberward.decisions import preemption
 from umberward.decisions.choice import choose
 from umberward.decisions.cluster import Cluster
-from umberward.decisions.fleet import Machine, StopKey, with_room
-from umberward.decisions.jobs import Job, Placement
+from umberward.decisions.fleet import Machine, with_room
+from umberward.decisions.jobs import Job, Placement, StopKey
 
 log = logger(__name__)
 
@@ -53,26 +53,25 @@
 
     def __init__(self, cluster: Cluster) -> None:
         self.cluster = cluster
-        self.keys = {
-            StopKey(job.need.accelerators > 0, job.rank, job.standing)
-            for job in cluster.jobs.values()
-            if job.placed
-        }
         self.found: dict[StopKey, dict[MachineId, tuple[Machine, Amount]]] = {}
         self.futile: set[Any] = set()  # kinds of jobs for which nothing can be stopped
 
     def rooms(self, job: Job) -> dict[MachineId, tuple[Machine, Amount]]:
         """The machines where something may be stopped for the job, and how much room that is."""
-        key = StopKey(job.need.accelerators > 0, job.rank, job.standing)
+        key = job.key
         found = self.found.get(key)
         if found is None:
             found = self.found[key] = {}
-            weaker = {other for other in self.keys if may_stop(key, other)}
+            weaker = {
+                other
+                for other, many in self.cluster.running.items()
+                if many > 0 and may_stop(key, other)
+            }
             for machine in self.cluster.machines.values() if weaker else ():
                 if not machine.held or not machine.usable:
                     continue
                 self.cluster.looks += 1
-                sums = machine.stoppable(self.cluster.grades, self.cluster.standing_of)
+                sums = machine.stoppable()
                 room = NOTHING
                 for other, amount in sums.items():
                     if other in weaker:
@@ -82,15 +81,12 @@
         return found
 
     def victims(self, machine: Machine, job: Job) -> list[Placement]:
-        key = StopKey(job.need.accelerators > 0, job.rank, job.standing)
-        found = []
-        for placement in machine.held.values():
-            standing = self.cluster.standing_of(placement)
-            if standing is not None and placement.stop is None:
-                other = StopKey(placement.need.accelerators > 0, placement.rank, standing)
-                if may_stop(key, other):
-                    found.append(placement)
-        return found
+        key = job.key
+        return [
+            placement
+            for placement in machine.held.values()
+            if placement.stop is None and may_stop(key, placement.key)
+        ]
 
 
 def may_stop(mine: StopKey, other: StopKey) -> bool:
--- a/umberward/decisions/cluster.py
+++ b/umberward/decisions/cluster.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import random
+from collections import Counter
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
@@ -28,7 +29,7 @@
     ZoneName,
 )
 from umberward.decisions.fleet import Machine
-from umberward.decisions.jobs import NO_CLAIM, Claim, Job, Placement
+from umberward.decisions.jobs import NO_CLAIM, Claim, Job, Placement, StopKey
 from umberward.decisions.quota import Quota
 from umberward.decisions.reserve import Reserve
 from umberward.protocol import wire
@@ -114,7 +115,8 @@
         self.searches = 0  # searches for room among all machines
         self.loaded = False
         self.want_grades = True
-        self.grades = 0  # how often standings were found
+        # Placements by who may stop them: for most jobs there are none, and no use in looking.
+        self.running: Counter[StopKey] = Counter()
         self.all_settled = False
         self.want_pass = True
         self.want_epoch = False
@@ -122,9 +124,18 @@
         self.doomed: set[MachineId] = set()  # to be deleted as soon as the cloud answers
         self.runtime: dict[str, float] = {}  # class -> seen run time by what was estimated
 
-    def standing_of(self, placement: Placement) -> tuple[int, int] | None:
-        job = self.jobs.get(placement.task.job)
-        return None if job is None else job.standing
+    def stand(self, job: Job, rank: int, standing: tuple[int, int]) -> None:
+        """Who is served before the job, and who may be stopped for it, from now on."""
+        if (rank, standing) == (job.rank, job.standing):
+            return
+        job.rank, job.standing = rank, standing
+        for placement in job.placed.values():
+            self.running[placement.key] -= 1
+            placement.key = job.key
+            self.running[placement.key] += 1
+            machine = self.machines.get(placement.machine)
+            if machine is not None:
+                machine.standing_changed()
 
     def allowed(self, job: Job, type_: TypeName, zone: ZoneName, spot: bool) -> bool:
         spec = job.spec
@@ -147,6 +158,16 @@
             job.suits = (self.fleet_kinds, found)
         return job.suits[1]
 
+    def survey(self) -> tuple[list[Machine], dict[MachineId, Amount]]:
+        """The machines that may be given tasks, and the room on each."""
+        usable, free = [], {}
+        skus = self.skus
+        for machine in self.machines.values():
+            if machine.usable and (sku := skus.get(machine.type)) is not None:
+                usable.append(machine)
+                free[machine.id] = machine.free(sku)
+        return usable, free
+
     def types_changed(self) -> None:
         """The cloud was asked anew for its machine types."""
         self.fleet_kinds += 1
@@ -192,6 +213,7 @@
     def hold(self, machine: Machine, job: Job, placement: Placement) -> None:
         machine.tasks_changed()
         machine.held[placement.task] = placement
+        self.running[placement.key] += 1
         self.reserve.placed(placement)
         if not placement.ready:
             job.unready += 1
@@ -204,6 +226,7 @@
         """The attempt is surely gone from its machine."""
         machine.tasks_changed()
         machine.held.pop(placement.task, None)
+        self.running[placement.key] -= 1
         self.reserve.released(placement)
         machine.booked = machine.booked.minus(placement.need) if machine.held else NOTHING
         if not machine.held:
--- a/umberward/decisions/fleet.py
+++ b/umberward/decisions/fleet.py
@@ -3,8 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable, Iterable
-from typing import NamedTuple
+from collections.abc import Iterable
 
 from umberward.core.types import (
     NOTHING,
@@ -21,21 +20,10 @@
     TypeName,
     ZoneName,
 )
-from umberward.decisions.jobs import Job, Placement
+from umberward.decisions.jobs import Job, Placement, StopKey
 from umberward.protocol.wire import Sku
 
 
-class StopKey(NamedTuple):
-    """All that decides by whom a task may be stopped."""
-
-    accelerated: bool
-    rank: int
-    standing: tuple[int, int]
-
-
-Standings = Callable[[Placement], tuple[int, int] | None]
-
-
 class Machine:
     def __init__(
         self, id: MachineId, address: str, type: TypeName, zone: ZoneName, spot: bool, now: Instant
@@ -76,13 +64,17 @@
         self.calm: bytes | None = None
         # What is derived from `held` and asked for in every pass: None when it must be found anew.
         self._free: tuple[Sku, Amount] | None = None
-        self._stoppable: tuple[int, dict[StopKey, Amount]] | None = None
-        self._loads: tuple[int, dict[tuple[bool, int], Amount]] | None = None
+        self._stoppable: dict[StopKey, Amount] | None = None
+        self._loads: dict[tuple[bool, int], Amount] | None = None
 
     def tasks_changed(self) -> None:
         """A task has come, is gone, or is being stopped."""
         self.calm = None
         self._free = None
+        self.standing_changed()
+
+    def standing_changed(self) -> None:
+        """A task here may be stopped by others than before."""
         self._stoppable = None
         self._loads = None
 
@@ -110,30 +102,25 @@
         """Whether something here is to end that has not ended yet."""
         return any(placement.stop is not None for placement in self.held.values())
 
-    def stoppable(self, grades: int, standing_of: Standings) -> dict[StopKey, Amount]:
-        """What runs here and is not being stopped, summed by who may stop it.
-
-        `grades` numbers the gradings: with each new one, standings may have changed.
-        """
-        if self._stoppable is None or self._stoppable[0] != grades:
+    def stoppable(self) -> dict[StopKey, Amount]:
+        """What runs here and is not being stopped, summed by who may stop it."""
+        if self._stoppable is None:
             sums: dict[StopKey, Amount] = {}
             for placement in self.held.values():
-                standing = standing_of(placement)
-                if standing is not None and placement.stop is None:
-                    key = StopKey(placement.need.accelerators > 0, placement.rank, standing)
-                    sums[key] = sums.get(key, NOTHING).plus(placement.need)
-            self._stoppable = (grades, sums)
-        return self._stoppable[1]
-
-    def loads(self, grades: int) -> dict[tuple[bool, int], Amount]:
+                if placement.stop is None:
+                    sums[placement.key] = sums.get(placement.key, NOTHING).plus(placement.need)
+            self._stoppable = sums
+        return self._stoppable
+
+    def loads(self) -> dict[tuple[bool, int], Amount]:
         """All that is on the machine, summed by whether it is accelerated and by rank."""
-        if self._loads is None or self._loads[0] != grades:
+        if self._loads is None:
             sums: dict[tuple[bool, int], Amount] = {}
             for placement in self.held.values():
-                key = (placement.need.accelerators > 0, placement.rank)
-                sums[key] = sums.get(key, NOTHING).plus(placement.need)
-            self._loads = (grades, sums)
-        return self._loads[1]
+                kind = (placement.key.accelerated, placement.key.rank)
+                sums[kind] = sums.get(kind, NOTHING).plus(placement.need)
+            self._loads = sums
+        return self._loads
 
     def note_image(self, image: ImageName, gb: float, room: float) -> None:
         """The worker caches the most recently used images."""
--- a/umberward/decisions/jobs.py
+++ b/umberward/decisions/jobs.py
@@ -37,11 +37,19 @@
 NO_CLAIM = Claim(max(wire.RANKS.values()), math.inf)
 
 
+class StopKey(NamedTuple):
+    """All that decides by whom a task may be stopped."""
+
+    accelerated: bool
+    rank: int
+    standing: tuple[int, int]
+
+
 class Placement:
     """One attempt of one task on one machine, from the decision until it is surely gone."""
 
     __slots__ = (
-        "task", "attempt", "machine", "zone", "need", "team", "rank", "at", "sent", "seen",
+        "task", "attempt", "machine", "zone", "need", "team", "key", "at", "sent", "seen",
         "inflight", "tainted", "hello_serial", "phase", "running_at", "saves_every", "stop",
         "stop_at", "ready", "adopted", "fetched",
     )  # fmt: skip
@@ -61,7 +69,7 @@
         self.zone = zone
         self.need = job.need
         self.team = job.team
-        self.rank = job.rank
+        self.key = job.key
         self.at = at
         self.ready = False  # its mark is committed: it may be sent
         self.adopted = False  # started by a former holder
@@ -77,6 +85,10 @@
         self.stop: float | None = None  # grace with which it is being stopped
         self.stop_at = at
 
+    @property
+    def rank(self) -> int:
+        return self.key.rank
+
 
 class Job:
     def __init__(self, record: JobRecord, stamp: Stamp, value_limit: int) -> None:
@@ -124,6 +136,10 @@
         self.suits: tuple[int, set[Offer]] | None = None
         self.standing = (1, self.rank)  # the smaller, the earlier it is served
 
+    @property
+    def key(self) -> StopKey:
+        return StopKey(self.need.accelerators > 0, self.rank, self.standing)
+
     @property
     def plain(self) -> bool:
         """Whether only its kind tells where it may run."""
--- a/umberward/decisions/provision.py
+++ b/umberward/decisions/provision.py
@@ -235,7 +235,7 @@
             free = machine.free(scheduler.skus[machine.type])
             yielding = NOTHING
             if yields[machine.offer]:
-                yielding = scheduler.reserve.yielding(machine, scheduler.grades)
+                yielding = scheduler.reserve.yielding(machine)
             if least is not None and least.fits(free.plus(yielding)):
                 found.append(Paper(machine.offer, free, yielding))
         return found
--- a/umberward/decisions/reserve.py
+++ b/umberward/decisions/reserve.py
@@ -85,7 +85,7 @@
         )
 
     def split(
-        self, usable: Sequence[Machine], free: dict[MachineId, Amount], grades: int
+        self, usable: Sequence[Machine], free: dict[MachineId, Amount]
     ) -> tuple[set[MachineId], set[MachineId]]:
         """Machines whose room for accelerated work must stay open, or is to become so; and all
         that could do such work.
@@ -96,22 +96,22 @@
         need = self.need
         if need.accelerators <= 0:
             return set(), set()
-        zones: dict[ZoneName, float] = {}
+        # The machines are many, their kinds few.
+        kinds: dict[Offer, list[Machine]] = {}
         for machine in usable:
-            if not machine.spot:
-                cores = self.skus[machine.type].cores
-                zones[machine.zone] = zones.get(machine.zone, 0.0) + cores
+            kinds.setdefault(machine.offer, []).append(machine)
+        zones: dict[ZoneName, float] = {}
+        for offer, machines in kinds.items():
+            if not offer.spot:
+                cores = self.skus[offer.type].cores
+                zones[offer.zone] = zones.get(offer.zone, 0.0) + cores * len(machines)
         able = []
-        runs: dict[Offer, bool] = {}  # the machines are many, their kinds few
-        for machine in usable:
-            if machine.offer not in runs:
-                runs[machine.offer] = self.could_run(*machine.offer)
+        candidates = [m for offer in kinds if self.could_run(*offer) for m in kinds[offer]]
+        for machine in candidates:
             room = free[machine.id]
-            if not runs[machine.offer] or room.accelerators < need.accelerators:
+            if room.accelerators < need.accelerators:
                 continue
-            weight = sum(
-                room.cores * self._weight(*kind) for kind, room in machine.loads(grades).items()
-            )
+            weight = sum(room.cores * self._weight(*kind) for kind, room in machine.loads().items())
             # Work that must be spread needs as much of a small zone as of a large one.
             able.append((not need.fits(room), -zones.get(machine.zone, 0.0), weight, machine.id))
         able.sort()
@@ -128,10 +128,10 @@
         """Whether it is stopped at once when accelerated work comes."""
         return rank > self.rank and not accelerated
 
-    def yielding(self, machine: Machine, grades: int) -> Amount:
+    def yielding(self, machine: Machine) -> Amount:
         """How much room stopping such work would make."""
         room = NOTHING
-        for kind, amount in machine.loads(grades).items():
+        for kind, amount in machine.loads().items():
             if self._yields(*kind):
                 room = room.plus(amount)
         return room
--- a/umberward/decisions/scheduler.py
+++ b/umberward/decisions/scheduler.py
@@ -243,37 +243,27 @@
         # nothing from those that run. The rank is that of the live jobs that need it, which changes
         # only when users act.
         self.want_grades = False
-        self.grades += 1
         totals: dict[TeamName, Amount] = {}
         for job in sorted(self.jobs.values(), key=lambda job: (job.ready_at, job.id)):
             rank = min(wire.RANKS[job.spec.rank], self.pipelines.claim(job.id).rank)
-            if rank != job.rank:
-                job.rank = rank
-                for placement in job.placed.values():
-                    placement.rank = rank
             total = totals.get(job.team, NOTHING).plus(job.need, job.size)
             totals[job.team] = total
-            if job.rank == 0:
-                job.standing = (0, 0)
-            elif self.quota.fits_guarantee(job.team, total):
-                job.standing = (0, job.rank)
-            else:
-                job.standing = (1, job.rank)
+            guaranteed = rank == 0 or self.quota.fits_guarantee(job.team, total)
+            self.stand(job, rank, (0 if guaranteed else 1, rank))
 
     def place(self, now: Instant) -> None:
         """One pass over the waiting jobs."""
         self.want_pass = False
         if not self.loaded:
             return
-        usable = [m for m in self.machines.values() if m.usable and m.type in self.skus]
-        free = {m.id: m.free(self.skus[m.type]) for m in usable}
+        usable, free = self.survey()
         unsure = self._unsure_usage()
         if self.want_grades:
             self._grade()
         waiting = self.waiting(now)
         self.reserve.note((job for job in waiting if not job.mistaken), now)
         self.clearing.keep(free, now)
-        kept, able = self.reserve.split(usable, free, self.grades)
+        kept, able = self.reserve.split(usable, free)
         self.kept = kept
         roomy = with_room(usable, free, waiting)
         names = {m.id for m in roomy}
@@ -328,7 +318,7 @@
             self.clearing.take_back(used, mine, free)
             self._start(job, chosen, free, now)
             if need.accelerators > 0 and chosen:
-                kept, able = self.reserve.split(usable, free, self.grades)
+                kept, able = self.reserve.split(usable, free)
                 self.kept = kept
         if stoppable is not None and self.all_settled:
             self.clearing.move_replicas(kept, able, usable, free, stoppable, now)
--- a/umberward/decisions/thrift.py
+++ b/umberward/decisions/thrift.py
@@ -60,7 +60,7 @@
         clearing = self.clearing
         if not sources:
             return
-        free = {m.id: m.free(cluster.skus[m.type]) for m in usable}
+        _, free = cluster.survey()
         clearing.keep(free, now)
         replicas = (job for job in cluster.jobs.values() if job.service)
         roomy = with_room(usable, free, replicas)
--- a/umberward/decisions/watch.py
+++ b/umberward/decisions/watch.py
@@ -30,6 +30,7 @@
     def __init__(self, cluster: Cluster, lender: Lender) -> None:
         self.cluster = cluster
         self.lender = lender
+        self.apart: set[ZoneName] = set()  # zones that may be cut off
 
     def wake(self, now: Instant) -> None:
         """To be called before anything else is decided, with the clock read anew.
@@ -118,6 +119,9 @@
         self.cluster.doomed.update(m.id for m in taken)
         recent = 1.25 * self.cluster.workers.report_s + DEAF_MARGIN_S
         apart = self._zones_apart(now, recent)
+        for zone in sorted(apart - self.apart):
+            log.warning("zone_not_heard", zone=zone)
+        self.apart = apart
         silent = [m for m in silent if m.zone not in apart or m.lapsed or m.cleared]
         met = [m for m in self.cluster.machines.values() if m.met and m.zone not in apart]
         alive = sum(1 for m in met if now - m.heard < recent)
