--- a/umberward/control/node.py
+++ b/umberward/control/node.py
@@ -162,7 +162,8 @@
                 return Response(404)
             return await (self.users.cancel(id) if verb else self.users.poll(id))
         if self.graphs is not None and (path == GRAPHS or path.startswith(GRAPHS + "/")):
-            made: Response = await self.graphs.serve(method, path[len(GRAPHS) :], request.body)
+            rest = path[len(GRAPHS) :]
+            made: Response = await self.graphs.serve(method, rest, request.query, request.body)
             return made
         if path == "/ready":
             if method not in ("GET", "HEAD"):
--- a/umberward/graphs/gateway.py
+++ b/umberward/graphs/gateway.py
@@ -40,7 +40,7 @@
 PATIENCE_S = 1.5  # for our turn under the limits of writes
 SHAPES_KEPT = 8
 ENDS_KEPT = 200
-PAGE = 500  # tasks in one answer
+PAGE_BYTES = wire.BODY_LIMIT - 1024  # of tasks in one answer
 RECORD_SPARE = 256
 PIECES_AT_ONCE_BYTES = 40_000  # of one transaction
 
@@ -83,10 +83,9 @@
         self.shapes: OrderedDict[GraphId, tuple[list[str], Shape]] = OrderedDict()
         self.ends: OrderedDict[GraphId, Found] = OrderedDict()  # what never changes any more
 
-    async def serve(self, method: str, path: str, body: bytes) -> Response:
-        """`path`: what follows /v1/graphs, with its query."""
+    async def serve(self, method: str, path: str, query: str, body: bytes) -> Response:
+        """`path`: what follows /v1/graphs."""
         name, _, verb = path.strip("/").partition("/")
-        verb, _, query = verb.partition("?")
         calls: dict[tuple[str, bool, str], Callable[[], Any]] = {
             ("POST", False, ""): lambda: self.submit(body),
             ("GET", True, ""): lambda: self.poll(self._id(name)),
@@ -281,16 +280,21 @@
         return Response(200, wire.encode(await self._state(id, found)))
 
     async def tasks(self, id: GraphId, start: int) -> Response:
-        """The answers of up to PAGE tasks, in the graph's topological order."""
+        """The answers of as many tasks as fit, in the graph's topological order."""
         found = await self._find(id)
         shape = await self._shape(id, found.graph)
         states = Answers(shape, found)
-        listed = []
-        for position in range(start, min(len(shape), start + PAGE)):
+        listed: list[dict[str, Any]] = []
+        size = 0
+        for position in range(start, len(shape)):
             kind, number = shape.place[position]
             entry = {"name": shape.names[position], "task": f"{model.job_id(id, kind)}/{number}"}
-            listed.append(entry | states.answer(position))
-        more = start + PAGE < len(shape)
+            entry |= states.answer(position)
+            size += len(wire.encode(entry))
+            if listed and size > PAGE_BYTES:
+                break
+            listed.append(entry)
+        more = start + len(listed) < len(shape)
         return Response(200, wire.encode({"uid": id, "tasks": listed, "more": more}))
 
     async def cancel(self, id: GraphId) -> Response:
