--- /dev/null
+++ b/umberward/cli/local.py
@@ -0,0 +1,100 @@
+"""The command line's `local`: a cluster on this machine, to try everything without the platform."""
+
+from __future__ import annotations
+
+import signal
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+import click
+import msgspec
+
+STATUS_S = 0.5
+QUIET_STATUS_S = 5.0  # where nobody watches a line change
+
+
+@click.command()
+@click.option("--controllers", default=3, show_default=True, type=click.IntRange(1, 5))
+@click.option(
+    "--machines", type=click.Path(path_type=Path), help="Machine types (TOML): [[machines]]."
+)
+@click.option("--speed", default=1.0, show_default=True, type=click.FloatRange(0.1, 100.0),
+              help="How much faster machines boot and tasks run.")  # fmt: skip
+@click.option(
+    "--troubles", type=click.Path(path_type=Path), help="What goes wrong when (TOML): [[troubles]]."
+)
+@click.option("--for", "seconds", type=click.FloatRange(0.1), help="End after so many seconds.")
+@click.option("--example", is_flag=True, help="Run an example of each kind of work, then end.")
+def local(
+    controllers: int, machines: Path | None, speed: float, troubles: Path | None,
+    seconds: float | None, example: bool,
+) -> None:  # fmt: skip
+    """Run a cluster on this machine until Ctrl-C: controllers for real, all else by stand-ins."""
+    from umberward.core import log, loop
+    from umberward.local.cluster import Plan, Trouble
+    from umberward.protocol.wire import Sku
+
+    log.configure("error", "lines")
+    plan = Plan(controllers=controllers, speed=speed)
+    if machines is not None:
+        plan.machines = _read(machines, "machines", list[Sku])
+    if troubles is not None:
+        plan.troubles = _read(troubles, "troubles", list[Trouble])
+    # Ended by a signal, it still takes its processes along.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(143))
+    try:
+        failed = loop.run(_run, plan, seconds, example)
+    except KeyboardInterrupt:
+        click.echo("\nended")
+        return
+    except RuntimeError as error:
+        raise click.ClickException(str(error)) from None
+    if failed:
+        raise SystemExit(1)
+
+
+def _read(path: Path, name: str, kind: Any) -> Any:
+    import tomllib
+
+    try:
+        found = tomllib.loads(path.read_text(encoding="utf-8")).get(name)
+        return msgspec.convert(found, kind)
+    except OSError as error:
+        raise click.ClickException(f"{path}: {error.strerror or error}") from None
+    except (ValueError, msgspec.ValidationError) as error:
+        raise click.ClickException(f"{path}: {name}: {error}") from None
+
+
+async def _run(plan: Any, seconds: float | None, example: bool) -> bool:
+    """Whether the example did not end well."""
+    import curio
+
+    from umberward.local import example as examples
+    from umberward.local.cluster import LocalCluster
+
+    began = time.monotonic()
+    async with LocalCluster.running(plan) as cluster:
+        click.echo(f"users' addresses: {' '.join(map(str, cluster.listen))}")
+        click.echo(f"submit with: umberward submit --server {cluster.listen[0]} JOB.json")
+        click.echo(f"        or: umberward graph submit --server {cluster.listen[0]} GRAPH.toml")
+        work = await curio.spawn(examples.run, cluster, click.echo) if example else None
+        shown = 0.0
+        tty = sys.stdout.isatty()
+        while seconds is None or time.monotonic() - began < seconds:
+            if work is not None and work.terminated:
+                break
+            if time.monotonic() - shown > (STATUS_S if tty else QUIET_STATUS_S):
+                shown = time.monotonic()
+                click.echo(f"\r\x1b[K{cluster.status()}" if tty else cluster.status(), nl=not tty)
+            await curio.sleep(0.1)
+        if tty:
+            click.echo()
+        if work is None:
+            return False
+        if not work.terminated:
+            await work.cancel()
+            click.echo("the example did not end in time", err=True)
+            return True
+        return not await work.join()
--- a/umberward/cli/main.py
+++ b/umberward/cli/main.py
@@ -13,6 +13,7 @@
 from umberward import __version__
 from umberward.cli.asking import ask, server_option, show
 from umberward.cli.graph import graph
+from umberward.cli.local import local
 from umberward.core.settings import Settings, SettingsError, load
 from umberward.core.types import Address
 from umberward.protocol import wire
@@ -34,6 +35,7 @@
 
 
 main.add_command(graph)
+main.add_command(local)
 
 
 @main.command()
--- a/umberward/graphs/live.py
+++ b/umberward/graphs/live.py
@@ -74,8 +74,8 @@
 
     def ready(self, index: int) -> None:
         """All that the task needs is done."""
-        # A former holder may have started it: not before all machines are known. And if it was found
-        # running, that has told us only now that what it needs is done.
+        # A former holder may have started it: not before all machines are known. If it was found
+        # running, that alone may have told us that what it needs is done.
         if index not in self.unsure and index not in self.placed:
             self.put_back(index)
 
--- /dev/null
+++ b/umberward/local/cluster.py
@@ -0,0 +1,398 @@
+"""A whole cluster on the loopback: stand-ins in this process, controllers as processes."""
+
+from __future__ import annotations
+
+import contextlib
+import random
+import shutil
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import AsyncIterator
+from pathlib import Path
+from typing import Any, Literal
+
+import curio
+import javaproperties
+import msgspec
+import tomli_w
+
+from umberward.core.log import logger
+from umberward.core.settings import StateLimits, Team, Workers
+from umberward.core.types import Address
+from umberward.graphs import model, records
+from umberward.graphs.model import Shape
+from umberward.local.cloudcore import CloudCore, Machine
+from umberward.local.servers import CloudServer, StateServer, WorkerServer
+from umberward.local.statecore import StateCore
+from umberward.local.workercore import Fate, Mates, Times, WorkerCore
+from umberward.protocol import wire
+from umberward.protocol.http import Client
+from umberward.protocol.wire import Sku, Spec
+
+log = logger(__name__)
+
+HOST = "127.0.0.1"
+TICK_S = 0.05
+COME_BACK_S = 2.0  # a controller that ended is started again so much later
+LEAST_RUN_S = 0.02
+DEFAULT_RUN_S = 5.0  # of tasks whose owner has said nothing
+LIST_LAG_S = 2.0
+CLOUD_RPS = 5.0
+CLIENT_SOCKETS = 600
+READY_S = 30.0  # by then a controller must be ready
+
+MACHINES = [
+    Sku("small", 4.0, 16.0, 0.2, 4.0, ["a", "b"], local_gb=50.0, low_price=0.1),
+    Sku("large", 32.0, 128.0, 1.6, 6.0, ["a", "b"], local_gb=50.0, low_price=0.6),
+    Sku("accel", 32.0, 128.0, 9.0, 8.0, ["a", "b"], accelerators=4.0, local_gb=50.0),
+]
+
+
+class Trouble(msgspec.Struct, forbid_unknown_fields=True):
+    """Something that happens `at` so many seconds after the cluster is ready, `for` so many more.
+
+    crash: controllers (all without `controller`) are killed; state_down, cloud_down: no service;
+    refuse: one controller is refused by the state service; drain: all machines of `zone` are told
+    that they will be taken; take: `count` spot machines are; delete: `count` machines are gone at
+    once; sick: `count` machines fail what they start.
+    """
+
+    at: float
+    what: Literal["crash", "state_down", "cloud_down", "refuse", "drain", "take", "delete", "sick"]
+    seconds: float = msgspec.field(name="for", default=5.0)
+    controller: int | None = None
+    zone: str = ""
+    count: int = 1
+
+
+class Plan(msgspec.Struct):
+    """What a local cluster is made of. `speed`: how much faster machines boot and tasks run."""
+
+    controllers: int = 3
+    machines: list[Sku] = msgspec.field(default_factory=lambda: list(MACHINES))
+    teams: list[Team] = msgspec.field(default_factory=lambda: [Team("red"), Team("blue")])
+    troubles: list[Trouble] = []
+    speed: float = 1.0
+    seed: int = 1
+    graphs: bool = True
+
+
+class LocalCluster:
+    def __init__(self, plan: Plan, folder: Path) -> None:
+        self.plan = plan
+        self.folder = folder
+        self.rng = random.Random(plan.seed)
+        self.zones = sorted({zone for sku in plan.machines for zone in sku.yards})
+        self.workers_said = Workers(
+            report_s=1.0, lease_s=8.0, gang_wait_s=20.0, gang_peer_s=4.0, cancel_s=20.0
+        )
+        self.limits = StateLimits(rps=600.0, write_rps=60.0, value_kb=4.0, txn_ops=8)
+        free = _free_ports(2 * plan.controllers + plan.controllers + 1)
+        self.listen = [free.pop() for _ in range(plan.controllers)]
+        self.peers = [free.pop() for _ in range(plan.controllers)]
+        states = [free.pop() for _ in range(plan.controllers)]
+        self.state = StateServer(
+            StateCore(int(self.limits.value_kb * 1024), self.limits.txn_ops), self.limits, states
+        )
+        core = CloudCore(plan.machines, LIST_LAG_S, self.rng, plan.speed)
+        self.cloud = CloudServer(core, CLOUD_RPS, free.pop(), self._gone)
+        self.names = [f"keeper-{number}" for number in range(plan.controllers)]
+        self.nodes = dict(zip(self.names, self.listen, strict=True))
+        self.children: list[subprocess.Popen[bytes] | None] = [None] * plan.controllers
+        self.start_at = [0.0] * plan.controllers
+        self.mates = Mates()
+        self.workers: dict[str, tuple[WorkerServer, Any]] = {}
+        self.client = Client(CLIENT_SOCKETS)
+        self.shapes: dict[str, Shape] = {}
+        self.sick: set[str] = set()
+        self.dying: list[Any] = []  # servers of machines that are gone
+        self.most_cores: dict[str, float] = {}  # team -> the most that it has used at once
+        self.starts: dict[str, int] = {}
+        self.started_at: dict[str, float] = {}  # task -> when it first ran
+        self.ends: dict[str, list[str]] = {}  # task -> how its attempts ended
+        self.group: Any = None
+
+    # ---- as a whole --------------------------------------------------------------------
+
+    @classmethod
+    @contextlib.asynccontextmanager
+    async def running(cls, plan: Plan) -> AsyncIterator[LocalCluster]:
+        """A cluster that is ready; all its processes and files are gone afterwards."""
+        folder = Path(tempfile.mkdtemp(prefix="umberward-local-"))
+        cluster = cls(plan, folder)
+        async with curio.TaskGroup(wait=None) as cluster.group:
+            try:
+                await cluster._start()
+                yield cluster
+            finally:
+                cluster._end()
+                shutil.rmtree(folder, ignore_errors=True)
+
+    async def _start(self) -> None:
+        for number in range(self.plan.controllers):
+            path = self.folder / f"{self.names[number]}.toml"
+            path.write_text(tomli_w.dumps(self._settings(number)))
+        properties = {"graphs.enabled": str(self.plan.graphs).lower()}
+        (self.folder / "own.properties").write_text(javaproperties.dumps(properties))
+        for server in [*self.state.servers, self.cloud.server]:
+            await self.group.spawn(server.run)
+        await self.group.spawn(self._clockwork)
+        deadline = time.monotonic() + READY_S
+        while not await self._ready():
+            if time.monotonic() > deadline:
+                raise RuntimeError(f"no controller is ready after {READY_S:.0f} s{self._why()}")
+            await curio.sleep(0.1)
+        await self.group.spawn(self._trouble)
+
+    def _end(self) -> None:
+        for child in self.children:
+            if child is not None:
+                child.kill()
+                child.wait()
+
+    async def _ready(self) -> bool:
+        from umberward.protocol.http import NoAnswer, NotSent
+
+        for address in self.listen:
+            try:
+                response = await self.client.request(address, "GET", "/ready", b"", 1.0)
+            except (NotSent, NoAnswer):
+                return False
+            if response.status != 200:
+                return False
+        return True
+
+    def _why(self) -> str:
+        """The last line that a controller has said."""
+        for name in self.names:
+            path = self.folder / f"{name}.log"
+            lines = path.read_text().splitlines() if path.exists() else []
+            if lines:
+                return f"; {name}: {lines[-1]}"
+        return ""
+
+    def _settings(self, number: int) -> dict[str, Any]:
+        zone = self.zones[number % len(self.zones)]
+        peers = [
+            {"label": self.names[n], "site": self.zones[n % len(self.zones)], "addr": str(addr)}
+            for n, addr in enumerate(self.peers)
+            if n != number
+        ]
+        limits = {name: v for name, v in wire.builtins(self.limits).items() if v is not None}
+        return {
+            "label": self.names[number], "site": zone, "listen": str(self.listen[number]),
+            "peer_bind": str(self.peers[number]), "peers": peers,
+            "endpoints": {
+                "cloud": str(self.cloud.server.address),
+                "state": str(self.state.servers[number].address),
+            },
+            "cluster": {
+                "size": self.plan.controllers, "zones": self.zones, "skew_ms": 0.0,
+                "teams": wire.builtins(self.plan.teams),
+                "workers": wire.builtins(self.workers_said),
+                "state": limits,
+                "cloud": {"rps": CLOUD_RPS, "list_lag_s": LIST_LAG_S},
+                "machine_limits": {"cpu": 1.0, "memory_mb": 200.0, "sockets": 800},
+            },
+        }  # fmt: skip
+
+    # ---- time --------------------------------------------------------------------------
+
+    async def _clockwork(self) -> None:
+        while True:
+            now = time.monotonic()
+            revision = self.state.core.revision
+            self.state.core.tick(now) if not self.state.down else None
+            if self.state.core.revision != revision:
+                await self.state.notify()
+            up, taken = self.cloud.core.tick(now)
+            for machine in up:
+                await self._up(machine, now)
+            self._gone(taken)
+            for worker, _ in self.workers.values():
+                worker.core.tick(now)
+                machine_ = self.cloud.core.machines.get(worker.core.host)
+                if machine_ is not None and worker.core.notice_at != machine_.taken_at:
+                    worker.core.notice_at = machine_.taken_at
+                    worker.core.changes += 1
+            self._note_use()
+            while self.dying:
+                await self.dying.pop().cancel(blocking=False)
+            for number, child in enumerate(self.children):
+                if child is not None and child.poll() is not None:
+                    self.children[number] = None
+                    self.start_at[number] = now + COME_BACK_S
+                if self.children[number] is None and now >= self.start_at[number]:
+                    self.children[number] = self._child(number)
+            await curio.sleep(TICK_S)
+
+    def _child(self, number: int) -> subprocess.Popen[bytes]:
+        name = self.names[number]
+        with open(self.folder / f"{name}.log", "ab") as out:
+            return subprocess.Popen(
+                [
+                    sys.executable, "-m", "umberward.local.child", "run",
+                    "--config", str(self.folder / f"{name}.toml"),
+                    "--properties", str(self.folder / "own.properties"),
+                ],
+                stdin=subprocess.PIPE, stdout=out, stderr=out,
+            )  # fmt: skip
+
+    async def _up(self, machine: Machine, now: float) -> None:
+        address = _free_ports(1)[0]
+        machine.address = str(address)
+        times = self.workers_said
+        core = WorkerCore(
+            machine.id, machine.address, machine.sku, machine.zone, machine.spot,
+            Times(times.lease_s, times.gang_wait_s, times.gang_peer_s), self.mates, self.describe,
+            lambda name, spec: self._fate(machine.id, name, spec), now, self.plan.speed,
+        )  # fmt: skip
+        core.exited = self._exited
+        worker = WorkerServer(core, self.nodes, times.report_s, self.client, self.rng)
+        self.workers[machine.id] = (worker, await curio.spawn(worker.run, daemon=True))
+
+    def _gone(self, machines: list[Machine]) -> None:
+        for machine in machines:
+            worker, task = self.workers.pop(machine.id, (None, None))
+            if worker is not None:
+                worker.core.end_session()
+                # Its connections go with it.
+                self.dying.append(task)
+
+    # ---- what runs ---------------------------------------------------------------------
+
+    def _fate(self, host: str, name: str, spec: Spec) -> Fate:
+        self.starts[name] = self.starts.get(name, 0) + 1
+        self.started_at.setdefault(name, time.monotonic())
+        if spec.shape == wire.SERVICE:
+            return Fate(float("inf"))
+        seconds = (spec.expect_s or DEFAULT_RUN_S) / self.plan.speed
+        if host in self.sick:
+            return Fate(min(seconds, 0.2), "error")
+        return Fate(max(LEAST_RUN_S, seconds))
+
+    def _exited(self, name: str, cause: str) -> None:
+        self.ends.setdefault(name, []).append(cause)
+
+    def _note_use(self) -> None:
+        used: dict[str, float] = {}
+        for worker, _ in self.workers.values():
+            for task in worker.core.alive.values():
+                if task.spec is not None:
+                    used[task.spec.owner] = used.get(task.spec.owner, 0.0) + task.spec.cores
+        for team, cores in used.items():
+            self.most_cores[team] = max(self.most_cores.get(team, 0.0), cores)
+
+    def describe(self, job: str) -> Spec | None:
+        """A job's description. Users would upload it; here it is read where it was submitted."""
+        own = model.graph_of(job)
+        keys = self.state.core.keys
+        if own is None:
+            found = keys.get(wire.LIVE + job)
+            if found is None:
+                return None
+            record: wire.JobRecord = wire.converted(found.data, wire.JobRecord)
+            return record.spec
+        id, kind = own
+        stored = keys.get(records.live_key(id))
+        if stored is None:
+            return None
+        graph: records.GraphRecord = wire.converted(stored.data, records.GraphRecord)
+        if id not in self.shapes:
+            self.shapes[id] = Shape(self._tasks(id, graph))
+        return self.shapes[id].spec(id, graph.options, kind)
+
+    def _tasks(self, id: model.GraphId, graph: records.GraphRecord) -> list[model.Task]:
+        if not graph.opened:
+            return records.unpack(records.unfold(graph.content))
+        keys = self.state.core.keys
+        tasks: list[model.Task] = []
+        for part, digest in enumerate(graph.digests):
+            head: records.PartRecord = wire.converted(
+                keys[records.head_key(id, graph.opened, part)].data, records.PartRecord
+            )
+            names = [
+                records.piece_key(id, graph.opened, part, digest, piece)
+                for piece in range(head.pieces)
+            ]
+            tasks += records.unpack(records.unfold("".join(keys[name].data for name in names)))
+        return tasks
+
+    # ---- troubles ----------------------------------------------------------------------
+
+    async def _trouble(self) -> None:
+        began = time.monotonic()
+        for trouble in sorted(self.plan.troubles, key=lambda trouble: trouble.at):
+            await curio.sleep(max(0.0, began + trouble.at - time.monotonic()))
+            await self.group.spawn(self.cause, trouble)
+
+    async def cause(self, trouble: Trouble) -> None:
+        """Make it happen, and end it when its time is over."""
+        log.info("trouble", what=trouble.what)
+        some = [worker.core.host for worker, _ in self.workers.values()][: trouble.count]
+        if trouble.what == "crash":
+            self.crash(trouble.controller)
+        elif trouble.what == "drain":
+            count = len(self.workers)
+            self.cloud.core.take_back(count, trouble.seconds, time.monotonic(), trouble.zone)
+        elif trouble.what == "take":
+            self.cloud.core.take_back(trouble.count, trouble.seconds, time.monotonic())
+        elif trouble.what == "delete":
+            self._gone(self.cloud.core.delete(some))
+        elif trouble.what == "sick":
+            self.sick.update(some)
+            await curio.sleep(trouble.seconds)
+            self.sick.difference_update(some)
+        elif trouble.what == "cloud_down":
+            self.cloud.down = True
+            await curio.sleep(trouble.seconds)
+            self.cloud.down = False
+        elif trouble.what == "state_down":
+            self.state.set_down(True)
+            await curio.sleep(trouble.seconds)
+            self.state.set_down(False)
+        elif trouble.controller is not None:
+            self.state.refused.add(trouble.controller)
+            await curio.sleep(trouble.seconds)
+            self.state.refused.discard(trouble.controller)
+
+    def crash(self, number: int | None = None) -> None:
+        """Kill one controller, or all."""
+        for at, child in enumerate(self.children):
+            if child is not None and number in (None, at):
+                child.kill()
+
+    @property
+    def leader(self) -> int | None:
+        found = self.state.core.keys.get("leader")
+        return None if found is None else self.names.index(found.data["node"])
+
+    def status(self) -> str:
+        """One line about all of it."""
+        alive = sum(child is not None for child in self.children)
+        tasks = sum(len(worker.core.alive) for worker, _ in self.workers.values())
+        core = self.state.core
+        jobs = sum(key.startswith(wire.LIVE) for key in core.keys)
+        graphs = sum(key.startswith(records.LIVE) for key in core.keys)
+        leader = "none" if self.leader is None else self.names[self.leader]
+        return (
+            f"controllers {alive}/{self.plan.controllers}, leader {leader},"
+            f" machines {len(self.workers)}, tasks {tasks}, jobs {jobs}, graphs {graphs},"
+            f" writes {core.written}"
+        )
+
+
+def _free_ports(count: int) -> list[Address]:
+    """Ports of the loopback that nobody listens on now."""
+    taken = []
+    for _ in range(count):
+        probe = socket.socket()
+        probe.bind((HOST, 0))
+        taken.append(probe)
+    found = [Address(HOST, probe.getsockname()[1]) for probe in taken]
+    for probe in taken:
+        probe.close()
+    return found
--- a/umberward/local/statecore.py
+++ b/umberward/local/statecore.py
@@ -66,6 +66,7 @@
         self.granted = 0
         self.changes: deque[wire.Change] = deque(maxlen=KEPT_CHANGES)
         self.written = 0  # puts and deletes
+        self.bytes = 0  # of the values put
 
     def commit(self, conditions: Iterable[tuple[str, int]], writes: list[dict[str, Any]]) -> int:
         """The revision of the transaction. Raises Failed or Refused; then nothing has changed."""
@@ -105,6 +106,7 @@
         return found.stamp if found is not None else 0
 
     def _put(self, key: str, data: Any, lease: int | None) -> None:
+        self.bytes += wire.json_size(data)
         self.keys[key] = Got(data, Stamp(self.revision))
         self.attached.pop(key, None)
         if lease is not None:
--- a/umberward/local/workercore.py
+++ b/umberward/local/workercore.py
@@ -111,6 +111,7 @@
         self.images: set[str] = set()
         self.notice_at: float | None = None
         self.changes = 0  # what a report is due for
+        self.exited: Callable[[str, str], None] = lambda name, cause: None  # is told of each exit
 
     # ---- time ----------------------------------------------------------------------------
 
@@ -185,6 +186,7 @@
         del self.alive[task.name]
         self.booked = self.booked.minus(_need(task))
         self.changes += 1
+        self.exited(task.name, cause)
 
     # ---- commands ------------------------------------------------------------------------
 
