--- a/umberward/local/cluster.py
+++ b/umberward/local/cluster.py
@@ -112,6 +112,7 @@
         self.most_cores: dict[str, float] = {}  # team -> the most that it has used at once
         self.starts: dict[str, int] = {}
         self.started_at: dict[str, float] = {}  # task -> when it first ran
+        self.done_at: dict[str, float] = {}
         self.ends: dict[str, list[str]] = {}  # task -> how its attempts ended
         self.group: Any = None
 
@@ -276,6 +277,8 @@
 
     def _exited(self, name: str, cause: str) -> None:
         self.ends.setdefault(name, []).append(cause)
+        if cause == wire.DONE:
+            self.done_at.setdefault(name, time.monotonic())
 
     def _note_use(self) -> None:
         used: dict[str, float] = {}
