umberward.client: functions as tasks of graphs, with values through a store on the user's side

Need: graphs as code, by the conventions of Ray's users. Change: remote, get, wait, cancel and futures; a store in pieces within a bound; the local cluster's workers run the functions in processes; make local; what only tools need is no longer installed for the daemon. What libraries log takes the form of the log.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,11 @@
 VENV := target/venv
 BIN := $(VENV)/bin
 
-.PHONY: test check setup
+.PHONY: local test check setup
+
+# A cluster on this machine, and an example of each kind of work run to its end.
+local: setup
+	$(BIN)/umberward local --example --speed 2 --for 100
 
 test: setup
 	$(BIN)/python -m pytest
@@ -15,7 +19,7 @@
 
 setup: $(VENV)/.ready
 
-$(VENV)/.ready: requirements.txt requirements-dev.txt pyproject.toml
+$(VENV)/.ready: requirements.txt requirements-tools.txt requirements-dev.txt pyproject.toml
 	[ -x $(BIN)/python ] || python3 -m venv $(VENV)
 	$(BIN)/python -m pip install -q -r requirements-dev.txt -e .
 	touch $@
--- /dev/null
+++ b/tests/test_client.py
@@ -0,0 +1,106 @@
+"""Functions as tasks: values, failures and cancellation, on a loopback cluster."""
+
+from __future__ import annotations
+
+import time
+from typing import Any
+
+import curio
+import pytest
+
+from umberward import client
+from umberward.client.store import PIECE_BYTES, Store
+from umberward.core.types import Address
+from umberward.local.cluster import LocalCluster, Plan
+from umberward.protocol import wire
+from umberward.protocol.http import Request
+
+
+@client.remote
+def add(a: int, b: int = 0) -> int:
+    return a + b
+
+
+@client.remote(num_cpus=1, max_retries=0)
+def divide(a: int, b: int) -> float:
+    return a / b
+
+
+def user(servers: list[str], store: str) -> dict[str, Any]:
+    """What a user's program does, in a thread of its own."""
+    client.init(servers, store=store, team="red")
+    found: dict[str, Any] = {}
+    first = [add.remote(n, b=1) for n in range(4)]
+    total = add.remote(add.remote(first[0], first[1]), add.remote(first[2], first[3]))
+    large = client.remote(lambda: b"x" * (3 * PIECE_BYTES)).remote()
+    found["total"], found["large"] = client.get(total), len(client.get(large))
+    # A later graph builds on an earlier one's value.
+    found["later"] = client.get(add.remote(total, 100))
+    bad = divide.remote(1, 0)
+    after = add.remote(bad, 1)
+    for name, ref in (("failed", bad), ("not_run", after)):
+        with pytest.raises(client.ClientError) as caught:
+            client.get(ref)
+        found[name] = caught.value
+    with pytest.raises(client.NotRun):
+        client.get(add.remote(after, 1))
+    slow = client.remote(time.sleep).remote(600)
+    over, left = client.wait([slow, add.remote(1)], num_returns=1)
+    found["over"] = (len(over), left == [slow])
+    client.cancel(slow)
+    with pytest.raises(client.Cancelled):
+        client.get(slow)
+    with pytest.raises(TimeoutError):
+        client.get(client.remote(time.sleep).remote(600), timeout=1.0)
+    return found
+
+
+async def in_a_cluster() -> dict[str, Any]:
+    async with LocalCluster.running(Plan(controllers=2, speed=4.0)) as cluster:
+        servers = [str(address) for address in cluster.listen]
+        made: dict[str, Any] = await curio.run_in_thread(
+            user, servers, str(cluster.store.server.address)
+        )
+        made["processes"] = list(cluster.processes.values())
+    assert made["processes"] and all(p.poll() is not None for p in made["processes"])
+    return made
+
+
+def test_functions_on_a_cluster() -> None:
+    found = curio.run(in_a_cluster)
+    assert found["total"] == 10 and found["later"] == 110
+    assert found["large"] == 3 * PIECE_BYTES
+    assert isinstance(found["failed"], client.TaskFailed)
+    assert "ZeroDivisionError" in str(found["failed"]) and "in divide" in str(found["failed"])
+    assert isinstance(found["not_run"], client.NotRun) and "divide-" in str(found["not_run"])
+    assert found["over"] == (1, True)
+
+
+def test_what_is_not_served_says_so() -> None:
+    with pytest.raises(client.ActorsNotServed, match="Counter: actors"):
+
+        @client.remote
+        class Counter:
+            pass
+
+    with pytest.raises(TypeError, match=r"add is remote: call add.remote\(...\)"):
+        add(1)
+    with pytest.raises(client.ClientError, match="expected HOST:PORT"):
+        client.init("nowhere", store="127.0.0.1:1", team="red")
+    client.init("127.0.0.1:1", store="127.0.0.1:1", team="red")
+    with pytest.raises(client.ClientError, match="num_cpus"):
+        client.remote(num_cpus="two")(len).remote([])
+    with pytest.raises(client.ClientError, match="not inside another"):
+        add.remote([add.remote(1)])
+
+
+@pytest.mark.parametrize(
+    "piece, of, size, status", [(0, 1, 10, 200), (1, 1, 10, 400), (0, 0, 1, 400), (0, 1, 101, 507)]
+)
+def test_the_store_is_bounded(piece: int, of: int, size: int, status: int) -> None:
+    store = Store(Address("127.0.0.1", 1), most_bytes=100)
+    body = wire.encode({"of": of, "data": b"x" * size})
+    request = Request("POST", "/values/a", f"piece={piece}", body)
+    assert curio.run(store.serve, request).status == status
+    found = curio.run(store.serve, Request("GET", "/values/a", "", b""))
+    assert found.status == (200 if status == 200 else 404)
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import logging
+
 import msgspec
 import pytest
 
@@ -23,6 +25,16 @@
     assert capsys.readouterr().err == "INFO umberward.x: moves task=req-1/2 reason='dear machine'\n"
 
 
+def test_libraries_say_it_in_the_same_form(capsys: pytest.CaptureFixture[str]) -> None:
+    log.configure("info", "json", keep=False)
+    logging.getLogger("curio.kernel").warning("took %d s", 3)
+    logging.getLogger("curio.kernel").debug("not said")
+    (line,) = capsys.readouterr().err.splitlines()
+    assert msgspec.json.decode(line) == {
+        "level": "warning", "logger": "curio.kernel", "event": "said_by_library", "text": "took 3 s"
+    }  # fmt: skip
+
+
 def test_one_object_a_line(capsys: pytest.CaptureFixture[str]) -> None:
     log.configure("error", "json", keep=False)
     logger = log.logger("umberward.x")
--- a/umberward/cli/local.py
+++ b/umberward/cli/local.py
@@ -77,6 +77,7 @@
     began = time.monotonic()
     async with LocalCluster.running(plan) as cluster:
         click.echo(f"users' addresses: {' '.join(map(str, cluster.listen))}")
+        click.echo(f"store for functions' values: {cluster.store.server.address}")
         click.echo(f"submit with: umberward submit --server {cluster.listen[0]} JOB.json")
         click.echo(f"        or: umberward graph submit --server {cluster.listen[0]} GRAPH.toml")
         work = await curio.spawn(examples.run, cluster, click.echo) if example else None
--- /dev/null
+++ b/umberward/client/__init__.py
@@ -0,0 +1,46 @@
+"""Task graphs written as Python functions, by the conventions that Ray's users know.
+
+    from umberward import client
+
+    client.init("127.0.0.1:8080", store="127.0.0.1:9000", team="red")
+
+    @client.remote(num_cpus=2, max_retries=1)
+    def add(a, b):
+        return a + b
+
+    print(client.get(add.remote(add.remote(1, 2), 3)))
+
+Calls are collected and sent as one graph by the first `get`, `wait` or `flush`. Functions and
+values pass through a store on the user's side, never through the controllers. Actors are not
+served.
+"""
+
+from umberward.client.session import (
+    ActorsNotServed,
+    Cancelled,
+    ClientError,
+    NotRun,
+    Ref,
+    TaskFailed,
+    cancel,
+    flush,
+    get,
+    init,
+    remote,
+    wait,
+)
+
+__all__ = [
+    "ActorsNotServed",
+    "Cancelled",
+    "ClientError",
+    "NotRun",
+    "Ref",
+    "TaskFailed",
+    "cancel",
+    "flush",
+    "get",
+    "init",
+    "remote",
+    "wait",
+]
--- a/umberward/core/log.py
+++ b/umberward/core/log.py
@@ -36,6 +36,16 @@
         logger_factory=_Lines,
         cache_logger_on_first_use=keep,
     )
+    # What libraries log, the event loop's among them, comes in the same form and at the same level.
+    logging.basicConfig(handlers=[_Forward()], level=LEVELS[level], force=True)
+
+
+class _Forward(logging.Handler):
+    def emit(self, record: logging.LogRecord) -> None:
+        fields = {"text": record.getMessage()}
+        if record.exc_info and record.exc_info[1] is not None:
+            fields["error"] = repr(record.exc_info[1])
+        logger(record.name).log(record.levelno, "said_by_library", **fields)
 
 
 class _Lines:
--- a/umberward/local/cluster.py
+++ b/umberward/local/cluster.py
@@ -19,6 +19,7 @@
 import msgspec
 import tomli_w
 
+from umberward.client.store import CALL, Store
 from umberward.core.log import logger
 from umberward.core.settings import StateLimits, Team, Workers
 from umberward.core.types import Address
@@ -84,13 +85,14 @@
     def __init__(self, plan: Plan, folder: Path) -> None:
         self.plan = plan
         self.folder = folder
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}  # functions of graphs' tasks
         self.rng = random.Random(plan.seed)
         self.zones = sorted({zone for sku in plan.machines for zone in sku.yards})
         self.workers_said = Workers(
             report_s=1.0, lease_s=8.0, gang_wait_s=20.0, gang_peer_s=4.0, cancel_s=20.0
         )
         self.limits = StateLimits(rps=600.0, write_rps=60.0, value_kb=4.0, txn_ops=8)
-        free = _free_ports(2 * plan.controllers + plan.controllers + 1)
+        free = _free_ports(3 * plan.controllers + 2)
         self.listen = [free.pop() for _ in range(plan.controllers)]
         self.peers = [free.pop() for _ in range(plan.controllers)]
         states = [free.pop() for _ in range(plan.controllers)]
@@ -99,6 +101,7 @@
         )
         core = CloudCore(plan.machines, LIST_LAG_S, self.rng, plan.speed)
         self.cloud = CloudServer(core, CLOUD_RPS, free.pop(), self._gone)
+        self.store = Store(free.pop())
         self.names = [f"keeper-{number}" for number in range(plan.controllers)]
         self.nodes = dict(zip(self.names, self.listen, strict=True))
         self.children: list[subprocess.Popen[bytes] | None] = [None] * plan.controllers
@@ -108,6 +111,8 @@
         self.client = Client(CLIENT_SOCKETS)
         self.shapes: dict[str, Shape] = {}
         self.sick: set[str] = set()
+        self.to_execute: list[tuple[str, str]] = []  # machine, task
+        self.running_on: dict[str, str] = {}  # task -> its machine
         self.dying: list[Any] = []  # servers of machines that are gone
         self.most_cores: dict[str, float] = {}  # team -> the most that it has used at once
         self.starts: dict[str, int] = {}
@@ -138,7 +143,7 @@
             path.write_text(tomli_w.dumps(self._settings(number)))
         properties = {"graphs.enabled": str(self.plan.graphs).lower()}
         (self.folder / "own.properties").write_text(javaproperties.dumps(properties))
-        for server in [*self.state.servers, self.cloud.server]:
+        for server in [*self.state.servers, self.cloud.server, self.store.server]:
             await self.group.spawn(server.run)
         await self.group.spawn(self._clockwork)
         deadline = time.monotonic() + READY_S
@@ -153,6 +158,9 @@
             if child is not None:
                 child.kill()
                 child.wait()
+        for process in self.processes.values():
+            process.kill()
+            process.wait()
 
     async def _ready(self) -> bool:
         from umberward.protocol.http import NoAnswer, NotSent
@@ -220,6 +228,7 @@
                     worker.core.notice_at = machine_.taken_at
                     worker.core.changes += 1
             self._note_use()
+            self._execute()
             while self.dying:
                 await self.dying.pop().cancel(blocking=False)
             for number, child in enumerate(self.children):
@@ -273,13 +282,42 @@
         seconds = (spec.expect_s or DEFAULT_RUN_S) / self.plan.speed
         if host in self.sick:
             return Fate(min(seconds, 0.2), "error")
+        if self.store.whole(name + CALL):
+            self.to_execute.append((host, name))
+            return Fate(float("inf"))
         return Fate(max(LEAST_RUN_S, seconds))
 
     def _exited(self, name: str, cause: str) -> None:
         self.ends.setdefault(name, []).append(cause)
+        process = self.processes.pop(name, None)
+        if process is not None and process.poll() is None:
+            process.kill()
+            process.wait()
         if cause == wire.DONE:
             self.done_at.setdefault(name, time.monotonic())
 
+    def _execute(self) -> None:
+        """Functions of graphs' tasks run in processes of their own, as on a worker."""
+        for host, name in self.to_execute:
+            old = self.processes.pop(name, None)
+            if old is not None:
+                old.kill()
+                old.wait()
+            command = [sys.executable, "-m", "umberward.local.execute"]
+            out = subprocess.DEVNULL
+            self.processes[name] = subprocess.Popen(
+                [*command, str(self.store.server.address), name], stdin=out, stdout=out, stderr=out
+            )
+            self.running_on[name] = host
+        self.to_execute.clear()
+        for name, process in list(self.processes.items()):
+            code = process.poll()
+            if code is not None:
+                del self.processes[name]
+                worker, _ = self.workers.get(self.running_on.pop(name), (None, None))
+                if worker is not None:
+                    worker.core.finish(name, wire.DONE if code == 0 else "error")
+
     def _note_use(self) -> None:
         used: dict[str, float] = {}
         for worker, _ in self.workers.values():
--- a/umberward/local/workercore.py
+++ b/umberward/local/workercore.py
@@ -188,6 +188,13 @@
         self.changes += 1
         self.exited(task.name, cause)
 
+    def finish(self, name: str, cause: str) -> None:
+        """A task whose end nobody could foretell has ended."""
+        task = self.alive.get(name)
+        if task is not None and task.phase == wire.RUNNING:
+            task.left, task.ends_as = 0.0, cause
+            self._run(task, 0.0)
+
     # ---- commands ------------------------------------------------------------------------
 
     def answered(self, sent: float, tenure: int, epoch: int, orders: list[dict[str, Any]]) -> bool:
