--- a/umberward/cli/asking.py
+++ b/umberward/cli/asking.py
@@ -12,7 +12,7 @@
 from umberward.protocol.http import Client, NoAnswer, NotSent, Response
 
 
-class _HostPort(click.ParamType):
+class HostPort(click.ParamType):
     name = "host:port"
 
     def convert(self, value: Any, param: Any, ctx: Any) -> Address:
@@ -23,7 +23,7 @@
 
 
 server_option = click.option(
-    "--server", required=True, envvar="UMBERWARD_SERVER", type=_HostPort(),
+    "--server", required=True, envvar="UMBERWARD_SERVER", type=HostPort(),
     help="A controller, or the load balancer before them.",
 )  # fmt: skip
 
--- a/umberward/cli/main.py
+++ b/umberward/cli/main.py
@@ -13,6 +13,7 @@
 from umberward import __version__
 from umberward.cli.asking import ask, server_option, show
 from umberward.cli.graph import graph
+from umberward.cli.load import load as load_command
 from umberward.cli.local import local
 from umberward.core.settings import Settings, SettingsError, load
 from umberward.core.types import Address
@@ -35,6 +36,7 @@
 
 
 main.add_command(graph)
+main.add_command(load_command)
 main.add_command(local)
 
 
