--- a/tests/test_graphs.py
+++ b/tests/test_graphs.py
@@ -14,11 +14,13 @@
 import jsonschema
 import msgspec
 import pytest
+import tomli_w
 from click.testing import CliRunner
 from graph_world import FINAL, GraphWorld
 from guards import GUARDS
 from hypothesis import strategies
 from test_scenarios import Failed, Play, _guard, _pairs, play
+from world import World, raw_settings
 
 from umberward.cli import main as cli
 from umberward.graphs import files, records
@@ -101,7 +103,13 @@
         self.statuses = sorted(answers[-1] for answers in curio.run(all_of_them))
 
     def do_post(self, path: str, *words: str) -> None:
-        body: Any = {"not-msgpack": b"\xc1", "a-list": [1], "nothing": {}}[words[0]]
+        part = {"uid": "graph-9", "options": {"team": "red"}, "tasks": [{"name": "a"}]}
+        body: Any = {
+            "not-msgpack": b"\xc1", "a-list": [1], "nothing": {},
+            "million-parts": {**part, "parts": 10**6},
+            "70-KiB": {**part, "tasks": [{"name": "a", "needs": ["x" * 100] * 1001}]},
+            "slashes": {**part, "uid": "graph-1/2"},
+        }[words[0]]  # fmt: skip
         self.last = self.world.ask("POST", "" if path == "/" else path, body)
 
     def do_get(self, path: str) -> None:
@@ -115,6 +123,16 @@
 
     def do_cancel_graph(self, id: str) -> None:
         self.last = self.world.ask("POST", f"/{id}/cancel")
+        if self.last.status == 200 and self.see_graph(id) == "cancelled":
+            for array, (graph, _) in self.world.arrays.items():
+                if graph == id:
+                    self.world.cancelled.setdefault(array, self.world.now)
+
+    def do_lead_old(self) -> None:
+        """A version that knows no graphs takes over."""
+        self.world.take_blocks()
+        World.take_jobs(self.world)
+        self.world.board = None
 
     def do_tell(self) -> None:
         self.world.tell_all()
@@ -216,6 +234,23 @@
         assert f"{path}:{line}:" in result.output
 
 
+def test_check_knows_the_cluster(tmp_path: Path) -> None:
+    path, machines, config = (tmp_path / f"{name}.toml" for name in ("graph", "types", "keeper"))
+    path.write_text(GOOD.replace("num_cpus = 2", "num_cpus = 6"))
+    small = {"sku": "s", "cores": 4.0, "mem_gb": 16.0, "hourly": 1.0, "boot_s": 5.0, "yards": ["a"]}
+    machines.write_text(tomli_w.dumps({"machines": [small]}))
+    words = ["graph", "check", "--machines", str(machines), str(path)]
+    result = CliRunner().invoke(cli.main, words)
+    assert f"{path}:7: b: no machine type can hold it" in result.output
+    for team, said in (("red", f"{path}:7: b: needs more than the team's"), ("green", "no team")):
+        config.write_text(tomli_w.dumps(raw_settings(cpus_max=5.0)))
+        path.write_text(path.read_text().replace('team = "red"', f'team = "{team}"'))
+        result = CliRunner().invoke(
+            cli.main, ["graph", "check", "--config", str(config), str(path)]
+        )
+        assert said in result.output and result.exit_code == 2
+
+
 def test_schema_says_the_same_as_the_check() -> None:
     result = CliRunner().invoke(cli.main, ["graph", "schema"])
     validator = jsonschema.Draft202012Validator(msgspec.json.decode(result.output))
--- a/tests/test_local.py
+++ b/tests/test_local.py
@@ -35,7 +35,7 @@
         file = fifty()
         assert (await example.send_graph(cluster, "graph-7", file)).status == 201
         heard: dict[str, set[str]] = {task.name: set() for task in file.tasks}
-        drained = killed = False
+        drained = killed = late = False
         deadline = time.monotonic() + 75
         while time.monotonic() < deadline:
             poll = await example.ask(cluster, "GET", "/v1/graphs/graph-7")
@@ -47,6 +47,9 @@
             if state["done"] >= 5 and not drained:
                 drained = True
                 await cluster.cause(Trouble(0.0, "drain", 2.0, zone="a"))
+            if state["done"] >= 20 and killed and not late:
+                late = True
+                await cluster.group.spawn(cluster.cause, Trouble(0.0, "late", 1.5))
             if state["done"] >= 10 and not killed:
                 killed = True
                 cluster.crash(cluster.leader)
@@ -54,7 +57,7 @@
                 break
             await curio.sleep(0.2)
         assert state["phase"] == "done" and state["done"] == 50
-        assert drained and killed
+        assert drained and killed and late
         assert all(answers == {"done"} for answers in heard.values()), heard
         assert 0 < cluster.most_cores["red"] <= MAXIMUM
         assert len(cluster.ends) == 50 and all("done" in ends for ends in cluster.ends.values())
--- a/umberward/cli/asking.py
+++ b/umberward/cli/asking.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import tomllib
+from pathlib import Path
 from typing import Any
 
 import click
@@ -49,3 +51,15 @@
         return
     again = f", try again in {response.retry_after:.0f} s" if response.retry_after else ""
     raise click.ClickException(f"status {response.status}{again} {text}".rstrip())
+
+
+def read_list(path: Path, name: str, kind: Any) -> Any:
+    """What a TOML file has under that name. Raises ClickException."""
+
+    try:
+        found = tomllib.loads(path.read_text(encoding="utf-8")).get(name)
+        return msgspec.convert(found, kind)
+    except OSError as error:
+        raise click.ClickException(f"{path}: {error.strerror or error}") from None
+    except (ValueError, msgspec.ValidationError) as error:
+        raise click.ClickException(f"{path}: {name}: {error}") from None
--- a/umberward/cli/graph.py
+++ b/umberward/cli/graph.py
@@ -9,7 +9,7 @@
 import click
 import msgspec
 
-from umberward.cli.asking import ask, server_option, show
+from umberward.cli.asking import ask, read_list, server_option, show
 from umberward.core.types import Address
 from umberward.protocol import wire
 
@@ -32,12 +32,31 @@
 
 
 @graph.command()
+@click.option(
+    "--config", type=click.Path(path_type=Path),
+    help="A controller's settings file: are the team and its maximum right?",
+)  # fmt: skip
+@click.option(
+    "--machines", type=click.Path(path_type=Path),
+    help="Machine types as `umberward local` takes them: can they hold each task?",
+)  # fmt: skip
 @click.argument("file", type=click.Path(path_type=Path))
-def check(file: Path) -> None:
+def check(config: Path | None, machines: Path | None, file: Path) -> None:
     """Check a graph file (TOML, or JSON by its suffix) without sending it."""
+    from umberward.core.settings import SettingsError, load
+    from umberward.core.types import TypeName
     from umberward.graphs.model import Shape
+    from umberward.protocol.wire import Sku
 
-    found = _load(file)
+    teams = skus = None
+    try:
+        if config is not None:
+            teams = load(config).platform.cluster.teams
+    except SettingsError as error:
+        raise click.ClickException(str(error)) from None
+    if machines is not None:
+        skus = {TypeName(sku.sku): sku for sku in read_list(machines, "machines", list[Sku])}
+    found = _load(file, teams, skus)
     shape = Shape(found.tasks)
     needs = sum(len(some) for some in shape.needs)
     click.echo(f"{file}: {len(shape)} tasks, {needs} needs, {len(shape.kinds)} kinds")
@@ -106,11 +125,11 @@
     show(ask(server, "POST", f"{GRAPHS}/{graph_id}/cancel"))
 
 
-def _load(file: Path) -> Any:
+def _load(file: Path, teams: Any = None, skus: Any = None) -> Any:
     from umberward.graphs import files
 
     try:
-        return files.load(file)
+        return files.load(file, teams, skus)
     except files.FileError as error:
         for line in error.lines:
             click.echo(line, err=True)
--- a/umberward/cli/local.py
+++ b/umberward/cli/local.py
@@ -9,7 +9,8 @@
 from typing import Any
 
 import click
-import msgspec
+
+from umberward.cli.asking import read_list
 
 STATUS_S = 0.5
 QUIET_STATUS_S = 5.0  # where nobody watches a line change
@@ -39,9 +40,9 @@
     log.configure("error", "lines")
     plan = Plan(controllers=controllers, speed=speed)
     if machines is not None:
-        plan.machines = _read(machines, "machines", list[Sku])
+        plan.machines = read_list(machines, "machines", list[Sku])
     if troubles is not None:
-        plan.troubles = _read(troubles, "troubles", list[Trouble])
+        plan.troubles = read_list(troubles, "troubles", list[Trouble])
     # Ended by a signal, it still takes its processes along.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(143))
     try:
@@ -55,18 +56,6 @@
         raise SystemExit(1)
 
 
-def _read(path: Path, name: str, kind: Any) -> Any:
-    import tomllib
-
-    try:
-        found = tomllib.loads(path.read_text(encoding="utf-8")).get(name)
-        return msgspec.convert(found, kind)
-    except OSError as error:
-        raise click.ClickException(f"{path}: {error.strerror or error}") from None
-    except (ValueError, msgspec.ValidationError) as error:
-        raise click.ClickException(f"{path}: {name}: {error}") from None
-
-
 async def _run(plan: Any, seconds: float | None, example: bool) -> bool:
     """Whether the example did not end well."""
     import curio
--- a/umberward/graphs/files.py
+++ b/umberward/graphs/files.py
@@ -4,15 +4,19 @@
 
 import re
 import tomllib
+from collections.abc import Iterable
 from pathlib import Path
 from typing import Any
 
 import msgspec
 
+from umberward.core.settings import Team
+from umberward.core.types import TeamName, TypeName
+from umberward.decisions.quota import Quota
 from umberward.graphs import model
 from umberward.graphs.model import File, GraphId, Part
 from umberward.protocol import wire
-from umberward.protocol.wire import BODY_LIMIT
+from umberward.protocol.wire import BODY_LIMIT, Sku
 
 PART_BYTES = BODY_LIMIT - 4096  # of tasks in one part; the rest is for what goes with them
 
@@ -29,8 +33,10 @@
         self.lines = lines
 
 
-def load(path: Path) -> File:
-    """Raises FileError."""
+def load(
+    path: Path, teams: Iterable[Team] | None = None, skus: dict[TypeName, Sku] | None = None
+) -> File:
+    """Raises FileError. `teams`, `skus`: those of the cluster that it is for, if they are known."""
     try:
         text = path.read_text(encoding="utf-8")
     except OSError as error:
@@ -53,9 +59,20 @@
         found = _TASK_PATH.search(where)
         at = _at(path, lines, int(found[1]) if found else None)
         raise FileError([f"{at} {where}: {what}" if where else f"{at} {what}"]) from None
-    wrong = model.problems(made.tasks)
-    if wrong:
-        raise FileError([f"{_at(path, lines, problem.task)} {problem.text}" for problem in wrong])
+    wrong = model.problems(made.tasks, skus)
+    said = [f"{_at(path, lines, problem.task)} {problem.text}" for problem in wrong]
+    if teams is not None:
+        quota = Quota(list(teams))
+        team = TeamName(made.graph.team)
+        if team not in quota.teams:
+            said.append(f"{path}: team: no team {team}")
+        elif not wrong:
+            for number, task in enumerate(made.tasks):
+                if quota.exceeds(team, model.kind_of(task).need, 1):
+                    text = f"{task.name}: needs more than the team's maximum"
+                    said.append(f"{_at(path, lines, number)} {text}")
+    if said:
+        raise FileError(said)
     return made
 
 
--- a/umberward/local/cluster.py
+++ b/umberward/local/cluster.py
@@ -56,13 +56,17 @@
     """Something that happens `at` so many seconds after the cluster is ready, `for` so many more.
 
     crash: controllers (all without `controller`) are killed; state_down, cloud_down: no service;
-    refuse: one controller is refused by the state service; drain: all machines of `zone` are told
+    refuse: one controller is refused by the state service; lost, late: transactions get no answer
+    and are executed all the same, or some time later; drain: all machines of `zone` are told
     that they will be taken; take: `count` spot machines are; delete: `count` machines are gone at
     once; sick: `count` machines fail what they start.
     """
 
     at: float
-    what: Literal["crash", "state_down", "cloud_down", "refuse", "drain", "take", "delete", "sick"]
+    what: Literal[
+        "crash", "state_down", "cloud_down", "refuse", "lost", "late", "drain", "take", "delete",
+        "sick",
+    ]  # fmt: skip
     seconds: float = msgspec.field(name="for", default=5.0)
     controller: int | None = None
     zone: str = ""
@@ -214,7 +218,9 @@
         while True:
             now = time.monotonic()
             revision = self.state.core.revision
-            self.state.core.tick(now) if not self.state.down else None
+            if not self.state.down:
+                self.state.core.tick(now)
+                await self.state.deliver()
             if self.state.core.revision != revision:
                 await self.state.notify()
             up, taken = self.cloud.core.tick(now)
@@ -395,6 +401,10 @@
             self.state.set_down(True)
             await curio.sleep(trouble.seconds)
             self.state.set_down(False)
+        elif trouble.what in ("lost", "late"):
+            self.state.lossy = trouble.what
+            await curio.sleep(trouble.seconds)
+            self.state.lossy = ""
         elif trouble.controller is not None:
             self.state.refused.add(trouble.controller)
             await curio.sleep(trouble.seconds)
--- a/umberward/local/servers.py
+++ b/umberward/local/servers.py
@@ -29,6 +29,8 @@
 HELLO_TIMEOUT_S = 4.0
 NEXT_NODE_S = 1.0
 LOOK_S = 0.05
+LATE_S = 4.0  # a late transaction is executed so much later
+NO_ANSWER_S = 30.0  # nobody waits that long
 
 
 def _query(request: Request) -> dict[str, str]:
@@ -57,6 +59,8 @@
         self.writes = Rate(limits.write_rps, now)
         self.down = False
         self.refused: set[int] = set()  # controllers that alone get no answer but 503
+        self.lossy = ""  # transactions get no answer: "lost" is executed, "late" is later
+        self.late: list[tuple[float, dict[str, object]]] = []
         self.changed = curio.Event()
         self.requests = 0
         self.over_rate = 0
@@ -100,7 +104,15 @@
         if method == "GET" and path == "/watch":
             return await self._watch(_query(request), number)
         if method == "POST" and path == "/commit":
-            return await self._commit(_body(request))
+            body = _body(request)
+            if self.lossy == "late":
+                self.late.append((time.monotonic() + LATE_S, body))
+                await curio.sleep(NO_ANSWER_S)
+                return Response(503)
+            response = await self._commit(body)
+            if self.lossy == "lost":
+                await curio.sleep(NO_ANSWER_S)
+            return response
         if path == "/leases" or path.startswith("/leases/"):
             return await self._lease(method, path[len("/leases") :].strip("/"), request)
         return Response(404)
@@ -128,6 +140,14 @@
         await self.notify()
         return Response(200, wire.encode({"generation": revision}))
 
+    async def deliver(self) -> None:
+        """Execute the transactions that are late by now."""
+        now = time.monotonic()
+        due = [body for at, body in self.late if at <= now]
+        self.late = [(at, body) for at, body in self.late if at > now]
+        for body in due:
+            await self._commit(body)
+
     async def notify(self) -> None:
         changed, self.changed = self.changed, curio.Event()
         await changed.set()
