A graph that is cancelled while a leader reads graphs is told as gone, in that order

Cause: found by reading: the first load and the watch read side by side, so a graph read before its cancellation could be handed over after it, and tasks below its stored mark would start once more. Change: one reader, whose watch goes on from where the first load ended; parts are unpacked only when all are there. Result: a test that cancels between two readings.

--- a/tests/test_graphs.py
+++ b/tests/test_graphs.py
@@ -24,7 +24,8 @@
 
 from umberward.cli import main as cli
 from umberward.graphs import files, records
-from umberward.graphs.model import Options, Task
+from umberward.graphs.keeper import GraphPut, Keeper
+from umberward.graphs.model import GraphId, Options, Task
 from umberward.protocol import wire
 
 FILES = sorted((Path(__file__).parent / "scenarios" / "graphs").glob("*.txt"))
@@ -193,6 +194,36 @@
         play(path, GraphPlay)
 
 
+def test_what_is_cancelled_while_graphs_are_read_is_told_as_gone() -> None:
+    """In the order in which it happened; else its tasks would start after the cancellation."""
+    game = GraphPlay()
+    world = game.world
+    world.takeover()
+    game.do_graph("graph-1", "a", "b:a")
+    game.do_graph("graph-2", "a")
+    told: list[str] = []
+
+    async def tell(message: Any) -> None:
+        name = message.args[0] if isinstance(message, GraphPut) else message.id
+        told.append(f"{type(message).__name__} {name}")
+        if told == ["GraphPut graph-1"]:
+            await world.users_side().cancel(GraphId("graph-2"))
+
+    async def read() -> None:
+        keeper = Keeper(world.store, world.board, tell, lambda: None, lambda: True)  # type: ignore
+        await keeper.load()
+        await keeper.follow()
+        # Something was missed: what is not there any more is told as gone, once.
+        await world.users_side().cancel(GraphId("graph-1"))
+        await keeper.load()
+        await keeper.follow()
+
+    curio.run(read)
+    assert told == [
+        "GraphPut graph-1", "GraphPut graph-2", "GraphGone graph-2", "GraphGone graph-1"
+    ]  # fmt: skip
+
+
 # ---- files -------------------------------------------------------------------------------
 
 GOOD = """[graph]
--- a/umberward/graphs/keeper.py
+++ b/umberward/graphs/keeper.py
@@ -22,6 +22,7 @@
 log = logger(__name__)
 
 WATCH_S = 2.0
+FIRST_LOOK_S = 0.05
 ENDS_S = 0.2  # how often it is looked for graphs that are over
 OPEN_S = 180.0  # a graph whose parts have not all come by then is given up: its user has
 CLEAN_S = 30.0
@@ -52,6 +53,8 @@
         self.tell = tell
         self.condition = condition
         self.leading = leading
+        self.told: set[GraphId] = set()  # graphs that the board has, or has in its mail
+        self.after: Revision | None = None  # all changes until then have been told
 
     def takes(self, message: Any) -> bool:
         """Handle the message if it is about graphs."""
@@ -63,42 +66,57 @@
             return False
         return True
 
-    async def load(self) -> Revision:
+    async def load(self) -> None:
         """All accepted graphs. Must be done before the holder's jobs are taken for complete: what
         workers run of a graph that is not known is stopped."""
+        self.after = None
         entries, after = await self.store.entries(LIVE)
         listed = set()
         for entry in entries:
             listed.add(GraphId(entry.path[len(LIVE) :]))
             await self._take(entry.path, entry.data, entry.stamp)
-        for id in list(self.board.graphs):
-            if id not in listed:
-                await self.tell(GraphGone(id))
-        return after
+        for id in self.told - listed:
+            await self._gone(id)
+        self.after = after
 
     async def watch(self) -> None:
-        """Follow what controllers accept and cancel."""
-        after: Revision | None = None
+        """Follow what controllers accept and cancel, from where the first `load` has ended.
+
+        Nobody else may read meanwhile: a graph that was read before its cancellation and told
+        after it would start once more.
+        """
+        while self.after is None:
+            await curio.sleep(FIRST_LOOK_S)
         while True:
             try:
-                if after is None:
-                    after = await self.load()
-                news, after = await self.store.watch(LIVE, after, WATCH_S)
-                for change in news:
-                    if change.delete is not None:
-                        await self.tell(GraphGone(GraphId(change.delete[len(LIVE) :])))
-                    elif change.write is not None:
-                        await self._take(change.write, change.data, change.stamp)
+                await self.follow()
             except state.TooOld:
-                after = None
+                self.after = None
             except (state.Unavailable, state.Unknown) as error:
                 log.debug("graphs_not_read", error=error)
-                after = None  # what was only half taken in is read again
+                self.after = None  # what was only half taken in is read again
                 await curio.sleep(0.3)
 
+    async def follow(self) -> None:
+        """Tell the next changes."""
+        if self.after is None:
+            await self.load()
+            return
+        news, after = await self.store.watch(LIVE, self.after, WATCH_S)
+        for change in news:
+            if change.delete is not None:
+                await self._gone(GraphId(change.delete[len(LIVE) :]))
+            elif change.write is not None:
+                await self._take(change.write, change.data, change.stamp)
+        self.after = after
+
+    async def _gone(self, id: GraphId) -> None:
+        self.told.discard(id)
+        await self.tell(GraphGone(id))
+
     async def _take(self, path: str, data: Any, stamp: int) -> None:
         id = GraphId(path[len(LIVE) :])
-        if id in self.board.graphs:
+        if id in self.told:
             return
         try:
             record = wire.converted(data, GraphRecord)
@@ -107,6 +125,7 @@
         except (wire.Malformed, Incomplete, ValueError) as error:
             log.error("graph_malformed", graph=id, error=error)
             return
+        self.told.add(id)
         await self.tell(GraphPut((id, record, Stamp(stamp), tasks, progress)))
 
     async def finish(self) -> None:
@@ -121,7 +140,7 @@
                     log.debug("graph_not_ended", graph=end.id, error=error)
                     continue  # if it was: its live record's deletion tells
                 log.info("graph_ended", graph=end.id)
-                await self.tell(GraphGone(end.id))
+                await self._gone(end.id)
 
     async def clean(self) -> None:
         """Remove what never became a graph."""
--- a/umberward/graphs/store.py
+++ b/umberward/graphs/store.py
@@ -30,10 +30,11 @@
     prefix = f"{PART}{id}/{opened}/"
     entries, _ = await store.entries(prefix)
     found = {entry.path[len(prefix) :]: entry.data for entry in entries}
+    missing = [part for part in range(count) if str(part) not in found]
+    if missing:
+        raise Incomplete(f"{id}: part {missing[0]} is missing")
     parts = []
     for part in range(count):
-        if str(part) not in found:
-            raise Incomplete(f"{id}: part {part} is missing")
         head = wire.converted(found[str(part)], PartRecord)
         names = [f"{part}/{head.digest}/{piece}" for piece in range(head.pieces)]
         if any(name not in found for name in names):
