--- a/umberward/graphs/live.py
+++ b/umberward/graphs/live.py
@@ -340,7 +340,7 @@
         position = self.shape.members[kind][number]
         if not self.left[position]:
             return
-        for need in sorted(self.shape.before(position)):
+        for need in self.shape.before(position):
             place = self.shape.place[need]
             job = self.jobs[place.kind]
             if not job.is_done(place.number):
--- a/umberward/graphs/model.py
+++ b/umberward/graphs/model.py
@@ -190,25 +190,11 @@
 
     def after(self, position: int) -> list[int]:
         """All tasks that need this one, directly or through others, in topological order."""
-        found: set[int] = set()
-        walk = [position]
-        while walk:
-            for heir in self.heirs[walk.pop()]:
-                if heir not in found:
-                    found.add(heir)
-                    walk.append(heir)
-        return sorted(found)
-
-    def before(self, position: int) -> set[int]:
-        """All tasks that this one needs, directly or through others."""
-        found: set[int] = set()
-        walk = [position]
-        while walk:
-            for need in self.needs[walk.pop()]:
-                if need not in found:
-                    found.add(need)
-                    walk.append(need)
-        return found
+        return sorted(_reached(position, self.heirs))
+
+    def before(self, position: int) -> list[int]:
+        """All tasks that this one needs, directly or through others, in topological order."""
+        return sorted(_reached(position, self.needs))
 
     def spec(self, graph: GraphId, options: Options, kind: int) -> Spec:
         """The array that the scheduler runs for the tasks of one kind."""
@@ -237,6 +223,17 @@
         )
 
 
+def _reached(position: int, edges: list[list[int]]) -> set[int]:
+    found: set[int] = set()
+    walk = [position]
+    while walk:
+        for other in edges[walk.pop()]:
+            if other not in found:
+                found.add(other)
+                walk.append(other)
+    return found
+
+
 def kind_of(task: Task) -> Kind:
     """Raises ValueError for resources that no machine has."""
     type_: str | None = None
--- a/umberward/local/cluster.py
+++ b/umberward/local/cluster.py
@@ -30,7 +30,7 @@
 from umberward.local.statecore import StateCore
 from umberward.local.workercore import Fate, Mates, Times, WorkerCore
 from umberward.protocol import wire
-from umberward.protocol.http import Client
+from umberward.protocol.http import Client, NoAnswer, NotSent
 from umberward.protocol.wire import Sku, Spec
 
 log = logger(__name__)
@@ -167,8 +167,6 @@
             process.wait()
 
     async def _ready(self) -> bool:
-        from umberward.protocol.http import NoAnswer, NotSent
-
         for address in self.listen:
             try:
                 response = await self.client.request(address, "GET", "/ready", b"", 1.0)
--- a/umberward/local/servers.py
+++ b/umberward/local/servers.py
@@ -194,9 +194,7 @@
         self, core: CloudCore, rps: float, address: Address, gone: Callable[[list[Machine]], None]
     ) -> None:
         self.core = core
-        self.rate = Rate(rps * 2, time.monotonic())  # with bursts of two seconds' worth
-        self.rate.rate = rps
-        self.rate.tokens = rps
+        self.rate = Rate(rps, time.monotonic(), burst_s=2.0)
         self.down = False
         self.gone = gone
         self.server = Server(address, self._serve, SOCKETS)
--- a/umberward/local/statecore.py
+++ b/umberward/local/statecore.py
@@ -39,15 +39,15 @@
 
 
 class Rate:
-    """So many a second, with bursts of one second's worth."""
+    """So many a second, with bursts of so many seconds' worth."""
 
-    def __init__(self, rate: float, now: float) -> None:
+    def __init__(self, rate: float, now: float, burst_s: float = 1.0) -> None:
         self.rate = rate
-        self.tokens = rate
+        self.most = self.tokens = rate * burst_s
         self.at = now
 
     def take(self, count: int, now: float) -> bool:
-        self.tokens = min(self.rate, self.tokens + (now - self.at) * self.rate)
+        self.tokens = min(self.most, self.tokens + (now - self.at) * self.rate)
         self.at = now
         if self.tokens < count:
             return False
