The end of a task that readies thousands no longer walks the list of ready tasks for each

Cause: put_back searched the ascending list of tasks to start from end to end; 9,999 children of one task took the leader 0.70 s, in which it answered nobody. Change: the list is searched by halving, as it is sorted.

--- a/tests/test_graphs.py
+++ b/tests/test_graphs.py
@@ -224,6 +224,32 @@
     ]  # fmt: skip
 
 
+class Unwalked(list[int]):
+    """Fails if it is searched from end to end."""
+
+    def __contains__(self, _: object) -> bool:
+        raise AssertionError("walked")
+
+    remove = index = __contains__  # type: ignore[assignment]
+
+
+def test_an_end_that_readies_thousands_walks_no_list_for_each() -> None:
+    """It took the leader 0.7 s, in which it answered nobody."""
+    game = GraphPlay()
+    game.world.takeover()
+    game.do_graph_wide("graph-1", "900")
+    game.world.run(0.2)
+    assert game.world.board is not None
+    (graph,) = game.world.board.graphs.values()
+    (job,) = graph.jobs
+    job.again = Unwalked(job.again)
+    job.mark_done(0)
+    assert job.startable() == 900
+    job.put_back(5)
+    job.mark_done(7)
+    assert job.startable() == 899
+
+
 # ---- files -------------------------------------------------------------------------------
 
 GOOD = """[graph]
--- a/umberward/decisions/jobs.py
+++ b/umberward/decisions/jobs.py
@@ -176,9 +176,7 @@
             return False
         self.bits |= 1 << (index - self.base)
         self.unsure.discard(index)
-        at = bisect.bisect_left(self.again, index)
-        if at < len(self.again) and self.again[at] == index:
-            del self.again[at]
+        self.not_again(index)
         while self.bits & 1:
             self.bits >>= 1
             self.base += 1
@@ -214,14 +212,20 @@
         return self.fresh - 1
 
     def put_back(self, index: int) -> None:
-        if not self.is_done(index) and index not in self.again:
-            bisect.insort(self.again, index)
+        at = bisect.bisect_left(self.again, index)
+        if not self.is_done(index) and (at == len(self.again) or self.again[at] != index):
+            self.again.insert(at, index)
+
+    def not_again(self, index: int) -> None:
+        """The task is not to be placed, if it was. Thousands may be: they are not walked."""
+        at = bisect.bisect_left(self.again, index)
+        if at < len(self.again) and self.again[at] == index:
+            del self.again[at]
 
     def found(self, index: int) -> None:
         """A former holder has started this task, and we know where it is now."""
         self.unsure.discard(index)
-        if index in self.again:
-            self.again.remove(index)
+        self.not_again(index)
 
     def task_failed(self, index: int, machine: MachineId, now: Instant) -> None:
         """Only for jobs that judge their tasks one by one."""
--- a/umberward/graphs/live.py
+++ b/umberward/graphs/live.py
@@ -135,8 +135,7 @@
         if self._used(index) > self.max_retries:
             self.doubtful.add(index)
             self.retries.pop(index, None)
-            if index in self.again:
-                self.again.remove(index)
+            self.not_again(index)
         else:
             self.retries[index] = None
 
