Graphs: parts are read, teams checked and failures spread by one piece of code each

Cause: a second reading of the change. The loopback cluster parsed stored parts as the state's reader does; files and gateway had the same check of teams; what a failed task keeps from running was found by two loops, anew for each failure; refusing one graph swept what others had left; the cluster stopped processes in three places. Change: one of each; deletion stands with the reading in graphs/store; workers' times are the settings' own type; an unused type and counter are gone. No answer changes.

--- a/tests/graph_world.py
+++ b/tests/graph_world.py
@@ -12,7 +12,7 @@
 
 from umberward.clients import state
 from umberward.core.types import Key, Stamp, WallTime
-from umberward.graphs import keeper, records
+from umberward.graphs import records, store
 from umberward.graphs.board import Board
 from umberward.graphs.gateway import Graphs
 from umberward.graphs.model import GraphId, Options, Part, Shape, Task, job_id
@@ -171,8 +171,8 @@
         """The leader's cleaning, so much later."""
 
         async def clean() -> None:
-            await keeper.give_up_old(self.store, self.now + after_s)  # type: ignore[arg-type]
-            await keeper.delete_stale(self.store)  # type: ignore[arg-type]
+            await store.give_up_old(self.store, self.now + after_s)  # type: ignore[arg-type]
+            await store.delete_stale(self.store)  # type: ignore[arg-type]
 
         curio.run(clean)
 
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -12,7 +12,7 @@
 from umberward.cli import main as cli
 from umberward.core.types import Address
 from umberward.load.generator import Generator, Rates, Result, Work, plot
-from umberward.local.cluster import _free_ports
+from umberward.local.cluster import free_ports
 from umberward.protocol.http import Request, Response, Server
 
 
@@ -32,7 +32,7 @@
             await curio.sleep(0.6 - (time.monotonic() - began))
         return Response(201)
 
-    address: Address = _free_ports(1)[0]
+    address: Address = free_ports(1)[0]
     running = await curio.spawn(Server(address, serve, 500).run, daemon=True)
     await curio.sleep(0.05)
     made = Generator([address], Rates(submit=100.0), Work(), 3)
@@ -51,7 +51,7 @@
 
 
 def test_what_nobody_answers_is_counted(tmp_path: Path) -> None:
-    nobody = str(_free_ports(1)[0])
+    nobody = str(free_ports(1)[0])
     path = tmp_path / "figures.json"
     words = ["load", "--server", nobody, "--seconds", "0.5", "--submit", "20", "--save", str(path)]
     result = CliRunner().invoke(cli.main, words)
--- a/tests/world.py
+++ b/tests/world.py
@@ -36,7 +36,7 @@
 from umberward.decisions.tending import Borrower
 from umberward.local import statecore
 from umberward.local.statecore import StateCore
-from umberward.local.workercore import Fate, Mates, Task, Times, WorkerCore
+from umberward.local.workercore import Fate, Mates, Task, WorkerCore
 from umberward.protocol import changes, wire
 from umberward.protocol.changes import Got
 from umberward.protocol.http import Response
@@ -179,8 +179,7 @@
     """A worker's semantics, and what may befall it and its messages."""
 
     def __init__(self, world: World, host: str, flavor: str, zone: str, spot: bool) -> None:
-        workers = world.settings.platform.cluster.workers
-        times = Times(workers.lease_s, workers.gang_wait_s, workers.gang_peer_s)
+        times = world.settings.platform.cluster.workers
         sku = SKUS[TypeName(flavor)]
         super().__init__(
             host, "127.0.0.1:9", sku, zone, spot, times, world.mates, world.describe, self._fate,
--- a/umberward/client/session.py
+++ b/umberward/client/session.py
@@ -5,8 +5,8 @@
 import functools
 import inspect
 import time
-from collections.abc import Callable, Iterable, Sequence
-from typing import Any, TypeVar
+from collections.abc import Iterable, Sequence
+from typing import Any
 
 import cloudpickle
 import curio
@@ -35,8 +35,6 @@
 GIVE_UP_S = 60.0  # no controller has answered for so long
 SOCKETS = 16
 
-F = TypeVar("F", bound=Callable[..., Any])
-
 
 class ClientError(Exception):
     """Something on the way to the cluster went wrong; the base of all that is raised here."""
@@ -142,7 +140,7 @@
         for need in ref.needs:
             if need.graph is not None:
                 self._follow([need])
-            if need.graph is not None and need.phase != "done" or need.phase == "not_run":
+            if need.phase not in ("pending", "done"):  # pending: it is sent with this one
                 ref.phase, ref.because = "not_run", need.because or need.name
                 return False
         return True
--- a/umberward/decisions/jobs.py
+++ b/umberward/decisions/jobs.py
@@ -216,11 +216,13 @@
         if not self.is_done(index) and (at == len(self.again) or self.again[at] != index):
             self.again.insert(at, index)
 
-    def not_again(self, index: int) -> None:
-        """The task is not to be placed, if it was. Thousands may be: they are not walked."""
+    def not_again(self, index: int) -> bool:
+        """The task is not to be placed; whether it was. Thousands may be: they are not walked."""
         at = bisect.bisect_left(self.again, index)
-        if at < len(self.again) and self.again[at] == index:
-            del self.again[at]
+        if at == len(self.again) or self.again[at] != index:
+            return False
+        del self.again[at]
+        return True
 
     def found(self, index: int) -> None:
         """A former holder has started this task, and we know where it is now."""
--- a/umberward/graphs/files.py
+++ b/umberward/graphs/files.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from umberward.core.settings import Team
-from umberward.core.types import TeamName, TypeName
+from umberward.core.types import TypeName
 from umberward.decisions.quota import Quota
 from umberward.graphs import model
 from umberward.graphs.model import File, GraphId, Part
@@ -60,17 +60,11 @@
         at = _at(path, lines, int(found[1]) if found else None)
         raise FileError([f"{at} {where}: {what}" if where else f"{at} {what}"]) from None
     wrong = model.problems(made.tasks, skus)
-    said = [f"{_at(path, lines, problem.task)} {problem.text}" for problem in wrong]
     if teams is not None:
-        quota = Quota(list(teams))
-        team = TeamName(made.graph.team)
-        if team not in quota.teams:
-            said.append(f"{path}: team: no team {team}")
-        elif not wrong:
-            for number, task in enumerate(made.tasks):
-                if quota.exceeds(team, model.kind_of(task).need, 1):
-                    text = f"{task.name}: needs more than the team's maximum"
-                    said.append(f"{_at(path, lines, number)} {text}")
+        wrong += model.team_problems(
+            made.graph.team, [] if wrong else made.tasks, Quota(list(teams))
+        )
+    said = [f"{_at(path, lines, problem.task)} {problem.text}" for problem in wrong]
     if said:
         raise FileError(said)
     return made
--- a/umberward/graphs/gateway.py
+++ b/umberward/graphs/gateway.py
@@ -21,13 +21,19 @@
 from umberward.clients.state import State
 from umberward.core.log import logger
 from umberward.core.settings import Settings
-from umberward.core.types import MAX_TASKS, Stamp, TeamName, TypeName, WallTime
+from umberward.core.types import MAX_TASKS, Stamp, TypeName, WallTime
 from umberward.decisions.quota import Quota
 from umberward.graphs import model, records
-from umberward.graphs.keeper import delete_stale, give_up
 from umberward.graphs.model import GraphId, Part, Shape, Task, parse_graph_id
-from umberward.graphs.records import EndRecord, GraphRecord, OpenRecord, PartRecord, Progress
-from umberward.graphs.store import Incomplete, read_parts, read_progress, read_tasks
+from umberward.graphs.records import (
+    EndRecord,
+    GraphRecord,
+    Incomplete,
+    OpenRecord,
+    PartRecord,
+    Progress,
+)
+from umberward.graphs.store import delete_parts, give_up, read_parts, read_progress, read_tasks
 from umberward.protocol import changes, wire
 from umberward.protocol.http import Response
 from umberward.protocol.wire import Sku
@@ -148,20 +154,18 @@
             raise Refused(400, f"part: {part.part} of {part.parts} parts, counted from 0")
         if part.options.due_s is not None and part.options.due_s != part.options.due_s:
             raise Refused(400, "options.due_s: not a number")
-        if TeamName(part.options.team) not in self.quota.teams:
-            raise Refused(422, f"team: no team {part.options.team}")
+        for problem in model.team_problems(part.options.team, [], self.quota):
+            raise Refused(422, problem.text)
         return part
 
     def _check(self, options: model.Options, tasks: list[Task]) -> None:
         """Raises Refused for a graph that can never run."""
         found = model.problems(tasks, self.skus)
+        found = found or model.team_problems(options.team, tasks, self.quota)[:1]
         if found:
             status = 422 if all(problem.never for problem in found) else 400
             more = f" (and {len(found) - 1} more)" if len(found) > 1 else ""
             raise Refused(status, found[0].text + more)
-        for task in tasks:
-            if self.quota.exceeds(TeamName(options.team), model.kind_of(task).need, 1):
-                raise Refused(422, f"{task.name}: needs more than the team's maximum")
 
     async def _again(
         self, id: GraphId, found: GraphRecord | EndRecord, part: Part, digest: str
@@ -264,7 +268,7 @@
         """Refused: nothing of it stays. The leader finishes what we cannot."""
         try:
             await give_up(self.store, id, opened)
-            await delete_stale(self.store)
+            await delete_parts(self.store, id, opened)
         except (state.Unavailable, state.Unknown, state.Conflict) as error:
             log.debug("graph_not_deleted", graph=id, error=error)
 
@@ -423,8 +427,7 @@
         }
         self.because: dict[int, int] = {}  # position of what will not run -> the failed task
         for position in sorted(self.failures):
-            for heir in shape.after(position):
-                self.because.setdefault(heir, position)
+            shape.spread(position, self.because)
         self.bits = {
             kind: (run.base, int(run.done, 16)) for kind, (run, _) in found.progress.runs.items()
         }
--- a/umberward/graphs/keeper.py
+++ b/umberward/graphs/keeper.py
@@ -12,21 +12,18 @@
 from umberward.clients.state import State
 from umberward.core.log import logger
 from umberward.core.types import Key, Revision, Stamp
-from umberward.graphs import records
 from umberward.graphs.board import Board
 from umberward.graphs.model import GraphId
-from umberward.graphs.records import LIVE, OPEN, STALE, GraphRecord, OpenRecord
-from umberward.graphs.store import Incomplete, read_progress, read_tasks
-from umberward.protocol import changes, wire
+from umberward.graphs.records import LIVE, GraphRecord, Incomplete
+from umberward.graphs.store import delete_stale, give_up_old, read_progress, read_tasks
+from umberward.protocol import wire
 
 log = logger(__name__)
 
 WATCH_S = 2.0
 FIRST_LOOK_S = 0.05
 ENDS_S = 0.2  # how often it is looked for graphs that are over
-OPEN_S = 180.0  # a graph whose parts have not all come by then is given up: its user has
 CLEAN_S = 30.0
-DELETED_AT_ONCE = 8
 
 
 class GraphPut(NamedTuple):
@@ -153,33 +150,3 @@
                 await delete_stale(self.store)
             except (state.Unavailable, state.Unknown, state.Conflict) as error:
                 log.debug("graphs_not_cleaned", error=error)
-
-
-async def give_up_old(store: State, now: float) -> None:
-    """Nothing can be accepted any more once its opening record is gone."""
-    entries, _ = await store.entries(OPEN)
-    for entry in entries:
-        id = GraphId(entry.path[len(OPEN) :])
-        if now - wire.converted(entry.data, OpenRecord).at > OPEN_S:
-            await give_up(store, id, Stamp(entry.stamp))
-
-
-async def give_up(store: State, id: GraphId, opened: Stamp) -> None:
-    """In one transaction with a note of what is to be deleted, so that no end in between leaves
-    anything behind."""
-    key = records.open_key(id)
-    note = changes.put(records.stale_key(id, opened), {})
-    await store.commit([(key, opened)], [note, changes.delete(key)], priority=changes.LAZY)
-    log.info("graph_given_up", graph=id)
-
-
-async def delete_stale(store: State) -> None:
-    notes, _ = await store.entries(STALE)
-    most = min(DELETED_AT_ONCE, store.lower.txn_ops)
-    for note in notes:
-        id, _, opened = note.path[len(STALE) :].rpartition(".")
-        entries, _ = await store.entries(f"{records.PART}{id}/{opened}/")
-        for start in range(0, len(entries), most):
-            gone = [changes.delete(Key(entry.path)) for entry in entries[start : start + most]]
-            await store.commit([], gone, priority=changes.LAZY, patience=5.0)
-        await store.commit([], [changes.delete(Key(note.path))], priority=changes.LAZY)
--- a/umberward/graphs/live.py
+++ b/umberward/graphs/live.py
@@ -88,9 +88,7 @@
 
     def take(self) -> int:
         for index in self.retries:
-            at = bisect.bisect_left(self.again, index)
-            if at < len(self.again) and self.again[at] == index and at < self.startable():
-                del self.again[at]
+            if index < self.base + self.window and self.not_again(index):
                 del self.retries[index]
                 return index
         return self.again.pop(0)
@@ -358,10 +356,7 @@
 
     def _spread(self, position: int) -> None:
         """Nothing that needs this task will run; none of it was started."""
-        for heir in self.shape.after(position):
-            if heir in self.not_run:
-                continue
-            self.not_run[heir] = position
+        for heir in self.shape.spread(position, self.not_run):
             kind, number = self.shape.place[heir]
             if not self.jobs[kind].is_done(number):
                 self.jobs[kind].over(number)
--- a/umberward/graphs/model.py
+++ b/umberward/graphs/model.py
@@ -13,7 +13,8 @@
 
 import msgspec
 
-from umberward.core.types import JOB_PREFIX, MAX_TASKS, Amount, JobId, TypeName
+from umberward.core.types import JOB_PREFIX, MAX_TASKS, Amount, JobId, TeamName, TypeName
+from umberward.decisions.quota import Quota
 from umberward.protocol import wire
 from umberward.protocol.wire import Above0, From0, Name, Sku, Spec
 
@@ -188,13 +189,15 @@
     def __len__(self) -> int:
         return len(self.names)
 
-    def after(self, position: int) -> list[int]:
-        """All tasks that need this one, directly or through others, in topological order."""
-        return sorted(_reached(position, self.heirs))
+    def spread(self, position: int, because: dict[int, int]) -> list[int]:
+        """Note in `because` this failed task for all that need it and have none noted; these, in
+        topological order. What hangs on one that has was noted with it, and is not walked again.
+        """
+        return sorted(_reached(position, self.heirs, because))
 
     def before(self, position: int) -> list[int]:
         """All tasks that this one needs, directly or through others, in topological order."""
-        return sorted(_reached(position, self.needs))
+        return sorted(_reached(position, self.needs, {}))
 
     def spec(self, graph: GraphId, options: Options, kind: int) -> Spec:
         """The array that the scheduler runs for the tasks of one kind."""
@@ -223,13 +226,15 @@
         )
 
 
-def _reached(position: int, edges: list[list[int]]) -> set[int]:
-    found: set[int] = set()
+def _reached(position: int, edges: list[list[int]], known: dict[int, int]) -> list[int]:
+    """What is reached of what is not known; it is known, by this position, afterwards."""
+    found = []
     walk = [position]
     while walk:
         for other in edges[walk.pop()]:
-            if other not in found:
-                found.add(other)
+            if other not in known:
+                known[other] = position
+                found.append(other)
                 walk.append(other)
     return found
 
@@ -286,6 +291,18 @@
     return found
 
 
+def team_problems(team: str, tasks: list[Task], quota: Quota) -> list[Problem]:
+    """What its team says of a graph: there is none, or a task is more than it may ever use."""
+    name = TeamName(team)
+    if name not in quota.teams:
+        return [Problem(None, f"team: no team {team}", never=True)]
+    return [
+        Problem(number, f"{task.name}: needs more than the team's maximum", never=True)
+        for number, task in enumerate(tasks)
+        if quota.exceeds(name, kind_of(task).need, 1)
+    ]
+
+
 def _held(kind: Kind, skus: dict[TypeName, Sku]) -> bool:
     return any(
         kind.type in (None, name)
--- a/umberward/graphs/records.py
+++ b/umberward/graphs/records.py
@@ -15,6 +15,7 @@
 import base64
 import hashlib
 import zlib
+from collections.abc import Mapping
 from typing import Any
 
 import cbor2
@@ -142,6 +143,37 @@
     return [text[start : start + size] for start in range(0, len(text), size)]
 
 
+class Incomplete(Exception):
+    """Not all of a graph's content stands in the state service."""
+
+
+Parts = list[tuple[str, list[Task]]]  # of each part its digest and its tasks
+
+
+def parts_of(id: GraphId, found: Mapping[str, Any], count: int) -> Parts:
+    """From what stands under `graphs/part/ID/OPEN/`, by the rest of its keys. Raises Incomplete,
+    ValueError, wire.Malformed."""
+    missing = [part for part in range(count) if str(part) not in found]
+    if missing:
+        raise Incomplete(f"{id}: part {missing[0]} is missing")
+    parts = []
+    for part in range(count):
+        head = wire.converted(found[str(part)], PartRecord)
+        names = [f"{part}/{head.digest}/{piece}" for piece in range(head.pieces)]
+        if any(name not in found for name in names):
+            raise Incomplete(f"{id}: part {part} is not whole")
+        text = "".join(found[name] for name in names)
+        parts.append((head.digest, unpack(unfold(text))))
+    return parts
+
+
+def joined(id: GraphId, record: GraphRecord, parts: Parts) -> list[Task]:
+    """All tasks, if these are the parts that were accepted. Raises Incomplete."""
+    if [digest for digest, _ in parts] != record.digests:
+        raise Incomplete(f"{id}: parts do not match")
+    return [task for _, tasks in parts for task in tasks]
+
+
 def live_key(id: GraphId) -> Key:
     return Key(LIVE + id)
 
--- a/umberward/local/cluster.py
+++ b/umberward/local/cluster.py
@@ -28,7 +28,7 @@
 from umberward.local.cloudcore import CloudCore, Machine
 from umberward.local.servers import CloudServer, StateServer, WorkerServer
 from umberward.local.statecore import StateCore
-from umberward.local.workercore import Fate, Mates, Times, WorkerCore
+from umberward.local.workercore import Fate, Mates, WorkerCore
 from umberward.protocol import wire
 from umberward.protocol.http import Client, NoAnswer, NotSent
 from umberward.protocol.wire import Sku, Spec
@@ -96,7 +96,7 @@
             report_s=1.0, lease_s=8.0, gang_wait_s=20.0, gang_peer_s=4.0, cancel_s=20.0
         )
         self.limits = StateLimits(rps=600.0, write_rps=60.0, value_kb=4.0, txn_ops=8)
-        free = _free_ports(3 * plan.controllers + 2)
+        free = free_ports(3 * plan.controllers + 2)
         self.listen = [free.pop() for _ in range(plan.controllers)]
         self.peers = [free.pop() for _ in range(plan.controllers)]
         states = [free.pop() for _ in range(plan.controllers)]
@@ -119,7 +119,6 @@
         self.running_on: dict[str, str] = {}  # task -> its machine
         self.dying: list[Any] = []  # servers of machines that are gone
         self.most_cores: dict[str, float] = {}  # team -> the most that it has used at once
-        self.starts: dict[str, int] = {}
         self.started_at: dict[str, float] = {}  # task -> when it first ran
         self.done_at: dict[str, float] = {}
         self.ends: dict[str, list[str]] = {}  # task -> how its attempts ended
@@ -158,13 +157,8 @@
         await self.group.spawn(self._trouble)
 
     def _end(self) -> None:
-        for child in self.children:
-            if child is not None:
-                child.kill()
-                child.wait()
-        for process in self.processes.values():
-            process.kill()
-            process.wait()
+        for process in [*self.children, *self.processes.values()]:
+            _stop(process)
 
     async def _ready(self) -> bool:
         for address in self.listen:
@@ -235,14 +229,17 @@
             self._execute()
             while self.dying:
                 await self.dying.pop().cancel(blocking=False)
-            for number, child in enumerate(self.children):
-                if child is not None and child.poll() is not None:
-                    self.children[number] = None
-                    self.start_at[number] = now + COME_BACK_S
-                if self.children[number] is None and now >= self.start_at[number]:
-                    self.children[number] = self._child(number)
+            self._revive(now)
             await curio.sleep(TICK_S)
 
+    def _revive(self, now: float) -> None:
+        for number, child in enumerate(self.children):
+            if child is not None and child.poll() is not None:
+                self.children[number] = None
+                self.start_at[number] = now + COME_BACK_S
+            if self.children[number] is None and now >= self.start_at[number]:
+                self.children[number] = self._child(number)
+
     def _child(self, number: int) -> subprocess.Popen[bytes]:
         name = self.names[number]
         with open(self.folder / f"{name}.log", "ab") as out:
@@ -256,12 +253,12 @@
             )  # fmt: skip
 
     async def _up(self, machine: Machine, now: float) -> None:
-        address = _free_ports(1)[0]
+        address = free_ports(1)[0]
         machine.address = str(address)
         times = self.workers_said
         core = WorkerCore(
             machine.id, machine.address, machine.sku, machine.zone, machine.spot,
-            Times(times.lease_s, times.gang_wait_s, times.gang_peer_s), self.mates, self.describe,
+            times, self.mates, self.describe,
             lambda name, spec: self._fate(machine.id, name, spec), now, self.plan.speed,
         )  # fmt: skip
         core.exited = self._exited
@@ -279,7 +276,6 @@
     # ---- what runs ---------------------------------------------------------------------
 
     def _fate(self, host: str, name: str, spec: Spec) -> Fate:
-        self.starts[name] = self.starts.get(name, 0) + 1
         self.started_at.setdefault(name, time.monotonic())
         if spec.shape == wire.SERVICE:
             return Fate(float("inf"))
@@ -293,20 +289,14 @@
 
     def _exited(self, name: str, cause: str) -> None:
         self.ends.setdefault(name, []).append(cause)
-        process = self.processes.pop(name, None)
-        if process is not None and process.poll() is None:
-            process.kill()
-            process.wait()
+        _stop(self.processes.pop(name, None))
         if cause == wire.DONE:
             self.done_at.setdefault(name, time.monotonic())
 
     def _execute(self) -> None:
         """Functions of graphs' tasks run in processes of their own, as on a worker."""
         for host, name in self.to_execute:
-            old = self.processes.pop(name, None)
-            if old is not None:
-                old.kill()
-                old.wait()
+            _stop(self.processes.pop(name, None))
             command = [sys.executable, "-m", "umberward.local.execute"]
             out = subprocess.DEVNULL
             self.processes[name] = subprocess.Popen(
@@ -353,18 +343,10 @@
     def _tasks(self, id: model.GraphId, graph: records.GraphRecord) -> list[model.Task]:
         if not graph.opened:
             return records.unpack(records.unfold(graph.content))
-        keys = self.state.core.keys
-        tasks: list[model.Task] = []
-        for part, digest in enumerate(graph.digests):
-            head: records.PartRecord = wire.converted(
-                keys[records.head_key(id, graph.opened, part)].data, records.PartRecord
-            )
-            names = [
-                records.piece_key(id, graph.opened, part, digest, piece)
-                for piece in range(head.pieces)
-            ]
-            tasks += records.unpack(records.unfold("".join(keys[name].data for name in names)))
-        return tasks
+        prefix = f"{records.PART}{id}/{graph.opened}/"
+        page = self.state.core.keys.items()
+        found = {key[len(prefix) :]: got.data for key, got in page if key.startswith(prefix)}
+        return records.joined(id, graph, records.parts_of(id, found, len(graph.digests)))
 
     # ---- troubles ----------------------------------------------------------------------
 
@@ -434,7 +416,13 @@
         )
 
 
-def _free_ports(count: int) -> list[Address]:
+def _stop(process: subprocess.Popen[bytes] | None) -> None:
+    if process is not None:
+        process.kill()  # of one that has ended already it does nothing
+        process.wait()
+
+
+def free_ports(count: int) -> list[Address]:
     """Ports of the loopback that nobody listens on now."""
     taken = []
     for _ in range(count):
--- a/umberward/local/workercore.py
+++ b/umberward/local/workercore.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
+from umberward.core.settings import Workers
 from umberward.core.types import NOTHING, Amount
 from umberward.protocol import wire
 from umberward.protocol.wire import Report, ShardReport, Sku, Spec
@@ -22,14 +23,6 @@
     cause: str = wire.DONE
 
 
-class Times(NamedTuple):
-    """Of the platform's settings, in seconds."""
-
-    lease_s: float
-    gang_wait_s: float
-    gang_peer_s: float
-
-
 class Task:
     def __init__(self, name: str, attempt: int, spec: Spec | None, now: float) -> None:
         self.name = name
@@ -85,9 +78,9 @@
 
 class WorkerCore:
     def __init__(
-        self, host: str, address: str, sku: Sku, zone: str, spot: bool, times: Times, mates: Mates,
-        describe: Callable[[str], Spec | None], fate: Callable[[str, Spec], Fate], now: float,
-        speed: float = 1.0,
+        self, host: str, address: str, sku: Sku, zone: str, spot: bool, times: Workers,
+        mates: Mates, describe: Callable[[str], Spec | None], fate: Callable[[str, Spec], Fate],
+        now: float, speed: float = 1.0,
     ) -> None:  # fmt: skip
         """`describe` fetches a job's description, as users have uploaded it."""
         self.host = host
