--- /dev/null
+++ b/tools/regress/sites.py
@@ -0,0 +1,56 @@
+"""Deployments of our own size, made from the users' site files, which stay as they are."""
+
+from __future__ import annotations
+
+import shutil
+import tomllib
+from pathlib import Path
+from typing import Any
+
+import tomli_w
+
+
+def grow(site: dict[str, Any], factor: float, restart_s: float, seed: int) -> dict[str, Any]:
+    """The same deployment with `factor` times the machines, jobs and failing machines.
+
+    A process that ends is back after `restart_s` seconds.
+    """
+    grown = {**site, "name": f"{site['name']}-x{factor:g}", "seed": seed}
+    grown["nodes"] = {**site["nodes"], "restart_delay_s": restart_s}
+    for table, counts in (("capacity", ("count", "spot")), ("machines", ("count", "spot"))):
+        if table in site:
+            grown[table] = [_times(row, counts, factor) for row in site[table]]
+    grown["jobs"] = [
+        {**_times(job, ("initial",), factor), "arrivals": _faster(job["arrivals"], factor)}
+        for job in site["jobs"]
+    ]
+    grown["day"] = [
+        {**day, "faults": [_fault(fault, factor) for fault in day.get("faults", [])]}
+        for day in site["day"]
+    ]
+    return grown
+
+
+def _times(row: dict[str, Any], keys: tuple[str, ...], factor: float) -> dict[str, Any]:
+    return {key: round(value * factor) if key in keys else value for key, value in row.items()}
+
+
+def _faster(arrivals: dict[str, Any], factor: float) -> dict[str, Any]:
+    return {**arrivals, "rate": arrivals["rate"] * factor}
+
+
+def _fault(fault: dict[str, Any], factor: float) -> dict[str, Any]:
+    """Machines that fail keep their part of the fleet; controllers are as many as before."""
+    machines = fault["kind"].startswith("machine_")
+    return _times(fault, ("count",), factor) if machines else fault
+
+
+def write(source: Path, folder: Path, factor: float, restart_s: float, seed: int) -> Path:
+    """Write the grown deployment and its wire file into `folder`; the path of the first."""
+    site = tomllib.loads(source.read_text())
+    grown = grow(site, factor, restart_s, seed)
+    folder.mkdir(parents=True, exist_ok=True)
+    shutil.copyfile(source.parent / site["wire"], folder / site["wire"])
+    path = folder / f"{grown['name']}.toml"
+    path.write_text(tomli_w.dumps(grown))
+    return path
