A session's lease is counted from the session itself; sockets by need; who hears none gives way

A new session first seen in the answer to a direct command kept the time of the last answered report of the session before, and was taken for over. Its kin: a report that such an answer had overtaken was answered without being noted, and a machine that a former leader went on answering was counted from the new one's first question. Late, lost and overtaken messages are now played by a property test. Some 55 machines were not answered for 24 s after a take-over: half of the sockets, 640, were for 830 workers and all users. Server and client now share what there is, a worker's new connection ends its old one, and what rests gives way. A leader that has met no worker asks the others whether they hear some, and gives way to them; machines that it never met count among those it can't reach before any is deleted.

--- a/tests/guards.py
+++ b/tests/guards.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import copy
 from collections.abc import Callable
 from typing import Any
 
@@ -17,6 +18,7 @@
 from umberward.decisions.jobs import Job
 from umberward.decisions.pipelines import NO_CLAIM, Graph, Pipelines
 from umberward.decisions.quota import Quota
+from umberward.decisions.reports import Reports
 from umberward.decisions.scheduler import Scheduler
 from umberward.decisions.tending import Borrower, Lender
 from umberward.decisions.thrift import Thrift
@@ -353,7 +355,38 @@
     patch.setattr(Thrift, "move", lambda *_: None)
 
 
+def _answered_stays(patch: pytest.MonkeyPatch, when: Callable[..., bool]) -> None:
+    """When the report of a worker whose lease is known is taken in, and `when` says so of the
+    machine before and after, the moment from which its lease is counted stays as it was."""
+    whole = Reports.report
+
+    def report(self: Reports, report: Any, now: Any, hello: bool) -> Any:
+        machine = self.cluster.machines.get(report.host)
+        before = None if machine is None else copy.copy(machine)
+        orders = whole(self, report, now, hello)
+        if machine and before and before.answered is not None and when(before, machine, report):
+            machine.answered = before.answered
+        return orders
+
+    patch.setattr(Reports, "report", report)
+
+
+def session_anew(patch: pytest.MonkeyPatch) -> None:
+    _answered_stays(patch, lambda before, after, _: before.tenure < after.tenure)
+
+
+def settled_answered(patch: pytest.MonkeyPatch) -> None:
+    _answered_stays(patch, lambda before, after, _: after.settled and not before.settled)
+
+
+def overtaken_answered(patch: pytest.MonkeyPatch) -> None:
+    _answered_stays(patch, lambda before, _, report: report.serial <= before.serial)
+
+
 GUARDS: dict[str, Patch] = {
+    "session-anew": session_anew,
+    "settled-answered": settled_answered,
+    "overtaken-answered": overtaken_answered,
     "loan-bound": loan_bound,
     "loan-ends": loan_ends,
     "loan-age": loan_age,
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -185,7 +185,7 @@
         worker = self.world.workers[name]
         clear = flag.startswith("not-")
         flag = flag.removeprefix("not-")
-        if flag not in ("sick", "dead", "cut", "holding", "deaf"):
+        if flag not in ("sick", "dead", "cut", "holding", "deaf", "mute", "slow", "astray"):
             raise ValueError(flag)
         if flag == "dead":
             worker.end_session()
@@ -550,6 +550,10 @@
         assert self.world.scheduler is not None
         return self.world.scheduler.cut_off(Instant(self.world.now))
 
+    def see_unheard(self) -> bool:
+        assert self.world.scheduler is not None
+        return self.world.scheduler.unheard(Instant(self.world.now))
+
     def see_sick(self, name: str) -> bool:
         assert self.world.scheduler is not None
         return self.world.scheduler.machines[name].sick  # type: ignore[index]
--- /dev/null
+++ b/tests/test_sessions.py
@@ -0,0 +1,68 @@
+"""Whatever is lost, late or overtaken, no session that a worker lives in is taken for over."""
+
+from __future__ import annotations
+
+import hypothesis.strategies as st
+from hypothesis import example, given, settings
+from test_scenarios import Play
+
+TROUBLES = ("mute", "deaf", "slow", "cut", "holding", "astray")
+WORKERS = ("m1", "m2", "m3")
+
+_events = st.one_of(
+    st.tuples(st.just("set"), st.sampled_from(WORKERS), st.sampled_from(TROUBLES)),
+    st.tuples(st.just("clear"), st.sampled_from(WORKERS), st.sampled_from(TROUBLES)),
+    st.tuples(st.just("lead"), st.just(""), st.just("")),
+    st.tuples(st.just("submit"), st.just(""), st.just("")),
+    st.tuples(st.just("freeze"), st.just(""), st.just("")),
+)
+_days = st.lists(st.tuples(_events, st.sampled_from((0.1, 0.6, 2.0, 4.5, 9.9))), max_size=10)
+
+OVERTAKEN = [
+    (("set", "m1", "slow"), 0.6),
+    (("submit", "", ""), 2.0),
+    (("clear", "m1", "slow"), 0.6),
+    (("set", "m1", "mute"), 9.9),
+]
+# A former leader answers while the new one's token is under way.
+FORMER = [
+    (("set", "m1", "astray"), 0.1),
+    (("set", "m1", "holding"), 0.1),
+    (("lead", "", ""), 4.5),
+    (("lead", "", ""), 4.5),
+    (("clear", "m1", "holding"), 0.1),
+    (("clear", "m1", "astray"), 0.1),
+    (("set", "m1", "mute"), 9.9),
+]
+
+
+@settings(max_examples=50, deadline=None, derandomize=True)
+@given(_days)
+@example(OVERTAKEN)
+@example(FORMER)
+def test_no_living_session_is_taken_for_over(day: list[tuple[tuple[str, str, str], float]]) -> None:
+    game = Play()
+    for name in WORKERS:
+        game.do_machine(name, "small", "a")
+    game.do_lead()
+    game.do_run("2.5")
+    game.do_submit("req-000001", "shards=4", "runs=200")
+    game.do_cloud("down")
+    jobs = 1
+    for (verb, worker, trouble), pause in day:
+        if verb == "lead":
+            game.do_lead()
+        elif verb == "submit":
+            jobs += 1
+            game.do_submit(f"req-{jobs:06}", "shards=2", "runs=200")
+        elif verb == "freeze":
+            game.do_freeze("3")
+        elif verb == "set":
+            game.do_set(worker, trouble)
+        else:
+            game.do_set(worker, f"not-{trouble}")
+            if trouble == "holding":
+                game.do_release(worker)
+        game.do_run(str(pause))
+    game.do_run("15")
+    assert not game.world.broken
--- a/tests/world.py
+++ b/tests/world.py
@@ -191,6 +191,10 @@
         self.dead = False
         self.cut = False  # no packet passes
         self.deaf = False  # responses to its reports are lost
+        self.mute = False  # its reports are lost, direct commands reach it
+        self.slow = False  # a report that it sends is under way until this ends
+        self.astray = False  # it reports to the former leader
+        self.under_way: tuple[float, int, bytes] | None = None  # sent when, in which session
         self.holding = False  # direct commands are held back and delivered later
         self.held: list[tuple[Command, Any]] = []
 
@@ -238,6 +242,9 @@
         self.blocked: set[str] = set()  # machines that stood in a block
         self.rng = random.Random(7)
         self.former: list[Scheduler] = []
+        times = self.settings.platform.cluster.workers
+        self.led_since = self.now
+        self.tend_s = times.cancel_s - times.lease_s - 1.5  # for so long the former one answers
         # The other controllers, with the zone of each, and the zones that are cut off.
         self.borrowers = {
             peer.label: (peer.site, Borrower(self.settings.platform.cluster.workers))
@@ -278,6 +285,7 @@
     def take_blocks(self) -> None:
         self.store.apply([], [changes.put(Key("leader"), {"node": "n", "nonce": "x"})])
         self.epoch = self.store.revision
+        self.led_since = self.now
         if self.scheduler is not None:
             self.former.append(self.scheduler)
         made = Scheduler(
@@ -569,15 +577,27 @@
                     )
                     worker.lease_from = sent if told else worker.lease_from
             return
-        if self.scheduler is None or self.frozen:
+        if self.scheduler is None or self.frozen or worker.mute:
             return
-        body = wire.encode(worker.report())
-        orders = self.scheduler.hello(wire.decode_head(body), body, Instant(self.now))
-        if orders is None or worker.deaf:
+        if worker.under_way is None:
+            worker.under_way = (sent, worker.tenure, wire.encode(worker.report()))
+        if not worker.slow:
+            self._deliver(worker)
+
+    def _deliver(self, worker: Worker) -> None:
+        """A report arrives, and its answer too, unless the worker has given it up."""
+        assert worker.under_way is not None
+        (sent, tenure, body), worker.under_way = worker.under_way, None
+        holder = self.scheduler
+        if worker.astray and self.former and self.now - self.led_since < self.tend_s:
+            holder = self.former[-1]  # it answers still, as it knows of no other
+        assert holder is not None
+        orders = holder.hello(wire.decode_head(body), body, Instant(self.now))
+        if orders is None or worker.deaf or self.now - sent > 4.0:
             return
-        if self.store.mode == "down":
+        if self.store.mode == "down" or holder is not self.scheduler:
             orders = [order for order in orders if order["verb"] == wire.KILL]
-        worker.answered(Instant(sent), worker.tenure, self.scheduler.epoch, orders)
+        worker.answered(Instant(sent), tenure, holder.epoch, orders)
 
     def _do(self, worker: Worker, command: Command) -> Report:
         worker.direct(command.epoch, command.tenure, command.orders)
@@ -639,7 +659,15 @@
         if spec["apart"] and zones.count(worker.zone) >= (spec["shards"] + 1) // 2:
             self.broken.append(f"wrong_place: too many of {id} in {worker.zone}")
 
+    def _check_sessions(self) -> None:
+        """No session is taken for over that its worker still lives in."""
+        for machine in self.scheduler.machines.values() if self.scheduler is not None else ():
+            worker = self.workers.get(machine.id)
+            if worker is not None and not worker.dead and worker.tenure < machine.min_tenure:
+                self.broken.append(f"session of {machine.id} taken for over")
+
     def _check(self) -> None:
+        self._check_sessions()
         used: dict[str, float] = {}
         for worker in self.workers.values():
             if worker.dead:
--- a/umberward/control/holder.py
+++ b/umberward/control/holder.py
@@ -4,7 +4,7 @@
 
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple
 
 import curio
@@ -118,6 +118,7 @@
         epoch: Epoch,
         rng: random.Random,
         final: Callable[[JobId], FinalRecord | None],
+        others_hear: Callable[[], Awaitable[bool]],
         hinted: tuple[Hints, float] | None = None,
     ) -> None:
         super().__init__()
@@ -126,6 +127,8 @@
         self.store = store
         self.client = client
         self.rng = rng
+        self.others_hear = others_hear  # asks them whether they hear workers
+        self.doubting = False
         self.final = final  # ends that this controller knows of anyway
         # What the last leader knew, and how old that is.
         self.hinted = [] if hinted is None else [hinted]
@@ -234,6 +237,9 @@
                 await curio.spawn(
                     self.membership.step_down, "hardly any worker is heard", daemon=True
                 )
+            elif scheduler.unheard(now) and self.membership.leading() and not self.doubting:
+                self.doubting = True
+                await curio.spawn(self._doubt, daemon=True)
             if scheduler.want_epoch and self.membership.leading():
                 scheduler.want_epoch = False
                 await curio.spawn(self._raise_epoch, daemon=True)
@@ -259,6 +265,14 @@
                 hints.recall(found, age, self.scheduler, self.provisioner, _now())
             self.scheduler.load_done()
 
+    async def _doubt(self) -> None:
+        """We have met no worker: if another controller hears some, it is to lead."""
+        try:
+            if await self.others_hear() and self.membership.leading():
+                await self.membership.step_down("others hear workers and we do not")
+        finally:
+            self.doubting = False
+
     async def _raise_epoch(self) -> None:
         try:
             epoch = await self.membership.raise_epoch()
--- a/umberward/control/node.py
+++ b/umberward/control/node.py
@@ -32,7 +32,7 @@
 )
 from umberward.decisions.tending import Loan
 from umberward.protocol import changes, wire
-from umberward.protocol.http import Client, Request, Response, Server
+from umberward.protocol.http import Client, Request, Response, Server, Sockets
 from umberward.protocol.wire import Flavors, Sku
 
 log = logger(__name__)
@@ -40,7 +40,10 @@
 FLAVORS = Key("flavors")
 JOBS = "/v1/jobs"
 GRAPHS = "/v1/graphs"
+# Of a controller's sockets, those that are not shared by workers, users and direct commands.
 UPSTREAM_SOCKETS = 24
+PEER_SOCKETS = 64
+SPARE_SOCKETS = 16  # listeners, the event loop's own, and those being closed
 
 
 class Node:
@@ -48,11 +51,13 @@
         self.settings = settings
         self.rng = random.Random()
         limits = settings.platform.cluster.machine_limits
-        # A third of the sockets is for what we open ourselves, some are spare.
-        self.client = Client(max(16, limits.sockets // 3))
+        # Each worker keeps a connection, and each user; what is left is for what we open.
+        rest = limits.sockets - UPSTREAM_SOCKETS - PEER_SOCKETS - SPARE_SOCKETS
+        shared = Sockets(max(48, rest), max(16, limits.sockets // 3))
+        self.client = Client(shared)
+        self.server = Server(settings.listen, self._serve, shared, self.client)
         # Many workers must not keep us from the state service and the cloud.
         self.upstream = Client(UPSTREAM_SOCKETS)
-        self.serving = max(32, limits.sockets // 2)
         cluster = settings.platform.cluster
         self.store = State(settings.state, cluster.state, cluster.size, self.upstream)
         self.cloud = Cloud(settings.cloud, cluster.cloud.rps, self.upstream)
@@ -74,8 +79,8 @@
     async def run(self) -> None:
         # Any of these ending means a fault of ours: it is logged, and the part starts again.
         parts = [
-            Server(self.settings.listen, self._serve, self.serving).run,
-            Server(self.settings.peer_bind, self.peers.serve, 64).run,
+            self.server.run,
+            Server(self.settings.peer_bind, self.peers.serve, PEER_SOCKETS).run,
             self.membership.keep_lease,
             self.membership.follow,
             self.mirror.run,
@@ -93,7 +98,7 @@
         await self._lost()
         self.holder = Holder(
             self.settings, self.membership, self.store, self.client, self.cloud, self.skus,
-            epoch, self.rng, self.mirror.finals.get, self.peers.fresh(),
+            epoch, self.rng, self.mirror.finals.get, self.peers.others_hear, self.peers.fresh(),
         )  # fmt: skip
         self.holder_task = await curio.spawn(_forever, self.holder.serve, daemon=True)
 
@@ -176,6 +181,9 @@
             head = wire.decode_head(request.body)
         except wire.Malformed as error:
             return Response(400, wire.encode({"error": str(error)}))
+        if request.origin is not None:
+            await self.server.name(request.origin, head.host)
+        self.peers.worker_heard()
         holder = self.holder
         if holder is not None and self.membership.tending():
             orders = await holder.ask(Hello(head, request.body))
--- a/umberward/control/peers.py
+++ b/umberward/control/peers.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import math
 import random
 import time
 from collections.abc import Awaitable, Callable
+from typing import NamedTuple
 from urllib.parse import parse_qsl
 
 import cbor2
@@ -28,6 +30,14 @@
 TIMEOUT_S = 0.5  # a silent peer must not keep the others waiting
 
 
+class Told(NamedTuple):
+    """What another controller said at `at`, all in seconds."""
+
+    at: float
+    contact_age: float  # how long ago the state service had granted its lease
+    heard_age: float  # how long ago a worker had reported to it
+
+
 class Peers:
     """`told` gives what this controller has learnt itself, if it leads."""
 
@@ -51,7 +61,11 @@
         self.borrower = Borrower(platform.cluster.workers)
         self.answering = False  # workers of our zone, in place of the leader
         self.zoned = len(platform.cluster.zones) > 1  # else no zone can be cut off
-        self.contact: dict[str, tuple[float, float]] = {}  # when it told, age it told
+        self.contact: dict[str, Told] = {}
+        self.heard_at = -math.inf  # when a worker last reported to us
+        # A worker turns to the next controller 1 s after its last one has left it without an
+        # answer for 4 s, and there are as many of them as report within this.
+        self.hearing_s = 2.0 + 1.25 * platform.cluster.workers.report_s
         self.latest: Hints | None = None  # of whoever led last
         self.latest_at = 0.0
         self.made = b""  # our own, as sent
@@ -105,7 +119,9 @@
 
     def others_have_contact(self) -> bool:
         now = time.monotonic()
-        return any(now - at < 3.0 and age < CONTACT_S for at, age in self.contact.values())
+        return any(
+            now - told.at < 3.0 and told.contact_age < CONTACT_S for told in self.contact.values()
+        )
 
     def keep(self, found: Hints) -> None:
         """The newest hints are kept, whoever they come from."""
@@ -119,12 +135,32 @@
             return None
         return self.latest, age
 
+    def worker_heard(self) -> None:
+        """A worker has reported to this controller, whoever answers it."""
+        self.heard_at = time.monotonic()
+
+    async def others_hear(self) -> bool:
+        """Whether a controller that has the state service was reported to by a worker of late.
+
+        A worker that gets no answer from its holder turns to all controllers within a few seconds.
+        """
+        asked = time.monotonic()
+        await self._ask_contact()
+        return any(
+            told.at >= asked and told.contact_age < CONTACT_S and told.heard_age < self.hearing_s
+            for told in self.contact.values()
+        )
+
     async def _ask_contact(self) -> None:
         for label, address in self.addresses.items():
             try:
                 response = await self.client.request(address, "GET", "/peer", b"", TIMEOUT_S)
                 told = cbor2.loads(response.body)
-                self.contact[label] = (time.monotonic(), float(told["contact_age"]))
+                self.contact[label] = Told(
+                    time.monotonic(),
+                    float(told["contact_age"]),
+                    float(told.get("heard_age", math.inf)),  # earlier versions do not tell
+                )
             except (NotSent, NoAnswer, ValueError, KeyError, TypeError, cbor2.CBORDecodeError):
                 continue
 
@@ -147,6 +183,7 @@
                 "label": self.membership.me,
                 "contact_age": time.monotonic() - self.membership.good,
                 "leader": self.membership.leader,
+                "heard_age": time.monotonic() - self.heard_at,
             }
             return Response(200, cbor2.dumps(told))
         if request.path == "/peer/loan" and self.membership.leading():
--- a/umberward/decisions/reports.py
+++ b/umberward/decisions/reports.py
@@ -104,9 +104,14 @@
                 report.reclaimable, now,
             )  # fmt: skip
             log.info("machine_new", machine=id, type=report.flavor, zone=report.yard)
-        if machine.returning:
-            return []
         if report.tenure < machine.min_tenure:
+            return None  # a session that we take for over must not be kept alive by our answer
+        if hello and report.tenure == machine.tenure:
+            # Whatever is made of the report below, it is answered, and that renews the lease:
+            # also if the machine is being returned, or if the answer to a direct question has
+            # overtaken the report.
+            machine.answered = now
+        if machine.returning:
             return []
         if (report.tenure, report.serial) <= (machine.tenure, machine.serial):
             return []  # late: something newer was seen
@@ -120,12 +125,12 @@
             if machine.tenure:
                 self.cluster.lose_tasks(machine, "session over")
             machine.tenure = Tenure(report.tenure)
-        machine.serial = Serial(report.serial)
-        machine.epoch = Epoch(report.epoch)
-        if hello or machine.answered is None:
             # Without an answer the worker's lease runs from the beginning of its session, which
-            # was before this report.
+            # was before this report, be it the answer to a direct question. When the session
+            # before was answered last says nothing about this one.
             machine.answered = now
+        machine.serial = Serial(report.serial)
+        machine.epoch = Epoch(report.epoch)
         if report.reclaim_in_s is not None:
             if machine.notice_at is None:
                 log.info("machine_will_be_taken", machine=id, in_s=report.reclaim_in_s)
@@ -139,6 +144,8 @@
                 )
                 return []
             machine.settled = True
+            # Until it saw our token, a former holder may have answered it.
+            machine.answered = now
             self.cluster.want_pass = True
         if machine.block is None and self.cluster.loaded:
             self.writer.assign_block(machine)
--- a/umberward/decisions/scheduler.py
+++ b/umberward/decisions/scheduler.py
@@ -103,6 +103,9 @@
     def cut_off(self, now: Instant) -> bool:
         return self.watch.cut_off(now)
 
+    def unheard(self, now: Instant) -> bool:
+        return self.watch.unheard(now)
+
     def lend(self, borrower: NodeName, seen: int, idle: bool, now: Instant) -> Loan:
         return self.watch.lend(borrower, seen, idle, now)
 
--- a/umberward/decisions/watch.py
+++ b/umberward/decisions/watch.py
@@ -99,11 +99,24 @@
         heard = sum(1 for m in met if not m.silent and now - m.heard < self.cluster.silence() + 1.0)
         return heard < 0.25 * len(met)
 
+    def unheard(self, now: Instant) -> bool:
+        """Whether not one of the machines we took over has been heard of, though by now each that
+        we can reach should have reported, or have answered our question.
+
+        `deaf` and `cut_off` count machines that were met: a new leader that is cut off itself meets
+        none. All may be dead as well, so that this alone is no reason to give way.
+        """
+        if now - self.cluster.started < 1.25 * self.cluster.workers.report_s + DEAF_MARGIN_S:
+            return False
+        machines = self.cluster.machines.values()
+        return len(machines) >= LEAST_WORKERS and not any(m.met for m in machines)
+
     def _expire(self, machine: Machine) -> None:
         self.cluster.lose_tasks(machine, "lease over")
         machine.min_tenure = Tenure(machine.tenure + 1)
         machine.answered = None
         machine.lapsed = True
+        machine.calm = None  # a late report of that session must not be taken in unread
 
     def pick_doomed(self, now: Instant) -> None:
         """Silent machines are deleted: that frees their tasks before the lease does.
@@ -123,13 +136,15 @@
             log.warning("zone_not_heard", zone=zone)
         self.apart = apart
         silent = [m for m in silent if m.zone not in apart or m.lapsed or m.cleared]
-        met = [m for m in self.cluster.machines.values() if m.met and m.zone not in apart]
-        alive = sum(1 for m in met if now - m.heard < recent)
+        # Those count too that we have taken over and never met: a new leader that hears but a few
+        # is cut off from the rest rather than the only one whose machines live.
+        known = [m for m in self.cluster.machines.values() if m.zone not in apart]
+        alive = sum(1 for m in known if m.met and now - m.heard < recent)
         if self.deaf(now) or not alive:
             return
         # Those whose report is overdue count as well: of a cut, some are noticed before others.
-        overdue = len(met) - alive - sum(1 for m in taken if m.zone not in apart)
-        if overdue <= max(3, FEW_PART * len(met)):
+        overdue = len(known) - alive - sum(1 for m in taken if m.zone not in apart)
+        if overdue <= max(3, FEW_PART * len(known)):
             self.cluster.doomed.update(m.id for m in silent)
         elif overdue <= 0.7 * alive:
             late = 0.8 * self.cluster.workers.lease_s
--- a/umberward/protocol/http.py
+++ b/umberward/protocol/http.py
@@ -5,7 +5,7 @@
 import math
 import socket
 import time
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from collections.abc import Awaitable, Callable
 from functools import lru_cache
 from typing import Any, NamedTuple
@@ -21,8 +21,10 @@
 log = logger(__name__)
 
 IDLE_S = 75.0  # a connection without a request is closed after this
+SILENT_S = 20.0  # ... and after this if there are too few sockets, whoever is behind it
 SLOW_S = 10.0  # a request must be complete this long after its first byte
 SWEEP_S = 1.0  # how often connections are looked at that have outlived these times
+RECHECK_S = 0.1  # how often it is looked whether the server has given sockets back
 KEEP_IDLE = 4  # pooled connections kept for one address
 READ = 16384
 
@@ -36,10 +38,13 @@
 
 
 class Request(NamedTuple):
+    """`origin`: the connection it came on, as far as its server is told who is behind it."""
+
     method: str
     path: str
     query: str
     body: bytes
+    origin: Peer | None = None
 
 
 class Response(NamedTuple):
@@ -83,22 +88,62 @@
     cost the event loop more than what they say.
     """
 
-    __slots__ = ("sock", "deadline", "task")
+    __slots__ = ("sock", "deadline", "task", "name", "resting")
 
     def __init__(self, sock: Any) -> None:
         self.sock = sock
         self.deadline = 0.0
         self.task: Any = None
+        self.name = ""  # who is behind it, if that was told
+        self.resting = True  # between two requests
+
+
+class Sockets:
+    """The sockets that a server and a client of one process share.
+
+    No fixed part of them is the server's: at a take-over all workers come at once, and one that is
+    refused loses its lease. So the server takes what it needs, from what the client keeps for
+    later first, and the client makes do with the rest.
+    """
+
+    def __init__(self, limit: int, most_of_client: int) -> None:
+        self.limit = limit
+        self.most_of_client = most_of_client
+        self.served = 0
+        self.sent = 0
+
+    @property
+    def left(self) -> int:
+        return self.limit - self.served - self.sent
+
+    @property
+    def left_to_client(self) -> int:
+        return min(self.left, self.most_of_client - self.sent)
+
+
+def _sockets(most: Sockets | int) -> Sockets:
+    return most if isinstance(most, Sockets) else Sockets(most, most)
 
 
 class Server:
     """Serves one address. Each connection is a task of its own, so that none hurts another."""
 
-    def __init__(self, address: Address, handler: Handler, most: int) -> None:
+    def __init__(
+        self,
+        address: Address,
+        handler: Handler,
+        most: Sockets | int,
+        client: Client | None = None,
+    ) -> None:
+        """`most`: how many sockets it may have, or those that it shares with `client`, whose kept
+        connections are closed if there are too few."""
         self.address = address
         self.handler = handler
-        self.most = most
+        self.sockets = _sockets(most)
+        self.client = client
         self.peers: set[Peer] = set()
+        self.named: dict[str, Peer] = {}
+        self.refused = 0
 
     @property
     def open(self) -> int:
@@ -126,20 +171,57 @@
                     log.error("accept_failed", address=self.address, error=error)
                     await curio.sleep(0.05)
                     continue
-                if self.open >= self.most:
+                if self.sockets.left <= 0 and not await self._make_room():
+                    self.refused += 1
                     await client.close()
                     continue
                 peer = Peer(client)
                 peer.deadline = time.monotonic() + IDLE_S
                 self.peers.add(peer)
+                self.sockets.served += 1
                 peer.task = await curio.spawn(self._serve, peer, daemon=True)
 
+    async def name(self, peer: Peer, name: str) -> None:
+        """It is known who is behind a connection: an earlier one of theirs is of no use any more,
+        though nobody may have told us that it was closed."""
+        earlier = self.named.get(name)
+        if earlier is peer:
+            return
+        self.named[name] = peer
+        peer.name = name
+        if earlier is not None:
+            await self._end(earlier)
+
+    async def _make_room(self) -> bool:
+        """Close a connection that rests: one that we keep for later, or that of a client of
+        whom nothing is known, or of one that has said nothing for long."""
+        if self.client is not None and await self.client.close_kept():
+            return True
+        late = time.monotonic() + IDLE_S - SILENT_S
+        resting = (p for p in self.peers if p.resting and (not p.name or p.deadline < late))
+        longest = min(resting, key=lambda peer: peer.deadline, default=None)
+        if longest is None:
+            return False
+        await self._end(longest)
+        return True
+
+    async def _end(self, peer: Peer) -> None:
+        self._gone(peer)
+        await peer.task.cancel(blocking=False)
+
+    def _gone(self, peer: Peer) -> None:
+        if peer in self.peers:
+            self.peers.remove(peer)
+            self.sockets.served -= 1
+        if self.named.get(peer.name) is peer:
+            del self.named[peer.name]
+
     async def _sweep(self) -> None:
         while True:
             await curio.sleep(SWEEP_S)
             for peer in list(self.peers):
                 if time.monotonic() > peer.deadline:
-                    await peer.task.cancel(blocking=False)
+                    await self._end(peer)
 
     async def _serve(self, peer: Peer) -> None:
         client = peer.sock
@@ -154,7 +236,7 @@
         except Exception:
             log.exception("connection_failed", address=self.address)
         finally:
-            self.peers.discard(peer)
+            self._gone(peer)
 
     async def _converse(self, peer: Peer) -> None:
         conn = h11.Connection(h11.SERVER, max_incomplete_event_size=BODY_LIMIT)
@@ -186,6 +268,7 @@
         body = b""
         peer.deadline = time.monotonic() + IDLE_S
         started = bool(conn.trailing_data[0])
+        peer.resting = not started
         event: Any = conn.next_event() if started else h11.NEED_DATA
         while True:
             if event is h11.NEED_DATA:
@@ -193,6 +276,7 @@
                 if not started and data:
                     # A client that sends a byte now and then must not hold a socket for ever.
                     started = True
+                    peer.resting = False
                     peer.deadline = time.monotonic() + SLOW_S
                 conn.receive_data(data)
             elif isinstance(event, h11.Request):
@@ -212,7 +296,7 @@
                 assert head is not None
                 target = head.target.decode("ascii", "replace")
                 path, _, query = target.partition("?")
-                return Request(head.method.decode("ascii", "replace"), path, query, body)
+                return Request(head.method.decode("ascii", "replace"), path, query, body, peer)
             else:
                 return None
             event = conn.next_event()
@@ -238,8 +322,9 @@
 class Client:
     """Sends requests over kept connections, within a bound on open sockets."""
 
-    def __init__(self, most: int) -> None:
-        self.free = curio.Semaphore(most)
+    def __init__(self, most: Sockets | int) -> None:
+        self.sockets = _sockets(most)
+        self.waiting: deque[curio.Event] = deque()  # who waits for a socket
         # Kept connections, those to the address least recently used first.
         self.idle: OrderedDict[Address, list[tuple[Any, h11.Connection]]] = OrderedDict()
 
@@ -293,14 +378,9 @@
             await self._close(sock)
         # Kept connections count: with more addresses than sockets, they would take them all and
         # no new address could be reached any more.
-        while self.free.locked() and self.idle:
-            sock, _ = self._kept(next(iter(self.idle)), 0)
-            await self._close(sock)
-        wait = max(deadline - time.monotonic(), 0.001)
-        try:
-            await curio.timeout_after(wait, self.free.acquire)
-        except curio.TaskTimeout:
-            raise NotSent(f"{address}: no socket to spare") from None
+        while self.sockets.left_to_client <= 0 and await self.close_kept():
+            pass
+        await self._take_socket(address, deadline)
         sock = sockets.socket(sockets.AF_INET, sockets.SOCK_STREAM)
         try:
             sock.setsockopt(sockets.IPPROTO_TCP, sockets.TCP_NODELAY, 1)
@@ -314,6 +394,26 @@
             raise
         return sock, h11.Connection(h11.CLIENT)
 
+    async def close_kept(self) -> bool:
+        """Close the kept connection to the address least recently used; False: there is none."""
+        if not self.idle:
+            return False
+        sock, _ = self._kept(next(iter(self.idle)), 0)
+        await self._close(sock)
+        return True
+
+    async def _take_socket(self, address: Address, deadline: float) -> None:
+        while self.sockets.left_to_client <= 0:
+            freed = curio.Event()
+            self.waiting.append(freed)
+            # The server gives sockets back without a word to us.
+            wait = min(max(deadline - time.monotonic(), 0.001), RECHECK_S)
+            if await curio.ignore_after(wait, freed.wait) is None and freed in self.waiting:
+                self.waiting.remove(freed)
+            if time.monotonic() >= deadline and self.sockets.left_to_client <= 0:
+                raise NotSent(f"{address}: no socket to spare")
+        self.sockets.sent += 1
+
     def _kept(self, address: Address, which: int) -> tuple[Any, h11.Connection]:
         kept = self.idle[address]
         found = kept.pop(which)
@@ -335,7 +435,9 @@
 
     async def _close(self, sock: Any) -> None:
         await sock.close()
-        await self.free.release()
+        self.sockets.sent -= 1
+        if self.waiting:
+            await self.waiting.popleft().set()
 
     async def _exchange(
         self,
