--- a/tools/regress/sites.py
+++ b/tools/regress/sites.py
@@ -17,7 +17,7 @@
     """
     grown = {**site, "name": f"{site['name']}-x{factor:g}", "seed": seed}
     grown["nodes"] = {**site["nodes"], "restart_delay_s": restart_s}
-    for table, counts in (("capacity", ("count", "spot")), ("machines", ("count", "spot"))):
+    for table, counts in (("capacity", ("count", "spot")), ("machines", ("count",))):
         if table in site:
             grown[table] = [_times(row, counts, factor) for row in site[table]]
     grown["jobs"] = [
--- a/umberward/core/actor.py
+++ b/umberward/core/actor.py
@@ -31,38 +31,57 @@
 
 
 class Actor:
-    """Handles one message at a time. `handle` must not wait for anything slow."""
+    """Handles one message at a time. `handle` may spawn tasks, and must not wait for anything."""
 
     def __init__(self) -> None:
         self.mail: Any = curio.Queue()
+        self.running = False
+        self.ended = False
+        self.handling = False
 
     async def tell(self, message: Any) -> None:
         await self.mail.put(message)
 
     async def ask(self, message: Any) -> Any:
+        """The answer; None if the actor has ended, or ends before it is given."""
+        if self.ended:
+            return None
+        if self.running and not self.handling and self.mail.empty():
+            # Nothing is before it, so its turn is now: taken here it costs no change of tasks. Of
+            # the reports of a large fleet that is nearly all, and two changes cost more than what
+            # they say.
+            return await self._take(message)
         question = Ask(message)
         await self.mail.put(question)
         return await question.wait()
 
     async def run(self) -> None:
-        while True:
-            message = await self.mail.get()
-            if isinstance(message, Ask):
-                answer = None
-                try:
-                    answer = await self.handle(message.message)
-                except curio.CancelledError:
-                    raise
-                except Exception:
-                    log.exception("message_failed", message=type(message.message).__name__)
-                await message.reply(answer)
-            else:
-                try:
-                    await self.handle(message)
-                except curio.CancelledError:
-                    raise
-                except Exception:
-                    log.exception("message_failed", message=type(message).__name__)
+        self.running, self.ended = True, False
+        try:
+            while True:
+                message = await self.mail.get()
+                if isinstance(message, Ask):
+                    await message.reply(await self._take(message.message))
+                else:
+                    await self._take(message)
+        finally:
+            self.running, self.ended = False, True
+            # Who still waits would wait for ever.
+            while not self.mail.empty():
+                message = await self.mail.get()
+                if isinstance(message, Ask):
+                    await message.reply(None)
+
+    async def _take(self, message: Any) -> Any:
+        self.handling = True
+        try:
+            return await self.handle(message)
+        except curio.CancelledError:
+            raise
+        except Exception:
+            log.exception("message_failed", message=type(message).__name__)
+        finally:
+            self.handling = False
 
     async def handle(self, message: Any) -> Any:
         raise NotImplementedError
--- a/umberward/protocol/http.py
+++ b/umberward/protocol/http.py
@@ -8,11 +8,12 @@
 from collections import OrderedDict, deque
 from collections.abc import Awaitable, Callable
 from functools import lru_cache
-from typing import Any, NamedTuple
+from typing import Any, Generic, NamedTuple, TypeVar
 
 import curio
 import curio.socket as sockets
 import h11
+from curio.traps import _read_wait
 
 from umberward.core.log import logger
 from umberward.core.types import Address
@@ -23,6 +24,8 @@
 IDLE_S = 75.0  # a connection without a request is closed after this
 SILENT_S = 20.0  # ... and after this if there are too few sockets, whoever is behind it
 SLOW_S = 10.0  # a request must be complete this long after its first byte
+ROOM_S = 0.01  # how often it is looked whether there is room for a new connection
+ROOM_TRIES = 20  # ... and how many times, before it is refused
 SWEEP_S = 1.0  # how often connections are looked at that have outlived these times
 RECHECK_S = 0.1  # how often it is looked whether the server has given sockets back
 KEEP_IDLE = 4  # pooled connections kept for one address
@@ -57,6 +60,8 @@
 # all the rest: so heads are kept.
 HEADS = 4096
 END = h11.EndOfMessage()
+GOES_ON = (h11.DONE, h11.DONE)
+UNTOUCHED = (h11.IDLE, h11.IDLE)  # what was said was known by its bytes
 
 
 @lru_cache(HEADS)
@@ -78,6 +83,62 @@
     return h11.Request(method=method, target=target, headers=headers)
 
 
+T = TypeVar("T")
+
+
+@lru_cache(HEADS)
+def _response_bytes(status: int, length: int, again: int | None) -> bytes:
+    """The head of a response after which the connection goes on."""
+    conn = h11.Connection(h11.SERVER)
+    conn.receive_data(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n")
+    while not isinstance(conn.next_event(), h11.EndOfMessage):
+        pass
+    return conn.send(_response_head(status, length, again, False)) or b""
+
+
+@lru_cache(HEADS)
+def _request_bytes(method: str, target: str, host: str, length: int) -> bytes:
+    return h11.Connection(h11.CLIENT).send(_request_head(method, target, host, length)) or b""
+
+
+class Heads(Generic[T]):
+    """What h11 has made of heads, kept by their bytes.
+
+    Only those are kept after which the connection goes on, and whose bodies came unencoded and
+    together with them: to such a message, as often as it comes, h11 would say the same again.
+    """
+
+    def __init__(self) -> None:
+        self.known: dict[bytes, tuple[T, int]] = {}
+
+    def find(self, data: bytes) -> tuple[T, bytes] | None:
+        """What the head says, and the body, if the data is one such message."""
+        head, ends, body = data.partition(HEAD_ENDS)
+        found = self.known.get(head) if ends else None
+        if found is None or len(body) != found[1]:
+            return None
+        return found[0], body
+
+    def keep(self, data: bytes, meaning: T, length: int) -> None:
+        head, ends, body = data.partition(HEAD_ENDS)
+        if ends and len(body) == length:
+            if len(self.known) >= HEADS:
+                self.known.clear()
+            self.known[head] = (meaning, length)
+
+
+HEAD_ENDS = b"\r\n\r\n"
+_requests: Heads[tuple[str, str, str]] = Heads()  # method, path, query
+_responses: Heads[tuple[int, float | None]] = Heads()  # status, seconds to retry after
+
+
+async def _receive(sock: Any) -> bytes:
+    """Wait for data first: to ask for it before it has come would be a system call in vain."""
+    await _read_wait(sock._fileno)
+    data: bytes = await sock.recv(READ)
+    return data
+
+
 Handler = Callable[[Request], Awaitable[Response]]
 
 
@@ -88,14 +149,22 @@
     cost the event loop more than what they say.
     """
 
-    __slots__ = ("sock", "deadline", "task", "name", "resting")
+    __slots__ = ("sock", "deadline", "task", "name", "resting", "served")
 
     def __init__(self, sock: Any) -> None:
         self.sock = sock
         self.deadline = 0.0
         self.task: Any = None
         self.name = ""  # who is behind it, if that was told
-        self.resting = True  # between two requests
+        self.resting = True  # before a request
+        self.served = False  # has had an answer
+
+    def gives_way(self, now: float) -> bool:
+        """Whether it is of less use than a new connection: not one that has only just come."""
+        silent = now - (self.deadline - IDLE_S)
+        if not self.resting:
+            return False
+        return silent > SILENT_S if self.name else self.served or silent > SLOW_S
 
 
 class Sockets:
@@ -121,6 +190,10 @@
         return min(self.left, self.most_of_client - self.sent)
 
 
+def _whole(again_s: float | None) -> int | None:
+    return None if again_s is None else max(1, round(again_s))
+
+
 def _sockets(most: Sockets | int) -> Sockets:
     return most if isinstance(most, Sockets) else Sockets(most, most)
 
@@ -171,7 +244,12 @@
                     log.error("accept_failed", address=self.address, error=error)
                     await curio.sleep(0.05)
                     continue
-                if self.sockets.left <= 0 and not await self._make_room():
+                for _ in range(ROOM_TRIES):
+                    if self.sockets.left > 0 or await self._make_room():
+                        break
+                    # Those that came before it may say who they are, and end their earlier ones.
+                    await curio.sleep(ROOM_S)
+                else:
                     self.refused += 1
                     await client.close()
                     continue
@@ -197,8 +275,8 @@
         whom nothing is known, or of one that has said nothing for long."""
         if self.client is not None and await self.client.close_kept():
             return True
-        late = time.monotonic() + IDLE_S - SILENT_S
-        resting = (p for p in self.peers if p.resting and (not p.name or p.deadline < late))
+        now = time.monotonic()
+        resting = (peer for peer in self.peers if peer.gives_way(now))
         longest = min(resting, key=lambda peer: peer.deadline, default=None)
         if longest is None:
             return False
@@ -241,44 +319,62 @@
     async def _converse(self, peer: Peer) -> None:
         conn = h11.Connection(h11.SERVER, max_incomplete_event_size=BODY_LIMIT)
         while True:
+            peer.deadline = time.monotonic() + IDLE_S
+            data = b""
+            if not conn.trailing_data[0]:
+                peer.resting = True
+                data = await _receive(peer.sock)
+                peer.resting = False
+                known = _requests.find(data)
+                if known is not None:
+                    response = await self._handled(peer, Request(*known[0], known[1], peer))
+                    head = _response_bytes(
+                        response.status, len(response.body), _whole(response.retry_after)
+                    )
+                    peer.deadline = time.monotonic() + SLOW_S
+                    await peer.sock.sendall(head + response.body)
+                    peer.served = True
+                    continue
             try:
-                request = await self._read(peer, conn)
+                request = await self._read(peer, conn, data)
             except h11.RemoteProtocolError as error:
                 status = error.error_status_hint or 400
                 await self._refuse(peer, conn, status)
                 return
             if request is None:
                 return
-            peer.deadline = math.inf  # its answer is ours to give
-            try:
-                response = await self.handler(request)
-            except curio.CancelledError:
-                raise
-            except Exception:
-                log.exception("request_failed", method=request.method, path=request.path)
-                response = Response(503, retry_after=1.0)
+            response = await self._handled(peer, request)
             await self._write(peer, conn, response)
+            peer.served = True
             if conn.our_state is not h11.DONE or conn.their_state is not h11.DONE:
                 return
             conn.start_next_cycle()
+            if request.method != "HEAD":
+                _requests.keep(data, request[:3], len(request.body))
+
+    async def _handled(self, peer: Peer, request: Request) -> Response:
+        peer.deadline = math.inf  # its answer is ours to give
+        try:
+            return await self.handler(request)
+        except curio.CancelledError:
+            raise
+        except Exception:
+            log.exception("request_failed", method=request.method, path=request.path)
+            return Response(503, retry_after=1.0)
 
-    async def _read(self, peer: Peer, conn: h11.Connection) -> Request | None:
+    async def _read(self, peer: Peer, conn: h11.Connection, data: bytes) -> Request | None:
+        """The request that begins with the data, or with what the connection has left over."""
         client = peer.sock
         head: h11.Request | None = None
         body = b""
-        peer.deadline = time.monotonic() + IDLE_S
-        started = bool(conn.trailing_data[0])
-        peer.resting = not started
-        event: Any = conn.next_event() if started else h11.NEED_DATA
+        # A client that sends a byte now and then must not hold a socket for ever.
+        peer.deadline = time.monotonic() + SLOW_S
+        if not conn.trailing_data[0]:
+            conn.receive_data(data)
+        event: Any = conn.next_event()
         while True:
             if event is h11.NEED_DATA:
-                data = await client.recv(READ)
-                if not started and data:
-                    # A client that sends a byte now and then must not hold a socket for ever.
-                    started = True
-                    peer.resting = False
-                    peer.deadline = time.monotonic() + SLOW_S
-                conn.receive_data(data)
+                conn.receive_data(await _receive(client))
             elif isinstance(event, h11.Request):
                 head = event
                 for name, value in event.headers:
@@ -302,9 +398,7 @@
             event = conn.next_event()
 
     async def _write(self, peer: Peer, conn: h11.Connection, response: Response) -> None:
-        again = None
-        if response.retry_after is not None:
-            again = max(1, round(response.retry_after))
+        again = _whole(response.retry_after)
         last = response.status == 413 or conn.their_state is h11.ERROR
         head = _response_head(response.status, len(response.body), again, last)
         data = conn.send(head) or b""
@@ -357,8 +451,10 @@
             await self._close(sock)
             raise
         kept = self.idle.get(address, [])
-        if conn.our_state is h11.DONE and conn.their_state is h11.DONE and len(kept) < KEEP_IDLE:
-            conn.start_next_cycle()
+        states = (conn.our_state, conn.their_state)
+        if states in (GOES_ON, UNTOUCHED) and len(kept) < KEEP_IDLE:
+            if states == GOES_ON:
+                conn.start_next_cycle()
             self.idle[address] = [*kept, (sock, conn)]
             self.idle.move_to_end(address)
         else:
@@ -449,25 +545,37 @@
         body: bytes,
         deadline: float,
     ) -> Response:
-        data = conn.send(_request_head(method, target, str(address), len(body))) or b""
-        if body:
-            data += conn.send(h11.Data(data=body)) or b""
-        data += conn.send(END) or b""
+        asked = (method, target, str(address), len(body))
         wait = max(deadline - time.monotonic(), 0.001)
-        return await curio.timeout_after(wait, self._round_trip, sock, conn, data)
+        return await curio.timeout_after(wait, self._round_trip, sock, conn, asked, body)
 
     @staticmethod
-    async def _round_trip(sock: Any, conn: h11.Connection, data: bytes) -> Response:
-        await sock.sendall(data)
-        heard = False
+    async def _round_trip(
+        sock: Any, conn: h11.Connection, asked: tuple[str, str, str, int], sent: bytes
+    ) -> Response:
+        await sock.sendall(_request_bytes(*asked) + sent)
+        data = await _receive(sock)
+        known = _responses.find(data)
+        if known is not None:
+            (status, retry_after), body = known
+            return Response(status, body, retry_after)
+        # Now h11 is told of the request as well, and makes of the answer what it says.
+        conn.send(_request_head(*asked))
+        if sent:
+            conn.send(h11.Data(data=sent))
+        conn.send(END)
+        conn.receive_data(data)
+        return await Client._answer(sock, conn, data)
+
+    @staticmethod
+    async def _answer(sock: Any, conn: h11.Connection, data: bytes) -> Response:
         status = 0
         retry_after: float | None = None
         parts: list[bytes] = []
         while True:
-            event = conn.next_event() if heard else h11.NEED_DATA
+            event = conn.next_event()
             if event is h11.NEED_DATA:
-                conn.receive_data(await sock.recv(65536))
-                heard = True
+                conn.receive_data(await _receive(sock))
             elif isinstance(event, h11.Response):
                 status = event.status_code
                 for name, value in event.headers:
@@ -479,6 +587,9 @@
             elif isinstance(event, h11.Data):
                 parts.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
-                return Response(status, b"".join(parts), retry_after)
+                body = b"".join(parts)
+                if conn.our_state is h11.DONE and conn.their_state is h11.DONE:
+                    _responses.keep(data, (status, retry_after), len(body))
+                return Response(status, body, retry_after)
             elif isinstance(event, h11.ConnectionClosed):
                 raise EOFError("closed")
