--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -92,5 +92,6 @@
         return False
 
     monkeypatch.setattr(Server, "_make_room", none)
+    monkeypatch.setattr(http, "ROOM_TRIES", 1)
     played = Played()
     assert curio.run(played.play) < 2 * MACHINES
--- a/umberward/decisions/clearing.py
+++ b/umberward/decisions/clearing.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from typing import Any, NamedTuple
 
 from umberward.core.log import logger
@@ -16,6 +17,7 @@
     Instant,
     JobId,
     MachineId,
+    Offer,
     ZoneName,
 )
 from umberward.decisions import preemption
@@ -23,6 +25,7 @@
 from umberward.decisions.cluster import Cluster
 from umberward.decisions.fleet import Machine, with_room
 from umberward.decisions.jobs import Job, Placement, StopKey
+from umberward.decisions.preemption import Plan
 
 log = logger(__name__)
 
@@ -51,10 +54,15 @@
     keeps until its tasks change.
     """
 
-    def __init__(self, cluster: Cluster) -> None:
+    def __init__(self, cluster: Cluster, usable: list[Machine]) -> None:
         self.cluster = cluster
+        self.usable = usable
         self.found: dict[StopKey, dict[MachineId, tuple[Machine, Amount]]] = {}
         self.futile: set[Any] = set()  # kinds of jobs for which nothing can be stopped
+        # Jobs of one class need the same: what was found for one holds for the next, as long as
+        # the machine's room is the same.
+        self.plans: dict[tuple[StopKey, Amount, MachineId], tuple[Amount, Plan | None]] = {}
+        self._offers: dict[Offer, list[Machine]] = {}
 
     def rooms(self, job: Job) -> dict[MachineId, tuple[Machine, Amount]]:
         """The machines where something may be stopped for the job, and how much room that is."""
@@ -67,8 +75,8 @@
                 for other, many in self.cluster.running.items()
                 if many > 0 and may_stop(key, other)
             }
-            for machine in self.cluster.machines.values() if weaker else ():
-                if not machine.held or not machine.usable:
+            for machine in self.usable if weaker else ():
+                if not machine.held:
                     continue
                 self.cluster.looks += 1
                 sums = machine.stoppable()
@@ -80,13 +88,31 @@
                     found[machine.id] = (machine, room)
         return found
 
-    def victims(self, machine: Machine, job: Job) -> list[Placement]:
+    def plan(self, machine: Machine, job: Job, free: Amount, now: Instant) -> Plan | None:
+        """Whom to stop there for one task of the job; None: it would not be enough."""
         key = job.key
-        return [
+        known = self.plans.get((key, job.need, machine.id))
+        if known is not None and known[0] == free:
+            found = known[1]
+            if found is None or all(victim.stop is None for victim in found.victims):
+                return found
+        victims = [
             placement
             for placement in machine.held.values()
             if placement.stop is None and may_stop(key, placement.key)
         ]
+        found = preemption.plan(job.need, free, victims, now)
+        self.plans[key, job.need, machine.id] = (free, found)
+        return found
+
+    def of(self, offers: set[Offer]) -> Iterator[Machine]:
+        """The machines of these kinds: of all, they may be few."""
+        if not self._offers:
+            for machine in self.usable:
+                self._offers.setdefault(machine.offer, []).append(machine)
+        for offer, machines in self._offers.items():
+            if offer in offers:
+                yield from machines
 
 
 def may_stop(mine: StopKey, other: StopKey) -> bool:
@@ -135,12 +161,12 @@
 
     # ---- the search --------------------------------------------------------------------
 
-    def look(self, waiting: list[Job], now: Instant) -> Stoppable | None:
+    def look(self, waiting: list[Job], usable: list[Machine], now: Instant) -> Stoppable | None:
         """All that runs, by whom it may be stopped; None: it is too soon to look again."""
         if now < self.preempt_at and not any(job.service and self.hurries(job) for job in waiting):
             return None
         self.preempt_at = Instant(now + PREEMPT_EVERY_S)
-        return Stoppable(self.cluster)
+        return Stoppable(self.cluster, usable)
 
     def preempt(
         self,
@@ -169,8 +195,8 @@
         if job.plain and kind in stoppable.futile:
             return 0
         suits = self.cluster.suits(job)
-        options = [
-            preemption.Option(id, room, stoppable.victims(m, job), image in m.images)
+        plans = [
+            (image not in m.images, plan.cost, id, plan.victims)
             for id, (m, more) in stoppable.rooms(job).items()
             if m.offer in suits
             and (not near_image or image in m.images)
@@ -180,9 +206,11 @@
             and job.need.fits(room.plus(more))
             and zones.count(m.zone) < cap
             and (not job.spec.same_place or all(zone == m.zone for zone in zones))
+            and (plan := stoppable.plan(m, job, room, now)) is not None
         ]
+        plans.sort(key=lambda plan: plan[:3])
         made = 0
-        for machine, victims in preemption.plans(job.need, options, now):
+        for _, _, machine, victims in plans:
             if made >= min(count, CLEAR_AT_ONCE):
                 break
             # Room in one zone is of no use beyond what the job may have there.
@@ -281,13 +309,17 @@
         self, job: Job, stoppable: Stoppable, free: dict[MachineId, Amount], now: Instant
     ) -> int:
         """Room for a whole gang or none: half of a gang's room is of no use to anybody."""
-        image = ImageName(job.spec.bundle)
         found: dict[ZoneName, list[tuple[int, float, MachineId, int, list[Placement]]]] = {}
         suits = self.cluster.suits(job)
+        # Where one gang finds no room, no other of its kind does in this pass.
+        kind = (job.kind, job.standing, job.rank, job.size, job.spec.same_place)
+        if kind in stoppable.futile:
+            return 0
         rooms = stoppable.rooms(job)
-        for id, room in free.items():
-            machine = self.cluster.machines[id]
-            if machine.offer not in suits or id in self.cleared:
+        for machine in stoppable.of(suits):
+            id = machine.id
+            room = free[id]
+            if id in self.cleared:
                 continue
             zone = machine.zone if job.spec.same_place else ZoneName("")
             here = found.setdefault(zone, [])
@@ -295,12 +327,9 @@
             if fits:
                 here.append((0, 0.0, id, fits, []))
             elif id in rooms and job.need.fits(room.plus(rooms[id][1])):
-                option = preemption.Option(
-                    id, room, stoppable.victims(machine, job), image in machine.images
-                )
-                for _, victims in preemption.plans(job.need, [option], now):
-                    loss = sum(preemption.loss(victim, now) for victim in victims)
-                    here.append((1, loss, id, 1, victims))
+                plan = stoppable.plan(machine, job, room, now)
+                if plan is not None:
+                    here.append((1, plan.cost[1], id, 1, plan.victims))
         best: list[tuple[int, float, MachineId, int, list[Placement]]] = []
         least = 0.0
         for here in found.values():
@@ -313,6 +342,8 @@
             loss = sum(entry[1] for entry in picked)
             if left <= 0 and (not best or loss < least):
                 best, least = picked, loss
+        if not best:
+            stoppable.futile.add(kind)
         left = job.size
         for _, _, id, fits, victims in best:
             self._clear(job, id, min(fits, left), victims, now)
--- a/umberward/decisions/preemption.py
+++ b/umberward/decisions/preemption.py
@@ -2,18 +2,17 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
 from typing import NamedTuple
 
-from umberward.core.types import Amount, Instant, MachineId
+from umberward.core.types import Amount, Instant
 from umberward.decisions.jobs import Placement
 
 
-class Option(NamedTuple):
-    machine: MachineId
-    free: Amount
-    victims: list[Placement]  # what may be stopped
-    has_image: bool
+class Plan(NamedTuple):
+    """Whom to stop on one machine, and the price: low rank first, then little loss."""
+
+    cost: tuple[float, float]
+    victims: list[Placement]
 
 
 def loss(placement: Placement, now: Instant) -> float:
@@ -26,26 +25,15 @@
     return lost * placement.need.cores
 
 
-def plans(
-    need: Amount, options: Iterable[Option], now: Instant
-) -> list[tuple[MachineId, list[Placement]]]:
-    """Machines with the victims on each: a cached image first, then low rank, then little loss."""
-    found: list[tuple[tuple[float, float, float], MachineId, list[Placement]]] = []
-    for option in options:
-        room = option.free
-        picked: list[Placement] = []
-        for placement in sorted(option.victims, key=lambda p: (-p.rank, loss(p, now))):
-            if need.fits(room):
-                break
-            room = room.plus(placement.need)
-            picked.append(placement)
-        if not picked or not need.fits(room):
-            continue
-        cost = (
-            0.0 if option.has_image else 1.0,
-            -min(p.rank for p in picked),
-            sum(loss(p, now) for p in picked),
-        )
-        found.append((cost, option.machine, picked))
-    found.sort(key=lambda plan: plan[:2])
-    return [(machine, picked) for _, machine, picked in found]
+def plan(need: Amount, free: Amount, victims: list[Placement], now: Instant) -> Plan | None:
+    """What of `victims` has to go so that the need finds room; None: all of it is not enough."""
+    room = free
+    picked: list[Placement] = []
+    for placement in sorted(victims, key=lambda p: (-p.rank, loss(p, now))):
+        if need.fits(room):
+            break
+        room = room.plus(placement.need)
+        picked.append(placement)
+    if not picked or not need.fits(room):
+        return None
+    return Plan((-min(p.rank for p in picked), sum(loss(p, now) for p in picked)), picked)
--- a/umberward/decisions/scheduler.py
+++ b/umberward/decisions/scheduler.py
@@ -272,7 +272,7 @@
         names = {m.id for m in roomy}
         # Kinds of jobs for which nothing is left in this pass: thousands of tasks may wait.
         full: set[Any] = set()
-        stoppable = self.clearing.look(waiting, now)
+        stoppable = self.clearing.look(waiting, usable, now)
         for job in waiting:
             need = job.need
             count = min(
