--- a/tests/world.py
+++ b/tests/world.py
@@ -659,6 +659,16 @@
         if spec["apart"] and zones.count(worker.zone) >= (spec["shards"] + 1) // 2:
             self.broken.append(f"wrong_place: too many of {id} in {worker.zone}")
 
+    def _check_ready(self) -> None:
+        """What was kept of the machines from pass to pass is what a look at all of them finds."""
+        scheduler = self.scheduler
+        if scheduler is None:
+            return
+        usable, free = scheduler.survey()
+        found = {m.id: m.free(SKUS[m.type]) for m in scheduler.machines.values() if m.usable}
+        if found != free or {m.id for m in usable} != set(found):
+            self.broken.append(f"kept of machines: {sorted(free)}, found {sorted(found)}")
+
     def _check_sessions(self) -> None:
         """No session is taken for over that its worker still lives in."""
         for machine in self.scheduler.machines.values() if self.scheduler is not None else ():
@@ -668,6 +678,7 @@
 
     def _check(self) -> None:
         self._check_sessions()
+        self._check_ready()
         used: dict[str, float] = {}
         for worker in self.workers.values():
             if worker.dead:
--- a/umberward/cli/main.py
+++ b/umberward/cli/main.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import os
 import sys
 from pathlib import Path
@@ -19,6 +20,8 @@
 from umberward.core.types import Address
 from umberward.protocol import wire
 
+GC_OBJECTS = 10_000  # made since the last pass of the collector over the youngest
+
 _config = click.option(
     "--config", "config", required=True, type=click.Path(path_type=Path),
     help="The platform's settings file (TOML).",
@@ -50,6 +53,8 @@
     from umberward.control.node import Node
     from umberward.core import loop
 
+    # What is made for a message is gone with it: most passes of the collector find nothing.
+    gc.set_threshold(GC_OBJECTS)
     loop.run(Node(settings).run)
 
 
--- a/umberward/control/hints.py
+++ b/umberward/control/hints.py
@@ -105,6 +105,7 @@
         machine = scheduler.machines.get(MachineId(name))
         if machine is not None:
             machine.sick_since = now
+            machine.touched()
     for name, holds in hints.mistaken.items():
         job = scheduler.jobs.get(JobId(name))
         if job is not None:
--- a/umberward/control/renting.py
+++ b/umberward/control/renting.py
@@ -66,6 +66,7 @@
         for machine in idle:
             log.info("returning", machine=machine.id, type=machine.type)
             machine.returning = True
+            machine.touched()
         ids = self.provisioner.deletions(now)[: wire.DELETE_LIMIT]
         if ids:
             log.info("deleting", machines=" ".join(ids))
--- a/umberward/core/types.py
+++ b/umberward/core/types.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+from functools import lru_cache
 from typing import NamedTuple, NewType
 
 JobId = NewType("JobId", str)
@@ -54,6 +55,7 @@
     return None
 
 
+@lru_cache(32768)  # each report names the same tasks again
 def parse_task_id(text: str) -> TaskId | None:
     job, slash, index = text.rpartition("/")
     if not slash or not index.isdecimal():
--- a/umberward/decisions/blame.py
+++ b/umberward/decisions/blame.py
@@ -164,8 +164,10 @@
                 count += min(times, 1) if isinstance(culprit, TaskId) else times
         if count >= SICK_AFTER and machine.sick_since is None:
             machine.sick_since = now
+            machine.touched()
             log.info("machine_set_aside", machine=machine.id, failures=count)
         elif count < SICK_AFTER and machine.sick_since is not None:
             machine.sick_since = None
+            machine.touched()
             self.cluster.want_pass = True
             log.info("machine_used_again", machine=machine.id)
--- a/umberward/decisions/clearing.py
+++ b/umberward/decisions/clearing.py
@@ -62,7 +62,6 @@
         # Jobs of one class need the same: what was found for one holds for the next, as long as
         # the machine's room is the same.
         self.plans: dict[tuple[StopKey, Amount, MachineId], tuple[Amount, Plan | None]] = {}
-        self._offers: dict[Offer, list[Machine]] = {}
 
     def rooms(self, job: Job) -> dict[MachineId, tuple[Machine, Amount]]:
         """The machines where something may be stopped for the job, and how much room that is."""
@@ -107,12 +106,9 @@
 
     def of(self, offers: set[Offer]) -> Iterator[Machine]:
         """The machines of these kinds: of all, they may be few."""
-        if not self._offers:
-            for machine in self.usable:
-                self._offers.setdefault(machine.offer, []).append(machine)
-        for offer, machines in self._offers.items():
+        for offer, machines in self.cluster.ready.kinds.items():
             if offer in offers:
-                yield from machines
+                yield from machines.values()
 
 
 def may_stop(mine: StopKey, other: StopKey) -> bool:
--- a/umberward/decisions/cluster.py
+++ b/umberward/decisions/cluster.py
@@ -28,7 +28,7 @@
     WallTime,
     ZoneName,
 )
-from umberward.decisions.fleet import Machine
+from umberward.decisions.fleet import Machine, Ready
 from umberward.decisions.jobs import NO_CLAIM, Claim, Job, Placement, StopKey
 from umberward.decisions.quota import Quota
 from umberward.decisions.reserve import Reserve
@@ -102,6 +102,9 @@
         self.claims: dict[JobId, Claim] = {}  # what the jobs after a job ask of it
         self.urgent: set[JobId] = set()  # jobs with a mark or their end to write
         self.machines: dict[MachineId, Machine] = {}
+        self.ready = Ready()
+        self.unwatched: list[Machine] = []  # new ones
+        self.hushed: set[MachineId] = set()  # those that did not answer a question of late
         self.gone: dict[MachineId, None] = {}  # deleted machines: late reports are ignored
         # Exited attempts whose start may still be under way, with the token it carries.
         self.tainted_exits: dict[tuple[TaskId, int], int] = {}
@@ -160,17 +163,13 @@
 
     def survey(self) -> tuple[list[Machine], dict[MachineId, Amount]]:
         """The machines that may be given tasks, and the room on each."""
-        usable, free = [], {}
-        skus = self.skus
-        for machine in self.machines.values():
-            if machine.usable and (sku := skus.get(machine.type)) is not None:
-                usable.append(machine)
-                free[machine.id] = machine.free(sku)
-        return usable, free
+        self.ready.refresh(self.machines, self.skus)
+        return list(self.ready.machines.values()), dict(self.ready.free)
 
     def types_changed(self) -> None:
         """The cloud was asked anew for its machine types."""
         self.fleet_kinds += 1
+        self.ready.changed.update(dict.fromkeys(self.machines))
 
     def deadline(self, job: Job) -> float:
         """The time by which the job should start; the sooner, the earlier it is served.
@@ -303,7 +302,10 @@
     ) -> Machine:
         machine = self.machines.get(id)
         if machine is None:
-            machine = self.machines[id] = Machine(id, address, type_, zone, spot, now)
+            machine = self.machines[id] = Machine(
+                id, address, type_, zone, spot, now, self.ready.changed
+            )
+            self.unwatched.append(machine)
             if machine.offer not in self.offers:
                 self.offers.add(machine.offer)
                 self.fleet_kinds += 1
--- a/umberward/decisions/fleet.py
+++ b/umberward/decisions/fleet.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from umberward.core.types import (
     NOTHING,
@@ -26,8 +26,16 @@
 
 class Machine:
     def __init__(
-        self, id: MachineId, address: str, type: TypeName, zone: ZoneName, spot: bool, now: Instant
+        self,
+        id: MachineId,
+        address: str,
+        type: TypeName,
+        zone: ZoneName,
+        spot: bool,
+        now: Instant,
+        changed: dict[MachineId, None],
     ) -> None:
+        """`changed` is told of it when it may be usable no longer, or again, or has other room."""
         self.id = id
         self.address = address
         self.type = type
@@ -64,13 +72,19 @@
         self.lapsed = False  # its lease ran out and nothing was heard of it since
         # The tasks of the last report as they stood in it, if nothing was left to do about them.
         self.calm: bytes | None = None
+        self._changed = changed
         # What is derived from `held` and asked for in every pass: None when it must be found anew.
         self._free: tuple[Sku, Amount] | None = None
         self._stoppable: dict[StopKey, Amount] | None = None
         self._loads: dict[tuple[bool, int], Amount] | None = None
 
+    def touched(self) -> None:
+        """Something has changed on which it depends whether it is usable."""
+        self._changed[self.id] = None
+
     def tasks_changed(self) -> None:
         """A task has come, is gone, or is being stopped."""
+        self.touched()
         self.calm = None
         self._free = None
         self.standing_changed()
@@ -132,6 +146,32 @@
             del self.images[next(iter(self.images))]
 
 
+class Ready:
+    """The machines that may be given tasks, and the room on each.
+
+    Of a large fleet few machines change between two passes, and only those are looked at.
+    """
+
+    def __init__(self) -> None:
+        self.changed: dict[MachineId, None] = {}  # in the order in which they did
+        self.machines: dict[MachineId, Machine] = {}
+        self.free: dict[MachineId, Amount] = {}
+        self.kinds: dict[Offer, dict[MachineId, Machine]] = {}
+
+    def refresh(self, machines: Mapping[MachineId, Machine], skus: Mapping[TypeName, Sku]) -> None:
+        for id in self.changed:
+            machine = machines.get(id)
+            sku = None if machine is None else skus.get(machine.type)
+            if machine is not None and sku is not None and machine.usable:
+                self.machines[id] = machine
+                self.free[id] = machine.free(sku)
+                self.kinds.setdefault(machine.offer, {})[id] = machine
+            elif id in self.machines:
+                del self.free[id]
+                del self.kinds[self.machines.pop(id).offer][id]
+        self.changed.clear()
+
+
 def with_room(
     machines: list[Machine], free: dict[MachineId, Amount], jobs: Iterable[Job]
 ) -> list[Machine]:
--- a/umberward/decisions/provision.py
+++ b/umberward/decisions/provision.py
@@ -229,10 +229,9 @@
         least = least_need(jobs, scheduler.reserve.need)
         yields = {offer: scheduler.reserve.could_run(*offer) for offer in scheduler.offers}
         found = []
-        for machine in scheduler.machines.values():
-            if not machine.usable or machine.type not in scheduler.skus:
-                continue
-            free = machine.free(scheduler.skus[machine.type])
+        usable, rooms = scheduler.survey()
+        for machine in usable:
+            free = rooms[machine.id]
             yielding = NOTHING
             if yields[machine.offer]:
                 yielding = scheduler.reserve.yielding(machine)
--- a/umberward/decisions/reports.py
+++ b/umberward/decisions/reports.py
@@ -70,7 +70,9 @@
         ):
             return False
         machine.heard = machine.answered = self.cluster.heard = now
-        machine.silent = machine.lapsed = False
+        if machine.silent or machine.lapsed:
+            machine.silent = machine.lapsed = False
+            machine.touched()
         machine.serial = Serial(head.serial)
         return True
 
@@ -116,6 +118,7 @@
         if (report.tenure, report.serial) <= (machine.tenure, machine.serial):
             return []  # late: something newer was seen
         machine.calm = None
+        machine.touched()
         machine.heard = self.cluster.heard = now
         machine.met = True
         machine.silent = machine.lapsed = False
@@ -360,3 +363,5 @@
                     "machine_silent", machine=machine.id, seconds=round(now - machine.heard, 1)
                 )
             machine.silent = True
+            machine.touched()
+            self.cluster.hushed.add(machine.id)
--- a/umberward/decisions/reserve.py
+++ b/umberward/decisions/reserve.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping
 
 from umberward.core.types import NOTHING, Amount, Instant, MachineId, Offer, TypeName, ZoneName
 from umberward.decisions.fleet import Machine
@@ -85,10 +85,10 @@
         )
 
     def split(
-        self, usable: Sequence[Machine], free: dict[MachineId, Amount]
+        self, kinds: Mapping[Offer, Mapping[MachineId, Machine]], free: dict[MachineId, Amount]
     ) -> tuple[set[MachineId], set[MachineId]]:
-        """Machines whose room for accelerated work must stay open, or is to become so; and all
-        that could do such work.
+        """Of the usable machines by kind: those whose room for accelerated work must stay open, or
+        is to become so; and all that could do such work.
 
         Where none is open, those that will be soonest are left to run empty: else short tasks
         that come and go would keep accelerated work out for ever.
@@ -96,17 +96,13 @@
         need = self.need
         if need.accelerators <= 0:
             return set(), set()
-        # The machines are many, their kinds few.
-        kinds: dict[Offer, list[Machine]] = {}
-        for machine in usable:
-            kinds.setdefault(machine.offer, []).append(machine)
         zones: dict[ZoneName, float] = {}
         for offer, machines in kinds.items():
             if not offer.spot:
                 cores = self.skus[offer.type].cores
                 zones[offer.zone] = zones.get(offer.zone, 0.0) + cores * len(machines)
         able = []
-        candidates = [m for offer in kinds if self.could_run(*offer) for m in kinds[offer]]
+        candidates = [m for offer in kinds if self.could_run(*offer) for m in kinds[offer].values()]
         for machine in candidates:
             room = free[machine.id]
             if room.accelerators < need.accelerators:
--- a/umberward/decisions/scheduler.py
+++ b/umberward/decisions/scheduler.py
@@ -142,6 +142,7 @@
                 # It reported before the jobs were read, so its tasks could not be told: until it
                 # has reported once more, they may run there and must not start elsewhere.
                 machine.settled = False
+                machine.touched()
                 machine.calm = None
                 machine.probing = True
                 self.out.append(Probe(machine.id, machine.address))
@@ -197,6 +198,7 @@
             machine.returning = True
             self.lose_tasks(machine, "machine gone")
             del self.machines[id]
+            machine.touched()
             self.gone[id] = None
             while len(self.gone) > 5000:
                 del self.gone[next(iter(self.gone))]
@@ -266,7 +268,7 @@
         waiting = self.waiting(now)
         self.reserve.note((job for job in waiting if not job.mistaken), now)
         self.clearing.keep(free, now)
-        kept, able = self.reserve.split(usable, free)
+        kept, able = self.reserve.split(self.ready.kinds, free)
         self.kept = kept
         roomy = with_room(usable, free, waiting)
         names = {m.id for m in roomy}
@@ -321,7 +323,7 @@
             self.clearing.take_back(used, mine, free)
             self._start(job, chosen, free, now)
             if need.accelerators > 0 and chosen:
-                kept, able = self.reserve.split(usable, free)
+                kept, able = self.reserve.split(self.ready.kinds, free)
                 self.kept = kept
         if stoppable is not None and self.all_settled:
             self.clearing.move_replicas(kept, able, usable, free, stoppable, now)
--- a/umberward/decisions/watch.py
+++ b/umberward/decisions/watch.py
@@ -5,9 +5,12 @@
 
 from __future__ import annotations
 
+import heapq
+
 from umberward.core.log import logger
 from umberward.core.types import (
     Instant,
+    MachineId,
     NodeName,
     Tenure,
     ZoneName,
@@ -18,6 +21,8 @@
 
 log = logger(__name__)
 
+AGAIN_S = 0.1  # less than a tick: at the next one
+COUNT_S = 0.5  # how often all machines are counted
 LEAST_WORKERS = 4  # with fewer it can't be told whether they or we are cut off
 MANY_WORKERS = 20  # so many report at moments spread evenly enough
 DEAF_MARGIN_S = 1.0
@@ -31,6 +36,10 @@
         self.cluster = cluster
         self.lender = lender
         self.apart: set[ZoneName] = set()  # zones that may be cut off
+        self.due: list[tuple[Instant, MachineId]] = []  # a heap: when to look at which machine
+        self.met = 0  # machines that have reported to us
+        self.hearing = 0  # ... and do so still
+        self.count_at = cluster.started
 
     def wake(self, now: Instant) -> None:
         """To be called before anything else is decided, with the clock read anew.
@@ -49,23 +58,18 @@
 
     def tick(self, now: Instant) -> None:
         """Sessions that are over, machines to ask, and whether all is settled."""
-        takeover = self.cluster.workers.cancel_s * DRIFT + 2 * MARGIN_S
-        silence = self.cluster.silence()
-        for machine in self.cluster.machines.values():
-            quiet = now - machine.heard
-            if quiet > silence and not machine.probing and not machine.returning:
-                machine.probing = True
-                self.cluster.out.append(Probe(machine.id, machine.address))
-            if machine.settled:
-                if machine.answered is not None and self.lender.session_over(
-                    machine.zone, machine.answered, machine.lent, now
-                ):
-                    # Its lease has run out: it has killed all that it had.
-                    self._expire(machine)
-            elif not machine.cleared and now - self.cluster.started > takeover:
-                # A former holder may answer reports for cancel_s - lease_s after it last held its
-                # lease, which was before we took over; lease_s after that all is gone.
-                machine.cleared = True
+        for machine in self.cluster.unwatched:
+            heapq.heappush(self.due, (now, machine.id))
+        self.cluster.unwatched.clear()
+        # Each machine has one entry, of when to look at it next: reports only put that off, and
+        # nothing is done about them here until it has come.
+        while self.due and self.due[0][0] <= now:
+            id = self.due[0][1]
+            found = self.cluster.machines.get(id)
+            if found is None:
+                heapq.heappop(self.due)
+            else:
+                heapq.heapreplace(self.due, (self._look(found, now), id))
         if not self.cluster.all_settled and self.cluster.loaded:
             waiting = [m for m in self.cluster.machines.values() if not (m.settled or m.cleared)]
             if not waiting:
@@ -76,9 +80,48 @@
                 self.cluster.want_pass = True
                 log.info("all_settled", after_s=round(now - self.cluster.started, 1))
 
+    def _look(self, machine: Machine, now: Instant) -> Instant:
+        """What time tells of one machine; when to look at it again."""
+        soon = Instant(now + AGAIN_S)
+        silence = self.cluster.silence()
+        quiet = now - machine.heard
+        if quiet > silence and not machine.probing and not machine.returning:
+            machine.probing = True
+            self.cluster.out.append(Probe(machine.id, machine.address))
+        due = now + silence
+        if not machine.returning:
+            due = soon if machine.probing else min(due, machine.heard + silence)
+        if machine.settled:
+            if machine.answered is not None:
+                if self.lender.session_over(machine.zone, machine.answered, machine.lent, now):
+                    # Its lease has run out: it has killed all that it had.
+                    self._expire(machine)
+                else:
+                    due = min(due, machine.answered + self.lender.lease_s)
+        elif not machine.cleared:
+            takeover = self.cluster.workers.cancel_s * DRIFT + 2 * MARGIN_S
+            if now - self.cluster.started > takeover:
+                # A former holder may answer reports for cancel_s - lease_s after it last held its
+                # lease, which was before we took over; lease_s after that all is gone.
+                machine.cleared = True
+            else:
+                due = min(due, self.cluster.started + takeover)
+        return max(soon, Instant(due))
+
+    def _count(self, now: Instant) -> None:
+        """How many machines were met, and are heard; once in a while, as they are many."""
+        if now < self.count_at:
+            return
+        self.count_at = Instant(now + COUNT_S)
+        late = now - self.cluster.silence() - 1.0
+        met = [m for m in self.cluster.machines.values() if m.met]
+        self.met = len(met)
+        self.hearing = sum(1 for m in met if not m.silent and m.heard > late)
+
     def deaf(self, now: Instant) -> bool:
         """Whether no worker at all is heard, though so many should report that one would be."""
-        met = sum(1 for m in self.cluster.machines.values() if m.met)
+        self._count(now)
+        met = self.met
         if met < LEAST_WORKERS:
             return False
         # Each reports at least so often; the more there are, the sooner one of them does.
@@ -93,11 +136,7 @@
             return False
         if self.deaf(now):
             return True
-        met = [m for m in self.cluster.machines.values() if m.met]
-        if len(met) < LEAST_WORKERS:
-            return False
-        heard = sum(1 for m in met if not m.silent and now - m.heard < self.cluster.silence() + 1.0)
-        return heard < 0.25 * len(met)
+        return self.met >= LEAST_WORKERS and self.hearing < 0.25 * self.met
 
     def unheard(self, now: Instant) -> bool:
         """Whether not one of the machines we took over has been heard of, though by now each that
@@ -116,6 +155,7 @@
         machine.min_tenure = Tenure(machine.tenure + 1)
         machine.answered = None
         machine.lapsed = True
+        machine.touched()
         machine.calm = None  # a late report of that session must not be taken in unread
 
     def pick_doomed(self, now: Instant) -> None:
@@ -125,7 +165,11 @@
         what runs there goes on until their leases are nearly over, and so long they are left alone.
         If hardly any is heard, it is us.
         """
-        silent = [m for m in self.cluster.machines.values() if m.silent and not m.returning]
+        if not self.cluster.hushed:
+            return
+        known = [self.cluster.machines.get(id) for id in self.cluster.hushed]
+        silent = [m for m in known if m is not None and m.silent and not m.returning]
+        self.cluster.hushed = {m.id for m in silent}
         if not silent:
             return
         taken = [m for m in silent if m.notice_at is not None]
@@ -138,13 +182,13 @@
         silent = [m for m in silent if m.zone not in apart or m.lapsed or m.cleared]
         # Those count too that we have taken over and never met: a new leader that hears but a few
         # is cut off from the rest rather than the only one whose machines live.
-        known = [m for m in self.cluster.machines.values() if m.zone not in apart]
-        alive = sum(1 for m in known if m.met and now - m.heard < recent)
+        within = [m for m in self.cluster.machines.values() if m.zone not in apart]
+        alive = sum(1 for m in within if m.met and now - m.heard < recent)
         if self.deaf(now) or not alive:
             return
         # Those whose report is overdue count as well: of a cut, some are noticed before others.
-        overdue = len(known) - alive - sum(1 for m in taken if m.zone not in apart)
-        if overdue <= max(3, FEW_PART * len(known)):
+        overdue = len(within) - alive - sum(1 for m in taken if m.zone not in apart)
+        if overdue <= max(3, FEW_PART * len(within)):
             self.cluster.doomed.update(m.id for m in silent)
         elif overdue <= 0.7 * alive:
             late = 0.8 * self.cluster.workers.lease_s
--- a/umberward/decisions/writer.py
+++ b/umberward/decisions/writer.py
@@ -225,6 +225,7 @@
             machine = self.cluster.machines.get(id)
             if machine is not None:
                 machine.block = number
+                machine.touched()
 
     def marked(self, job: Job) -> None:
         for index, placement in list(job.placed.items()):
@@ -281,6 +282,7 @@
         for machine in machines:
             if machine.block in (None, number):
                 machine.block = number
+                machine.touched()
                 names.add(machine.id)
             else:
                 # It was moved, and the block that it left was not written before the end.
