--- a/umberward/core/types.py
+++ b/umberward/core/types.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import re
-from functools import lru_cache
+from functools import lru_cache, partial
 from typing import NamedTuple, NewType
 
 JobId = NewType("JobId", str)
@@ -71,6 +71,9 @@
     return Address(host, int(port))
 
 
+SLACK = 1e-6  # sums of decimal numbers are not exact
+
+
 class Amount(NamedTuple):
     """What a task takes, or a machine has."""
 
@@ -79,10 +82,13 @@
     mem_gb: float
 
     def plus(self, other: Amount, times: int = 1) -> Amount:
-        return Amount(
-            self.cores + times * other.cores,
-            self.accelerators + times * other.accelerators,
-            self.mem_gb + times * other.mem_gb,
+        cores, accelerators, mem_gb = other
+        return _amount(
+            (
+                self[0] + times * cores,
+                self[1] + times * accelerators,
+                self[2] + times * mem_gb,
+            )
         )
 
     def minus(self, other: Amount, times: int = 1) -> Amount:
@@ -90,9 +96,7 @@
 
     def fits(self, room: Amount) -> bool:
         return (
-            self.cores <= room.cores + 1e-6
-            and self.accelerators <= room.accelerators + 1e-6
-            and self.mem_gb <= room.mem_gb + 1e-6
+            self[0] <= room[0] + SLACK and self[1] <= room[1] + SLACK and self[2] <= room[2] + SLACK
         )
 
     def times_into(self, room: Amount) -> int:
@@ -100,10 +104,12 @@
         most = MAX_TASKS
         for need, free in zip(self, room, strict=True):
             if need > 0:
-                most = min(most, int((free + 1e-6) / need))
+                most = min(most, int((free + SLACK) / need))
         return max(most, 0)
 
 
+# Of all that a placing pass makes there is most of these: this is their quickest way.
+_amount = partial(tuple.__new__, Amount)
 NOTHING = Amount(0.0, 0.0, 0.0)
 
 
--- a/umberward/decisions/fleet.py
+++ b/umberward/decisions/fleet.py
@@ -7,6 +7,7 @@
 
 from umberward.core.types import (
     NOTHING,
+    SLACK,
     Amount,
     Epoch,
     ImageName,
@@ -177,7 +178,15 @@
 ) -> list[Machine]:
     """The machines with room for the least that any of the jobs takes: of a full fleet, few."""
     least = least_need(jobs)
-    return [] if least is None else [m for m in machines if least.fits(free[m.id])]
+    if least is None:
+        return []
+    # Said out, as it is asked of each machine in each pass: `least.fits(free[m.id])`.
+    cores, accelerators, mem_gb = (part - SLACK for part in least)
+    return [
+        m
+        for m in machines
+        if (room := free[m.id])[0] >= cores and room[1] >= accelerators and room[2] >= mem_gb
+    ]
 
 
 def least_need(jobs: Iterable[Job], besides: Amount = NOTHING) -> Amount | None:
--- a/umberward/decisions/quota.py
+++ b/umberward/decisions/quota.py
@@ -39,9 +39,14 @@
             0 < limits.gpus_max < need.accelerators * times - 1e-6
         )
 
+    def guarantees(self, team: TeamName) -> bool:
+        """Whether anything is guaranteed to the team."""
+        limits = self.teams.get(team)
+        return limits is not None and (limits.cpus > 0 or limits.gpus > 0)
+
     def fits_guarantee(self, team: TeamName, total: Amount) -> bool:
         """Whether jobs of this size together are within what is guaranteed to the team."""
-        limits = self.teams.get(team)
-        if limits is None or (limits.cpus <= 0 and limits.gpus <= 0):
+        if not self.guarantees(team):
             return False
+        limits = self.teams[team]
         return total.cores <= limits.cpus + 1e-6 and total.accelerators <= limits.gpus + 1e-6
--- a/umberward/decisions/scheduler.py
+++ b/umberward/decisions/scheduler.py
@@ -248,13 +248,21 @@
         # nothing from those that run. The rank is that of the live jobs that need it, which changes
         # only when users act.
         self.want_grades = False
-        totals: dict[TeamName, Amount] = {}
-        for job in sorted(self.jobs.values(), key=lambda job: (job.ready_at, job.id)):
+        judged = []  # whose standing depends on the jobs before them
+        for job in self.jobs.values():
             rank = min(wire.RANKS[job.spec.rank], self.pipelines.claim(job.id).rank)
+            if rank == 0 or not self.quota.guarantees(job.team):
+                self.stand(job, rank, (0 if rank == 0 else 1, rank))
+            if self.quota.guarantees(job.team):
+                judged.append((job.ready_at, job.id, rank, job))
+        judged.sort(key=lambda entry: entry[:2])
+        totals: dict[TeamName, Amount] = {}
+        for _, _, rank, job in judged:
             total = totals.get(job.team, NOTHING).plus(job.need, job.size)
             totals[job.team] = total
-            guaranteed = rank == 0 or self.quota.fits_guarantee(job.team, total)
-            self.stand(job, rank, (0 if guaranteed else 1, rank))
+            if rank > 0:
+                within = self.quota.fits_guarantee(job.team, total)
+                self.stand(job, rank, (0 if within else 1, rank))
 
     def place(self, now: Instant) -> None:
         """One pass over the waiting jobs."""
