A restarted leader leaves its place to the others, which know what it had learnt

Need: a process that ends may be back within a fraction of a second, while its old lease runs. It found itself as the leader, took the key anew and led without what it had learnt; one that ended again and again kept everybody from leading. Now it gives the key up and rests for a second; alone, it leads after that.

--- a/umberward/control/membership.py
+++ b/umberward/control/membership.py
@@ -21,6 +21,7 @@
 LEADER = Key("leader")
 DRIFT = 0.999
 MARGIN_S = 0.15
+RETURN_REST_S = 1.0  # for so long a restarted leader leaves its place to the others
 
 
 class Membership:
@@ -172,8 +173,15 @@
             return revision
         if record.node == self.me:
             # Our former self led and was restarted: its commands carry a lower token and its
-            # transactions a condition that fails from now on.
-            self.leader, self.leader_stamp = None, stamp
+            # transactions a condition that fails from now on. The others have heard what it had
+            # learnt and we have not; and if we end again and again, at each return within the
+            # time of the former lease we would keep the others from leading.
+            self.rest_until = time.monotonic() + RETURN_REST_S
+            log.info("former_self_led", rest_s=RETURN_REST_S)
+            await self.store.commit(
+                [(LEADER, stamp)], [changes.delete(LEADER)], priority=changes.URGENT
+            )
+            self.leader, self.leader_stamp = None, Stamp(0)
             return revision
         if self.epoch is not None:
             await self._lose()
