--- a/tests/test_regress.py
+++ b/tests/test_regress.py
@@ -91,7 +91,8 @@
     assert grown["machines"][0]["count"] == 4 and grown["machines"][0]["spot"] is False
     assert grown["jobs"][0]["initial"] == 8 and grown["jobs"][0]["arrivals"]["rate"] == 0.75
     assert [fault["count"] for fault in grown["day"][1]["faults"]] == [6, 2]
-    assert sites.roughest(made) == ["storm"]
+    assert sites.days(made, rough=True) == ["storm"]
+    assert sites.days(made, rough=False) == ["calm", "storm"]
     (drawn,) = sites.write_days(made, [3])
     (day,) = tomllib.loads(drawn.read_text())["day"]
     assert {fault["kind"] for fault in day["faults"]} == {"machine_die", "node_crash"}
--- a/tools/regress/__main__.py
+++ b/tools/regress/__main__.py
@@ -76,8 +76,9 @@
 @click.option("--factor", default=1.5, show_default=True, help="Times the machines and jobs.")
 @click.option("--restart-s", default=0.2, show_default=True, help="An ended process is back.")
 @click.option("--seed", "seeds", multiple=True, type=int, default=[1, 2], help="Drawn days.")
+@click.option("--all-days", is_flag=True, help="All standard days, not the two roughest alone.")
 def half_again(
-    why: str, jobs: int, factor: float, restart_s: float, seeds: tuple[int, ...]
+    why: str, jobs: int, factor: float, restart_s: float, seeds: tuple[int, ...], all_days: bool
 ) -> None:
     """The fleet deployments half again as large, their roughest days and drawn ones.
 
@@ -89,7 +90,7 @@
     for source in FLEET:
         folder = SITES / f"x{factor:g}-{restart_s:g}"
         site = sites.write(KIT / source, folder, factor, restart_s, min(seeds, default=1))
-        played += [(site, day) for day in sites.roughest(site)]
+        played += [(site, day) for day in sites.days(site, rough=not all_days)]
         played += [(site, str(path)) for path in sites.write_days(site, list(seeds))]
     with ThreadPoolExecutor(max_workers=jobs) as pool:
         results = list(pool.map(lambda pair: _run(pair[0], pair[1], why), played))
--- a/tools/regress/sites.py
+++ b/tools/regress/sites.py
@@ -81,6 +81,7 @@
     return made
 
 
-def roughest(site: Path) -> list[str]:
-    """The names of the days that the operators mark as the two roughest."""
-    return [day["name"] for day in tomllib.loads(site.read_text())["day"] if day.get("light")]
+def days(site: Path, rough: bool) -> list[str]:
+    """The names of the standard days; `rough`: of those that are marked as the two roughest."""
+    found = tomllib.loads(site.read_text())["day"]
+    return [day["name"] for day in found if day.get("light") or not rough]
