--- a/tests/guards.py
+++ b/tests/guards.py
@@ -383,7 +383,12 @@
     _answered_stays(patch, lambda before, _, report: report.serial <= before.serial)
 
 
+def asked_first(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(watch, "ASKED_S", -1.0)
+
+
 GUARDS: dict[str, Patch] = {
+    "asked-first": asked_first,
     "session-anew": session_anew,
     "settled-answered": settled_answered,
     "overtaken-answered": overtaken_answered,
--- a/umberward/decisions/watch.py
+++ b/umberward/decisions/watch.py
@@ -24,6 +24,8 @@
 AGAIN_S = 0.1  # less than a tick: at the next one
 COUNT_S = 0.5  # how often all machines are counted
 LEAST_WORKERS = 4  # with fewer it can't be told whether they or we are cut off
+ASKED = 8  # workers that are asked when none is heard
+ASKED_S = 1.2  # by then they have answered, or won't
 MANY_WORKERS = 20  # so many report at moments spread evenly enough
 DEAF_MARGIN_S = 1.0
 FEW_PART = 0.1  # of the machines may die at once, more are rather cut off
@@ -40,6 +42,7 @@
         self.met = 0  # machines that have reported to us
         self.hearing = 0  # ... and do so still
         self.count_at = cluster.started
+        self.doubted: Instant | None = None  # since when we may be cut off, and have asked
 
     def wake(self, now: Instant) -> None:
         """To be called before anything else is decided, with the clock read anew.
@@ -53,6 +56,7 @@
             return
         log.info("stood_still", seconds=round(gap, 1))
         self.cluster.heard = min(now, Instant(self.cluster.heard + gap))
+        self.doubted = None
         for machine in self.cluster.machines.values():
             machine.heard = min(now, Instant(machine.heard + gap))
 
@@ -70,6 +74,7 @@
                 heapq.heappop(self.due)
             else:
                 heapq.heapreplace(self.due, (self._look(found, now), id))
+        self._doubt(now)
         if not self.cluster.all_settled and self.cluster.loaded:
             waiting = [m for m in self.cluster.machines.values() if not (m.settled or m.cleared)]
             if not waiting:
@@ -130,11 +135,26 @@
         )
         return now - self.cluster.heard > longest
 
+    def _doubt(self, now: Instant) -> None:
+        """Nothing is heard: ask some workers before anything follows from it.
+
+        Machines that came up in one moment report in one moment for a while, and between two such
+        moments all of them are silent.
+        """
+        if not self.deaf(now):
+            self.doubted = None
+        elif self.doubted is None:
+            self.doubted = now
+            met = [m for m in self.cluster.machines.values() if m.met and not m.returning]
+            for machine in self.cluster.rng.sample(met, min(ASKED, len(met))):
+                machine.probing = True
+                self.cluster.out.append(Probe(machine.id, machine.address))
+
     def cut_off(self, now: Instant) -> bool:
         """Whether the workers seem to be out of our reach, all but a few."""
         if now - self.cluster.started < 2 * self.cluster.silence():
             return False
-        if self.deaf(now):
+        if self.doubted is not None and now - self.doubted > ASKED_S:
             return True
         return self.met >= LEAST_WORKERS and self.hearing < 0.25 * self.met
 
