Controllers without the state service send workers to whom others know as the leader

Such a controller now names whom peers with the state service know, and nobody who holds a lower token than the worker's; a leader that hears of a higher token gives up its term.

--- a/umberward/control/holder.py
+++ b/umberward/control/holder.py
@@ -243,6 +243,9 @@
             if scheduler.want_epoch and self.membership.leading():
                 scheduler.want_epoch = False
                 await curio.spawn(self._raise_epoch, daemon=True)
+        if scheduler.higher:
+            seen, scheduler.higher = scheduler.higher, Epoch(0)
+            await curio.spawn(self.membership.deposed, seen, daemon=True)
         due = scheduler.want_pass and now >= self.next_pass
         if (due or now >= self.next_pass + IDLE_PASS_S) and self.membership.leading():
             scheduler.place(now)
--- a/umberward/control/membership.py
+++ b/umberward/control/membership.py
@@ -97,6 +97,13 @@
                 await self.store.drop(lease)
         self.rest_until = time.monotonic() + 2 * self.ttl  # let another one win
 
+    async def deposed(self, seen: Epoch) -> None:
+        """A worker has seen a higher token: another controller has won since, though we may not
+        have heard of it. What we may still tend would only be kept from the one that leads."""
+        if self.epoch is not None and seen > self.epoch:
+            log.warning("deposed", epoch=self.epoch, seen=seen)
+            await self._lose()
+
     # ---- the lease ---------------------------------------------------------------------
 
     async def keep_lease(self) -> None:
--- a/umberward/control/node.py
+++ b/umberward/control/node.py
@@ -193,14 +193,15 @@
                     orders = [order for order in orders if order["verb"] == wire.KILL]
                 epoch = holder.scheduler.epoch
                 return Response(200, wire.encode({"epoch": epoch, "orders": orders}))
-            return Response(421, wire.encode({}))
+            return self._elsewhere(head)
         if holder is None and self.peers.may_answer(head.host, head.epoch):
             # The leader and the state service are out of reach: the zone is cut off, or worse.
             return Response(200, wire.encode({"epoch": head.epoch, "orders": []}))
-        leader = self.membership.leader
-        if leader is None or leader == self.membership.me:
-            return Response(421, wire.encode({}))
-        return Response(421, wire.encode({"steward": leader}))
+        return self._elsewhere(head)
+
+    def _elsewhere(self, head: wire.Head) -> Response:
+        leader = self.peers.steward(head.epoch)
+        return Response(421, wire.encode({} if leader is None else {"steward": leader}))
 
     def _ready(self) -> bool:
         """Not ready: no machine types yet, or only we are without the state service."""
--- a/umberward/control/peers.py
+++ b/umberward/control/peers.py
@@ -27,6 +27,7 @@
 CONTACT_S = 2.5  # without the state service for so long, a node asks whether others have it
 HINTS_S = 2.0  # how often the leader is asked for what it has learnt
 BORROW_S = 1.0  # how often the leader is asked for a loan of our zone's machines
+TOLD_S = 3.0  # for so long the others' word is believed
 TIMEOUT_S = 0.5  # a silent peer must not keep the others waiting
 
 
@@ -36,6 +37,7 @@
     at: float
     contact_age: float  # how long ago the state service had granted its lease
     heard_age: float  # how long ago a worker had reported to it
+    leader: NodeName | None  # as it knew
 
 
 class Peers:
@@ -120,9 +122,32 @@
     def others_have_contact(self) -> bool:
         now = time.monotonic()
         return any(
-            now - told.at < 3.0 and told.contact_age < CONTACT_S for told in self.contact.values()
+            now - told.at < TOLD_S and told.contact_age < CONTACT_S
+            for told in self.contact.values()
         )
 
+    def steward(self, epoch: int) -> NodeName | None:
+        """Who leads, for a worker that has seen that token; None: it is to look for itself.
+
+        Without the state service we may know only who led before. A worker that was sent there and
+        from there to us again would go to and fro between two that do not lead, until its lease
+        is over; so others are believed that have the state service, and nobody is named who holds
+        a lower token than the worker's.
+        """
+        leader = self.membership.leader
+        now = time.monotonic()
+        if now - self.membership.good >= CONTACT_S:
+            told = [
+                told
+                for told in self.contact.values()
+                if now - told.at < TOLD_S and told.contact_age < CONTACT_S
+            ]
+            if told:
+                leader = max(told, key=lambda one: one.at - one.contact_age).leader
+            elif epoch > self.membership.leader_stamp:
+                leader = None
+        return None if leader == self.me else leader
+
     def keep(self, found: Hints) -> None:
         """The newest hints are kept, whoever they come from."""
         if self.latest is None or found.epoch >= self.latest.epoch:
@@ -160,6 +185,7 @@
                     time.monotonic(),
                     float(told["contact_age"]),
                     float(told.get("heard_age", math.inf)),  # earlier versions do not tell
+                    None if told["leader"] is None else NodeName(str(told["leader"])),
                 )
             except (NotSent, NoAnswer, ValueError, KeyError, TypeError, cbor2.CBORDecodeError):
                 continue
--- a/umberward/decisions/cluster.py
+++ b/umberward/decisions/cluster.py
@@ -90,6 +90,7 @@
         self.current = now  # of all that was cancelled until then we know
         self.epoch = epoch
         self.term = epoch
+        self.higher = Epoch(0)  # a token above ours that a worker has seen
         self.started = now
         self.now = now
         self.awake = now  # when we last looked at the clock
--- a/umberward/decisions/reports.py
+++ b/umberward/decisions/reports.py
@@ -94,6 +94,7 @@
         self.cluster.now = now
         id = MachineId(report.host)
         if report.epoch > self.cluster.epoch:
+            self.cluster.higher = Epoch(max(self.cluster.higher, report.epoch))
             return None
         if id in self.cluster.gone:
             return []
