Reports are carried to a leader that their workers cannot reach

A worker that does not reach the leader was sent there again and again by a controller that reaches both, until its lease was over. A report that comes back unanswered is now carried between controllers and its answer back, at most 16 at once, and every 30 s its worker is to try for itself; a leader that hears from a peer with the state service that another has won gives up its term at once.

--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -8,14 +8,19 @@
 
 import cbor2
 import curio
+import msgspec
 import pytest
 from world import FakeState, raw_settings
 
 from umberward.control.membership import Membership
+from umberward.control.node import Node
 from umberward.control.peers import Peers
 from umberward.core.settings import Operator, check
-from umberward.core.types import Address, Epoch, Instant, NodeName, Stamp
-from umberward.protocol.http import NotSent, Response
+from umberward.core.types import Address, Epoch, Instant, MachineId, NodeName, Stamp
+from umberward.decisions import relays as relays_module
+from umberward.decisions.relays import Relays
+from umberward.protocol import wire
+from umberward.protocol.http import NotSent, Request, Response, Server
 
 
 class Others:
@@ -43,8 +48,14 @@
     rng = random.Random(1)
     membership = Membership(settings, None, rng, _nothing, _nothing)  # type: ignore[arg-type]
     return Peers(
-        settings, membership, Others(told), rng, lambda: None, _nothing,  # type: ignore[arg-type]
-    )  # fmt: skip
+        settings,
+        membership,
+        Others(told),
+        rng,
+        lambda: None,
+        _nothing,
+        _nothing,  # type: ignore[arg-type]
+    )
 
 
 def _hear(told: dict[int, Any]) -> bool:
@@ -121,3 +132,71 @@
 
     curio.run(play)
     assert lost and made.epoch is None and not made.tending()
+
+
+HOST = MachineId("i-000007")
+K1, K2 = NodeName("k1"), NodeName("k2")
+
+
+def test_whose_reports_are_carried() -> None:
+    relays = Relays()
+
+    def at(second: float, leader: NodeName = K1) -> bool:
+        return relays.carries(HOST, leader, Instant(second))
+
+    assert not at(0.0)  # sent to the leader
+    assert at(5.2) and at(7.7) and at(34.0)  # it was not answered there
+    assert not at(36.0)  # it is to try for itself once more
+    assert not at(36.4)  # back at once: refused, not unanswered
+    assert not at(60.0)  # another trouble than the one before
+    assert at(65.0)
+    assert not at(67.0, K2)  # another leads
+    relays.carries(HOST, K2, Instant(72.0))
+    relays.failed(HOST, K2, Instant(73.5))
+    assert not at(74.0, K2)
+    for number in range(5000):
+        relays.carries(MachineId(f"i-{number}"), K1, Instant(0.0))
+    assert len(relays.sent) == relays_module.MOST
+
+
+def test_a_report_is_carried_to_a_leader_that_its_worker_cannot_reach() -> None:
+    """The worker is sent to the leader, comes back unanswered, and is answered from then on with
+    what the leader says; if the leader is out of our reach as well, it is sent there as before."""
+    raw = raw_settings()
+    raw["peers"] = [{"label": "k1", "site": "a", "addr": "127.0.0.1:29395"}]
+    node = Node(check(raw, Operator()))
+    node.membership.leader = K1
+    node.membership.good = Instant(time.monotonic())
+    body = wire.encode(
+        {"host": "i-7", "address": "10.1.0.7:9000", "flavor": "small", "yard": "a", "tenure": 1,
+         "serial": 3, "epoch": 5, "shards": [], "reclaimable": False}
+    )  # fmt: skip
+    heard = []
+
+    async def leads(request: Request) -> Response:
+        heard.append((request.path, request.body))
+        return Response(200, b"what the leader says")
+
+    async def hello(after: float) -> Response:
+        known = node.relays.sent.get(MachineId("i-7"))
+        if known is not None:
+            moved = known._replace(at=Instant(known.at - after))
+            node.relays.sent[MachineId("i-7")] = moved
+        return await node._hello(Request("POST", "/hello", "", body))
+
+    async def play() -> None:
+        first = await hello(0.0)
+        assert first.status == 421 and msgspec.msgpack.decode(first.body) == {"steward": "k1"}
+        out_of_reach = await hello(5.0)
+        assert out_of_reach.status == 421 and msgspec.msgpack.decode(out_of_reach.body) == {
+            "steward": "k1"
+        }
+        running = await curio.spawn(Server(Address("127.0.0.1", 29395), leads, 8).run, daemon=True)
+        await curio.sleep(0.05)
+        carried = await hello(5.0)
+        assert (carried.status, carried.body) == (200, b"what the leader says")
+        assert (await hello(0.0)).status == 200
+        await running.cancel()
+
+    curio.run(play)
+    assert heard == [("/peer/hello", body)] * 2
--- a/umberward/control/node.py
+++ b/umberward/control/node.py
@@ -24,12 +24,14 @@
     Epoch,
     Instant,
     Key,
+    MachineId,
     NodeName,
     Stamp,
     TypeName,
     WallTime,
     parse_job_id,
 )
+from umberward.decisions.relays import Relays
 from umberward.decisions.tending import Loan
 from umberward.protocol import changes, wire
 from umberward.protocol.http import Client, Request, Response, Server, Sockets
@@ -73,8 +75,9 @@
         self.holder: Holder | None = None
         self.holder_task: Any = None
         self.peers = Peers(
-            settings, self.membership, self.client, self.rng, self._hints, self._lend
+            settings, self.membership, self.client, self.rng, self._hints, self._lend, self._carried
         )
+        self.relays = Relays()
 
     async def run(self) -> None:
         # Any of these ending means a fault of ours: it is logged, and the part starts again.
@@ -184,24 +187,43 @@
         if request.origin is not None:
             await self.server.name(request.origin, head.host)
         self.peers.worker_heard()
+        answer = await self._answer(head, request.body)
+        if answer is not None:
+            return answer
+        if self.holder is None and self.peers.may_answer(head.host, head.epoch):
+            # The leader and the state service are out of reach: the zone is cut off, or worse.
+            return Response(200, wire.encode({"epoch": head.epoch, "orders": []}))
+        leader = self.peers.steward(head.epoch)
+        if leader is None:
+            return Response(421, wire.encode({}))
+        host, now = MachineId(head.host), Instant(time.monotonic())
+        if self.relays.carries(host, leader, now):
+            carried = await self.peers.carry(leader, request.body)
+            if carried is not None:
+                return carried
+            self.relays.failed(host, leader, now)
+        return Response(421, wire.encode({"steward": leader}))
+
+    async def _carried(self, body: bytes) -> Response:
+        """A report that another controller has carried to us."""
+        try:
+            answer = await self._answer(wire.decode_head(body), body)
+        except wire.Malformed as error:
+            return Response(400, wire.encode({"error": str(error)}))
+        return answer or Response(421, wire.encode({}))
+
+    async def _answer(self, head: wire.Head, body: bytes) -> Response | None:
+        """As the one who holds the machines, or tends them; None: that we are not."""
         holder = self.holder
         if holder is not None and self.membership.tending():
-            orders = await holder.ask(Hello(head, request.body))
+            orders = await holder.ask(Hello(head, body))
             if orders is not None and self.membership.tending():
                 if not self.membership.leading():
                     # Without our lease nothing may be started; what is there goes on.
                     orders = [order for order in orders if order["verb"] == wire.KILL]
                 epoch = holder.scheduler.epoch
                 return Response(200, wire.encode({"epoch": epoch, "orders": orders}))
-            return self._elsewhere(head)
-        if holder is None and self.peers.may_answer(head.host, head.epoch):
-            # The leader and the state service are out of reach: the zone is cut off, or worse.
-            return Response(200, wire.encode({"epoch": head.epoch, "orders": []}))
-        return self._elsewhere(head)
-
-    def _elsewhere(self, head: wire.Head) -> Response:
-        leader = self.peers.steward(head.epoch)
-        return Response(421, wire.encode({} if leader is None else {"steward": leader}))
+        return None
 
     def _ready(self) -> bool:
         """Not ready: no machine types yet, or only we are without the state service."""
--- a/umberward/control/peers.py
+++ b/umberward/control/peers.py
@@ -18,7 +18,7 @@
 from umberward.control.membership import Membership
 from umberward.core.log import logger
 from umberward.core.settings import Settings
-from umberward.core.types import Instant, MachineId, NodeName
+from umberward.core.types import Epoch, Instant, MachineId, NodeName
 from umberward.decisions.tending import Borrower, Loan
 from umberward.protocol.http import Client, NoAnswer, NotSent, Request, Response
 
@@ -28,6 +28,8 @@
 HINTS_S = 2.0  # how often the leader is asked for what it has learnt
 BORROW_S = 1.0  # how often the leader is asked for a loan of our zone's machines
 TOLD_S = 3.0  # for so long the others' word is believed
+CARRY_S = 1.5  # for so long a report is carried: its worker waits 4 s for an answer
+CARRIED_AT_ONCE = 16  # reports on their way to the leader
 TIMEOUT_S = 0.5  # a silent peer must not keep the others waiting
 
 
@@ -51,6 +53,7 @@
         rng: random.Random,
         told: Callable[[], Hints | None],
         lend: Callable[[NodeName, int, bool], Awaitable[Loan | None]],
+        answer: Callable[[bytes], Awaitable[Response]],
     ) -> None:
         self.addresses = settings.peers
         self.membership = membership
@@ -58,6 +61,8 @@
         self.rng = rng
         self.told = told
         self.lend = lend
+        self.answer = answer  # a report that another controller has carried to us
+        self.carrying = curio.Semaphore(CARRIED_AT_ONCE)
         platform = settings.platform
         self.me = platform.label
         self.borrower = Borrower(platform.cluster.workers)
@@ -148,6 +153,21 @@
                 leader = None
         return None if leader == self.me else leader
 
+    async def carry(self, leader: NodeName, report: bytes) -> Response | None:
+        """The leader's answer to a worker's report; None: it was not reached, or does not lead."""
+        address = self.addresses.get(leader)
+        if address is None:
+            return None
+        async with self.carrying:
+            try:
+                response = await self.client.request(
+                    address, "POST", "/peer/hello", report, CARRY_S
+                )
+            except (NotSent, NoAnswer) as error:
+                log.debug("report_not_carried", error=error)
+                return None
+        return Response(200, response.body) if response.status == 200 else None
+
     def keep(self, found: Hints) -> None:
         """The newest hints are kept, whoever they come from."""
         if self.latest is None or found.epoch >= self.latest.epoch:
@@ -187,6 +207,9 @@
                     float(told.get("heard_age", math.inf)),  # earlier versions do not tell
                     None if told["leader"] is None else NodeName(str(told["leader"])),
                 )
+                if self.contact[label].contact_age < CONTACT_S and told["leader"] != self.me:
+                    # Somebody won while the state service was out of our reach.
+                    await self.membership.deposed(Epoch(int(told.get("stamp", 0))))
             except (NotSent, NoAnswer, ValueError, KeyError, TypeError, cbor2.CBORDecodeError):
                 continue
 
@@ -209,9 +232,12 @@
                 "label": self.membership.me,
                 "contact_age": time.monotonic() - self.membership.good,
                 "leader": self.membership.leader,
+                "stamp": self.membership.leader_stamp,
                 "heard_age": time.monotonic() - self.heard_at,
             }
             return Response(200, cbor2.dumps(told))
+        if request.path == "/peer/hello" and request.method == "POST":
+            return await self.answer(request.body)
         if request.path == "/peer/loan" and self.membership.leading():
             return await self._loan(request.query)
         if request.path == "/peer/hints" and self.membership.leading():
