--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -193,6 +193,9 @@
         }
         running = await curio.spawn(Server(Address("127.0.0.1", 29395), leads, 8).run, daemon=True)
         await curio.sleep(0.05)
+        # The leader was not reached a moment ago: nobody is held up by that once more.
+        assert (await hello(5.0)).status == 421
+        node.peers.carry_again = 0.0
         carried = await hello(5.0)
         assert (carried.status, carried.body) == (200, b"what the leader says")
         assert (await hello(0.0)).status == 200
--- a/umberward/control/peers.py
+++ b/umberward/control/peers.py
@@ -29,6 +29,7 @@
 BORROW_S = 1.0  # how often the leader is asked for a loan of our zone's machines
 TOLD_S = 3.0  # for so long the others' word is believed
 CARRY_S = 1.5  # for so long a report is carried: its worker waits 4 s for an answer
+CARRY_AGAIN_S = 2.0  # for so long none is carried after one that was not answered
 CARRIED_AT_ONCE = 16  # reports on their way to the leader
 TIMEOUT_S = 0.5  # a silent peer must not keep the others waiting
 
@@ -62,6 +63,7 @@
         self.told = told
         self.lend = lend
         self.answer = answer  # a report that another controller has carried to us
+        self.carry_again = -math.inf
         self.carrying = curio.Semaphore(CARRIED_AT_ONCE)
         platform = settings.platform
         self.me = platform.label
@@ -156,7 +158,8 @@
     async def carry(self, leader: NodeName, report: bytes) -> Response | None:
         """The leader's answer to a worker's report; None: it was not reached, or does not lead."""
         address = self.addresses.get(leader)
-        if address is None:
+        # A leader that is gone must not hold up all that still turn to it.
+        if address is None or self.carrying.locked() or time.monotonic() < self.carry_again:
             return None
         async with self.carrying:
             try:
@@ -165,6 +168,7 @@
                 )
             except (NotSent, NoAnswer) as error:
                 log.debug("report_not_carried", error=error)
+                self.carry_again = time.monotonic() + CARRY_AGAIN_S
                 return None
         return Response(200, response.body) if response.status == 200 else None
 
