--- a/tests/test_regress.py
+++ b/tests/test_regress.py
@@ -2,13 +2,17 @@
 
 from __future__ import annotations
 
+import tomllib
 from pathlib import Path
+from typing import Any
 
+import msgspec
 import pytest
+import tomli_w
 from click.testing import CliRunner
 
 from tools.regress import __main__ as regress
-from tools.regress import entries
+from tools.regress import entries, served, sites
 
 JOURNAL = Path(__file__).parent / "journal"
 
@@ -49,3 +53,83 @@
     (tmp_path / "x.json").write_text("{}")
     with pytest.raises(ValueError, match="x.json"):
         entries.read(tmp_path)
+
+
+SITE: dict[str, Any] = {
+    "name": "town",
+    "wire": "wire.json",
+    "seed": 1,
+    "warmup_s": 50.0,
+    "duration_s": 200.0,
+    "nodes": {"count": 3, "restart_delay_s": 4.0},
+    "capacity": [{"type": "t", "zone": "z", "count": 7, "spot": 4}],
+    "machines": [{"type": "t", "zone": "z", "count": 3, "spot": False}],
+    "jobs": [{"name": "j", "initial": 5, "arrivals": {"rate": 0.5, "swing": 0.1}}],
+    "day": [
+        {"name": "calm", "light": False},
+        {
+            "name": "storm",
+            "light": True,
+            "faults": [
+                {"at_s": 90.0, "kind": "machine_die", "count": 4},
+                {"at_s": 99.0, "kind": "node_crash", "count": 2},
+            ],
+        },
+    ],
+}
+
+
+def test_a_site_half_again_as_large(tmp_path: Path) -> None:
+    source = tmp_path / "town.toml"
+    source.write_text(tomli_w.dumps(SITE))
+    (tmp_path / "wire.json").write_text("{}")
+    made = sites.write(source, tmp_path / "made", 1.5, 0.2, 9)
+    grown = tomllib.loads(made.read_text())
+    assert (made.parent / grown["wire"]).exists()
+    assert grown["name"] == "town-x1.5" and grown["nodes"] == {"count": 3, "restart_delay_s": 0.2}
+    assert grown["capacity"] == [{"type": "t", "zone": "z", "count": 10, "spot": 6}]
+    assert grown["machines"][0]["count"] == 4 and grown["machines"][0]["spot"] is False
+    assert grown["jobs"][0]["initial"] == 8 and grown["jobs"][0]["arrivals"]["rate"] == 0.75
+    assert [fault["count"] for fault in grown["day"][1]["faults"]] == [6, 2]
+    assert sites.roughest(made) == ["storm"]
+    (drawn,) = sites.write_days(made, [3])
+    (day,) = tomllib.loads(drawn.read_text())["day"]
+    assert {fault["kind"] for fault in day["faults"]} == {"machine_die", "node_crash"}
+    assert all(60.0 <= fault["at_s"] <= 140.0 for fault in day["faults"])
+
+
+def test_a_class_or_team_that_is_served_too_little(tmp_path: Path) -> None:
+    path = tmp_path / "report.json"
+    path.write_text(
+        msgspec.json.encode(
+            {
+                "classes": {
+                    "web": {"jobs": 9, "started": 9, "done": 0, "cancelled": 3, "up": 0.97},
+                    "sums": {"jobs": 10, "started": 10, "done": 4, "cancelled": 2},
+                    "none": {"jobs": 0, "started": 0, "done": 0, "cancelled": 0},
+                },
+                "teams": {"red": {"jobs": 100, "started": 45}},
+                "rules_broken": {"by_kind": {}},
+                "spent": {"processes": [10.0, 1.0]},
+            }
+        ).decode()
+    )
+    found = served.read(path)
+    assert found.least() == served.Part("red", 0.45)
+    assert served.judge(found.least()) == "failed: 0.45 of red served"
+    assert served.judge(served.Part("sums", 0.5)) == "near: 0.50 of sums served"
+    assert served.judge(served.Part("sums", 0.6)) == ""
+    assert found.processor_s == 11.0 and not found.broken
+
+
+def test_what_the_journal_says_of_classes() -> None:
+    day = entries.Day(
+        "d",
+        aims=[
+            ("wait sums 30 s: 0.31 (aim 0.8)", 0.1),
+            ("finished sums 400 s: 0.7 (aim 0.8)", 0.5),
+            ("deadline lists 1x: 0.6 (aim 0.9)", 0.2),
+            ("submit 200 ms: 0.1 (aim 0.99)", 0.0),
+        ],
+    )
+    assert served.least_by_aims(day) == served.Part("lists", 0.6)
--- a/tools/regress/__main__.py
+++ b/tools/regress/__main__.py
@@ -4,16 +4,19 @@
 
 import subprocess
 import sys
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
 import click
 
-from tools.regress import entries
+from tools.regress import entries, served, sites
 from tools.regress.entries import Entry, Row
 
 KIT = Path("../given/kit")
 BENCH = KIT / "more/fleet/bin/fleetbench"
 JOURNAL = Path("journal")
+SITES = Path("target/sites")
+MARKED_S = 300.0  # of processor time: near the 400 s after which a day counts for nothing
 QUICK = [
     "more/bayanihan-payroll-ph-ops.toml",
     "more/atlas-cores-ma-ops.toml",
@@ -67,6 +70,35 @@
     _play(FULL, [], why, jobs)
 
 
+@main.command()
+@_why
+@_jobs
+@click.option("--factor", default=1.5, show_default=True, help="Times the machines and jobs.")
+@click.option("--restart-s", default=0.2, show_default=True, help="An ended process is back.")
+@click.option("--seed", "seeds", multiple=True, type=int, default=[1, 2], help="Drawn days.")
+def half_again(
+    why: str, jobs: int, factor: float, restart_s: float, seeds: tuple[int, ...]
+) -> None:
+    """The fleet deployments half again as large, their roughest days and drawn ones.
+
+    Ends with 1 if a rule is broken, a day has no result, or less than half of a class of jobs or
+    of a team was served; days of over 300 s of processor time are marked.
+    """
+    _need_bench()
+    played: list[tuple[Path, str]] = []
+    for source in FLEET:
+        folder = SITES / f"x{factor:g}-{restart_s:g}"
+        site = sites.write(KIT / source, folder, factor, restart_s, min(seeds, default=1))
+        played += [(site, day) for day in sites.roughest(site)]
+        played += [(site, str(path)) for path in sites.write_days(site, list(seeds))]
+    with ThreadPoolExecutor(max_workers=jobs) as pool:
+        results = list(pool.map(lambda pair: _run(pair[0], pair[1], why), played))
+    click.echo(f"{'deployment':34}{'day':14}{'now':>7}{'cpu s':>7}  least served")
+    for text, _ in results:
+        click.echo(text)
+    sys.exit(1 if any(failed for _, failed in results) else 0)
+
+
 @main.command()
 @click.argument("ids", nargs=-1)
 def compare(ids: tuple[str, ...]) -> None:
@@ -80,9 +112,7 @@
 
 
 def _play(sites: list[str], flags: list[str], why: str, jobs: int) -> None:
-    if not BENCH.exists():
-        click.echo(f"regress: no {BENCH}: the users' kit is not beside this folder", err=True)
-        sys.exit(2)
+    _need_bench()
     before = {entry.id for entry in _read()}
     paths = [str(KIT / site) for site in sites]
     words = [str(BENCH), "score", *paths, *flags, "--jobs", str(jobs), "--why", why]
@@ -94,6 +124,45 @@
     _judge(found, made, incomplete=len({entry.site for entry in made}) < len(sites))
 
 
+def _run(site: Path, day: str, why: str) -> tuple[str, bool]:
+    """Play one day; a line about it, and whether it failed."""
+    name = Path(day).stem.rpartition("x")[2] if day.endswith(".toml") else day
+    report = site.with_name(f"{site.stem}-{Path(day).stem}.json")
+    report.unlink(missing_ok=True)
+    words = [str(BENCH), "run", str(site), day, "--report", str(report), "--why", f"{why} ({name})"]
+    done = subprocess.run(words, check=False, capture_output=True, text=True)
+    line = f"{site.stem:34}{name.partition('-')[2] or name:14}"
+    if not report.exists():
+        last = (done.stdout + done.stderr).strip().splitlines()[-1:]
+        return f"{line}      -      -  no result: {' '.join(last)}", True
+    found = served.read(report)
+    least = found.least()
+    wrong = [f"broken: {', '.join(sorted(found.rules_broken.by_kind))}"] if found.broken else []
+    if served.judge(least):
+        wrong.append(served.judge(least))
+    if found.processor_s > MARKED_S:
+        wrong.append(f"over {MARKED_S:.0f} s")
+    failed = found.broken or (least is not None and least.share < served.FAILED_PART)
+    figure = _figure(done.stdout)
+    part = "-" if least is None else f"{least.share:.2f} {least.who}"
+    text = f"{line}{figure:>7}{found.processor_s:7.0f}  {part}  {'; '.join(wrong)}".rstrip()
+    return text, failed
+
+
+def _figure(printed: str) -> str:
+    """The day's figure, from the table that the bench prints: day, size, score, ..."""
+    lines = printed.splitlines()
+    heads = [number for number, text in enumerate(lines) if text.startswith("day ")]
+    words = lines[heads[-1] + 1].split() if heads and heads[-1] + 1 < len(lines) else []
+    return words[2] if len(words) > 2 else "-"
+
+
+def _need_bench() -> None:
+    if not BENCH.exists():
+        click.echo(f"regress: no {BENCH}: the users' kit is not beside this folder", err=True)
+        sys.exit(2)
+
+
 def _read() -> list[Entry]:
     try:
         return entries.read(JOURNAL)
@@ -107,18 +176,30 @@
     return list(newest.values())
 
 
+def _rows(entry: Entry, before: Entry | None) -> list[Row]:
+    """The comparison, with who was served least: below a half that speaks against landing."""
+    rows = []
+    days = {day.name: day for day in entry.days}
+    for row in entries.compare(entry, before):
+        least = served.least_by_aims(days[row.day]) if row.day in days else None
+        wrong = "; ".join(filter(None, [row.wrong, served.judge(least)]))
+        rows.append(row._replace(least=least, wrong=wrong))
+    return rows
+
+
 def _judge(found: list[Entry], chosen: list[Entry], incomplete: bool = False) -> None:
     rows: list[Row] = []
     for entry in chosen:
         earlier = [other for other in found if other.at[0] < entry.at[0]]
-        rows += entries.compare(entry, entries.last_full(earlier, entry.site or ""))
-    click.echo(f"{'deployment':28}{'day':14}{'before':>7}{'now':>7}{'cpu s':>7}")
+        rows += _rows(entry, entries.last_full(earlier, entry.site or ""))
+    click.echo(f"{'deployment':28}{'day':14}{'before':>7}{'now':>7}{'cpu s':>7}  least served")
     for row in rows:
+        least = "" if row.least is None else f"{row.least.share:.2f} {row.least.who}"
         figures = "".join(
             f"{'-' if figure is None else format(figure, form):>7}"
             for figure, form in ((row.before, ".2f"), (row.now, ".2f"), (row.processor_s, ".0f"))
         )
-        click.echo(f"{row.site:28}{row.day:14}{figures}  {row.wrong}".rstrip())
+        click.echo(f"{row.site:28}{row.day:14}{figures}  {least:22}{row.wrong}".rstrip())
     sys.exit(1 if incomplete or not rows or any(row.wrong for row in rows) else 0)
 
 
--- a/tools/regress/entries.py
+++ b/tools/regress/entries.py
@@ -24,6 +24,7 @@
     rules: dict[str, Any] = {}  # the rules that were broken
     fault: Any = None  # why the day has no result
     spent: Spent | None = None
+    aims: list[tuple[str, float]] = []  # what was reached, and its worth
 
 
 class Entry(msgspec.Struct):
@@ -57,6 +58,7 @@
     now: float | None
     processor_s: float | None
     wrong: str  # what speaks against landing; empty: nothing
+    least: Any = None  # who was served least, if that is known
 
 
 def read(folder: Path) -> list[Entry]:
--- a/tools/regress/sites.py
+++ b/tools/regress/sites.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import shutil
 import tomllib
 from pathlib import Path
@@ -9,6 +10,8 @@
 
 import tomli_w
 
+DRAWN = 4  # troubles of a drawn day
+
 
 def grow(site: dict[str, Any], factor: float, restart_s: float, seed: int) -> dict[str, Any]:
     """The same deployment with `factor` times the machines, jobs and failing machines.
@@ -54,3 +57,30 @@
     path = folder / f"{grown['name']}.toml"
     path.write_text(tomli_w.dumps(grown))
     return path
+
+
+def draw(site: dict[str, Any], seed: int) -> dict[str, Any]:
+    """A day with troubles that the deployment knows from its own days, at other times."""
+    rng = random.Random(f"{site['name']} {seed}")
+    known = [fault for day in site["day"] for fault in day.get("faults", [])]
+    first, last = site["warmup_s"] + 10.0, site["duration_s"] - 60.0
+    chosen = rng.sample(known, min(DRAWN, len(known)))
+    faults = [{**fault, "at_s": round(rng.uniform(first, last), 1)} for fault in chosen]
+    faults.sort(key=lambda fault: fault["at_s"])
+    return {"name": f"drawn-{seed}", "slot": "scale", "light": True, "seed": seed, "faults": faults}
+
+
+def write_days(site: Path, seeds: list[int]) -> list[Path]:
+    """Write a file for each drawn day beside the site file."""
+    read = tomllib.loads(site.read_text())
+    made = []
+    for seed in seeds:
+        path = site.with_name(f"{site.stem}-drawn-{seed}.toml")
+        path.write_text(tomli_w.dumps({"day": [draw(read, seed)]}))
+        made.append(path)
+    return made
+
+
+def roughest(site: Path) -> list[str]:
+    """The names of the days that the operators mark as the two roughest."""
+    return [day["name"] for day in tomllib.loads(site.read_text())["day"] if day.get("light")]
