--- a/umberward/control/renting.py
+++ b/umberward/control/renting.py
@@ -62,9 +62,10 @@
     async def _deletions(self) -> None:
         now = _now()
         idle = self.provisioner.idle(now)
+        lost = self.provisioner.unreachable(now)
         self.pondered += _now() - now
-        for machine in idle:
-            log.info("returning", machine=machine.id, type=machine.type)
+        for machine in idle + lost:
+            log.info("returning", machine=machine.id, type=machine.type, hears=not machine.deaf)
             machine.returning = True
             machine.touched()
         ids = self.provisioner.deletions(now)[: wire.DELETE_LIMIT]
--- a/umberward/decisions/fleet.py
+++ b/umberward/decisions/fleet.py
@@ -25,6 +25,9 @@
 from umberward.protocol.wire import Sku
 
 
+DEAF_AFTER = 2  # questions without an answer, while reports come
+
+
 class Machine:
     def __init__(
         self,
@@ -46,6 +49,12 @@
         self.block: int | None = None  # its name stands in this committed block
         self.tenure = Tenure(0)
         self.serial = Serial(-1)
+        self.told = Serial(-1)  # the session's latest report that we answered
+        self.session_at = now  # when its session was first heard of
+        self.doubted: Instant | None = None  # since when it may not hear us
+        self.unanswered = 0  # questions since then that had no answer
+        self.ask_at = now  # when it may be asked again
+        self.confirmed = True  # more than one report that may be a late copy tells of it
         self.min_tenure = Tenure(0)  # reports of earlier sessions are late ones
         self.epoch = Epoch(0)
         self.settled = False  # its tasks are known under our token
@@ -106,8 +115,14 @@
             and self.block is not None
             and self.notice_at is None
             and not (self.sick or self.returning or self.silent or self.lapsed or self.strays)
+            and not self.deaf
         )
 
+    @property
+    def deaf(self) -> bool:
+        """Whether what we say does not seem to reach it, whatever we hear of it."""
+        return self.doubted is not None and self.unanswered >= DEAF_AFTER
+
     def free(self, sku: Sku) -> Amount:
         """The room that no task is booked on."""
         if self._free is None or self._free[0] is not sku:
--- /dev/null
+++ b/umberward/decisions/hearing.py
@@ -0,0 +1,142 @@
+"""Whether machines hear us: that their reports arrive does not show it. No I/O.
+
+A network may carry a machine's reports to us and nothing back. What is sent to such a machine is
+lost, its session ends with its lease, and it would be given work again and again. Only what a
+worker shows is proof that it hears: an answer to a question or a command, our token, a task that
+we started, or a session that has outlived its lease. What is missing raises a doubt, which a direct
+question settles within milliseconds where nothing is wrong. A machine that does not answer gets no
+new work, is asked again sparingly, and is returned once keeping it has cost as much as another one
+would; what was on it starts elsewhere by the same proofs as ever (docs/design.md, "Safety").
+"""
+
+from __future__ import annotations
+
+from umberward.core.log import logger
+from umberward.core.types import Instant, MachineId
+from umberward.decisions.cluster import Cluster, Probe
+from umberward.decisions.fleet import DEAF_AFTER, Machine
+from umberward.decisions.tending import DRIFT, MARGIN_S
+
+log = logger(__name__)
+
+ASK_S = 1.0  # between two questions until it is decided
+SPARING_S = 5.0  # ... and from then on
+ANSWER_S = 4.0  # a worker waits so long for the answer to a report (PROTOCOL)
+FEW = 3  # so many machines, or ...
+FEW_PART = 0.1  # ... this part of them may not hear us at once for reasons of their own
+MANY_WAIT = 3.0  # if there are more, each is kept so many times as long
+
+
+class Hearing:
+    def __init__(self, cluster: Cluster) -> None:
+        self.cluster = cluster
+        self.lease_s = cluster.workers.lease_s * DRIFT + MARGIN_S
+        self.doubted: dict[MachineId, Machine] = {}
+
+    # ---- what raises a doubt, and what ends it -------------------------------------------
+
+    def doubt(self, machine: Machine, now: Instant, sure: bool = False) -> None:
+        """Something that we said seems not to have reached it. `sure`: it gets no new work until
+        it has answered; else until it has left some questions unanswered."""
+        if machine.doubted is None:
+            machine.doubted = now
+            machine.unanswered = 0
+            self.doubted[machine.id] = machine
+        if sure and not machine.deaf:
+            machine.unanswered = DEAF_AFTER
+            machine.touched()
+        self._ask(machine, now)
+
+    def session_began(self, machine: Machine, now: Instant) -> None:
+        """Its last session is over. Had our latest answer reached it, that would have lasted."""
+        if machine.answered is not None:
+            if now - machine.answered < self.cluster.workers.lease_s - ANSWER_S:
+                self.doubt(machine, now, sure=True)
+        machine.session_at = now
+
+    def reported(self, machine: Machine, now: Instant) -> None:
+        """A new report has come, which alone proves nothing about what it hears."""
+        if machine.doubted is None:
+            return
+        # A session that is older than its lease has had an answer within that time.
+        if now - max(machine.session_at, machine.doubted) > self.lease_s:
+            self.proved(machine, now)
+        else:
+            self._ask(machine, now)
+
+    def proved(self, machine: Machine, now: Instant) -> None:
+        """It has heard us."""
+        if machine.doubted is None:
+            return
+        if machine.deaf:
+            log.info("machine_hears_again", machine=machine.id,
+                     after_s=round(now - machine.doubted, 1))  # fmt: skip
+            machine.touched()
+            self.cluster.want_pass = True
+        machine.doubted = None
+        machine.unanswered = 0
+        self.doubted.pop(machine.id, None)
+
+    def not_answered(self, machine: Machine, now: Instant) -> None:
+        """A question had no answer."""
+        if machine.doubted is None:
+            return
+        machine.unanswered += 1
+        if machine.unanswered == DEAF_AFTER:
+            machine.touched()
+            log.info("machine_does_not_hear", machine=machine.id, tasks=len(machine.held))
+            self._free_gangs(machine)
+
+    # ---- what time tells -----------------------------------------------------------------
+
+    def tick(self, now: Instant) -> None:
+        for machine in list(self.doubted.values()):
+            if machine.id not in self.cluster.machines:
+                del self.doubted[machine.id]
+            elif not machine.silent:
+                self._ask(machine, now)
+
+    def many(self) -> bool:
+        """Whether so many do not hear us that it is hardly their own doing: they are expected back,
+        and nothing is rented in their place."""
+        return self._deaf() > max(FEW, FEW_PART * len(self.cluster.machines))
+
+    def given_up(self, now: Instant) -> list[Machine]:
+        """Machines to return. Keeping one is worth what another one costs until it is up; if many
+        do not hear us at once they are kept longer, and returned a few at a time."""
+        found = []
+        many = self.many()
+        most = max(FEW, FEW_PART * len(self.cluster.machines))
+        for machine in self.doubted.values():
+            if machine.returning or machine.silent or not machine.deaf:
+                continue
+            sku = self.cluster.skus.get(machine.type)
+            patience = max(self.lease_s, sku.boot_s if sku is not None else 0.0)
+            if many:
+                patience *= MANY_WAIT
+            if machine.doubted is not None and now - machine.doubted > patience:
+                found.append(machine)
+            if len(found) >= most:
+                break
+        return found
+
+    # ---- parts ---------------------------------------------------------------------------
+
+    def _deaf(self) -> int:
+        return sum(1 for m in self.doubted.values() if m.deaf and not m.silent)
+
+    def _ask(self, machine: Machine, now: Instant) -> None:
+        if machine.probing or machine.returning or now < machine.ask_at:
+            return
+        machine.probing = True
+        machine.ask_at = Instant(now + (SPARING_S if machine.deaf else ASK_S))
+        self.cluster.out.append(Probe(machine.id, machine.address))
+
+    def _free_gangs(self, machine: Machine) -> None:
+        """Gangs that wait for a task whose start did not show there: the others hold their places
+        in vain."""
+        for placement in list(machine.held.values()):
+            job = self.cluster.jobs.get(placement.task.job)
+            if job is not None and job.gang and not placement.seen:
+                for other in list(job.placed.values()):
+                    self.cluster.stop(other, 0.0)
--- a/umberward/decisions/provision.py
+++ b/umberward/decisions/provision.py
@@ -130,6 +130,10 @@
         found += [m.id for m in scheduler.machines.values() if m.returning]
         return found
 
+    def unreachable(self, now: Instant) -> list[Machine]:
+        """Machines to return as they do not hear us."""
+        return self.scheduler.hearing.given_up(now)
+
     def idle(self, now: Instant) -> list[Machine]:
         """Machines to return: empty for long, or set aside and empty."""
         scheduler = self.scheduler
@@ -237,6 +241,13 @@
                 yielding = scheduler.reserve.yielding(machine)
             if least is not None and least.fits(free.plus(yielding)):
                 found.append(Paper(machine.offer, free, yielding))
+        if scheduler.hearing.many():
+            for machine in scheduler.hearing.doubted.values():
+                sku = scheduler.skus.get(machine.type)
+                if sku is not None and machine.deaf and not machine.silent:
+                    found.append(
+                        Paper(machine.offer, Amount(sku.cores, sku.accelerators, sku.mem_gb))
+                    )
         return found
 
     def _cheaper_room(self, virtual: list[Paper], wanted: dict[Offer, int], now: Instant) -> None:
--- a/umberward/decisions/reports.py
+++ b/umberward/decisions/reports.py
@@ -22,6 +22,7 @@
 from umberward.decisions.blame import Blame
 from umberward.decisions.cluster import Cluster, Command, Probe
 from umberward.decisions.fleet import Machine
+from umberward.decisions.hearing import Hearing
 from umberward.decisions.jobs import Job, Placement
 from umberward.decisions.writer import Writer
 from umberward.protocol import wire
@@ -29,12 +30,17 @@
 
 log = logger(__name__)
 
+COPIES_SAID_S = 1.0  # how often copies are logged
+
 
 class Reports:
-    def __init__(self, cluster: Cluster, blame: Blame, writer: Writer) -> None:
+    def __init__(self, cluster: Cluster, hearing: Hearing, blame: Blame, writer: Writer) -> None:
         self.cluster = cluster
+        self.hearing = hearing
         self.blame = blame
         self.writer = writer
+        self.copies = 0  # late copies of reports, since they were last logged
+        self.copies_at = cluster.started
 
     def hello(self, head: wire.Head, body: bytes, now: Instant) -> list[dict[str, Any]] | None:
         """A periodic report; the orders for its response, or None: it is not ours to answer."""
@@ -66,14 +72,15 @@
             or head.epoch != self.cluster.epoch
             or head.reclaim_in_s is not None
             or machine.returning
+            or machine.silent
+            or machine.lapsed
+            or not machine.met
+            or machine.doubted is not None
             or machine.calm != bytes(head.shards)
         ):
             return False
         machine.heard = machine.answered = self.cluster.heard = now
-        if machine.silent or machine.lapsed:
-            machine.silent = machine.lapsed = False
-            machine.touched()
-        machine.serial = Serial(head.serial)
+        machine.serial = machine.told = Serial(head.serial)
         return True
 
     def _note_calm(self, head: wire.Head) -> None:
@@ -106,33 +113,53 @@
                 id, report.address, TypeName(report.flavor), ZoneName(report.yard),
                 report.reclaimable, now,
             )  # fmt: skip
+            machine.confirmed = False
             log.info("machine_new", machine=id, type=report.flavor, zone=report.yard)
         if report.tenure < machine.min_tenure:
             return None  # a session that we take for over must not be kept alive by our answer
         if hello and report.tenure == machine.tenure:
             # Whatever is made of the report below, it is answered, and that renews the lease:
             # also if the machine is being returned, or if the answer to a direct question has
-            # overtaken the report.
-            machine.answered = now
+            # overtaken the report. A copy of a report that was answered renews nothing more: its
+            # lease runs from when the report was sent, and that was before we first had it.
+            if report.serial > machine.told:
+                machine.told = Serial(report.serial)
+                machine.answered = now
+            else:
+                self._copy(machine, report, now)
         if machine.returning:
             return []
         if (report.tenure, report.serial) <= (machine.tenure, machine.serial):
             return []  # late: something newer was seen
         machine.calm = None
         machine.touched()
+        # The first that a new leader hears of a machine may be a copy of long ago: it is met when
+        # it has answered us, or has said something newer.
+        machine.met = machine.met or not hello or machine.serial >= 0
         machine.heard = self.cluster.heard = now
-        machine.met = True
+        if hello and machine.silent:
+            # It left a question unanswered: that we hear it does not mean that it hears us.
+            self.hearing.doubt(machine, now, sure=True)
         machine.silent = machine.lapsed = False
         machine.address = report.address
         if report.tenure > machine.tenure:
             # A new session: the worker has killed and forgotten all it had.
             if machine.tenure:
                 self.cluster.lose_tasks(machine, "session over")
+            if hello and machine.tenure:
+                self.hearing.session_began(machine, now)
+            else:
+                machine.session_at = now
+            machine.told = Serial(report.serial if hello else -1)
             machine.tenure = Tenure(report.tenure)
             # Without an answer the worker's lease runs from the beginning of its session, which
             # was before this report, be it the answer to a direct question. When the session
             # before was answered last says nothing about this one.
             machine.answered = now
+        if not hello or machine.epoch < report.epoch == self.cluster.epoch:
+            self.hearing.proved(machine, now)
+        else:
+            self.hearing.reported(machine, now)
         machine.serial = Serial(report.serial)
         machine.epoch = Epoch(report.epoch)
         if report.reclaim_in_s is not None:
@@ -147,6 +174,12 @@
                     Command(id, machine.address, self.cluster.epoch, machine.tenure, [])
                 )
                 return []
+            if hello and not machine.confirmed:
+                # It may be a copy, of a machine that was deleted so long ago that we forgot it:
+                # it counts when it has answered, or with its next report.
+                machine.confirmed = True
+                self.cluster.out.append(Probe(id, machine.address))
+                return []
             machine.settled = True
             # Until it saw our token, a former holder may have answered it.
             machine.answered = now
@@ -193,7 +226,9 @@
                     if self.cluster.loaded:
                         orders.append(wire.order(KILL, shard.shard, shard.attempt, 0.0))
                     continue
-            placement.seen = True
+            if not placement.seen:
+                placement.seen = True
+                self.hearing.proved(machine, now)
             self._progress(machine, placement, shard.phase, now)
             if placement.stop is not None:
                 orders.append(wire.order(KILL, shard.shard, shard.attempt, placement.stop))
@@ -208,6 +243,8 @@
             if placement.stop is None:
                 # The start may be lost; repeating it has no effect where it was executed.
                 if hello:
+                    if 0 <= placement.hello_serial < report.serial:
+                        self.hearing.doubt(machine, now)  # our last answer had it as well
                     placement.hello_serial = report.serial
                     orders.append(wire.order(START, str(task), placement.attempt))
             elif not placement.inflight and not placement.tainted:
@@ -346,17 +383,50 @@
                 placement.inflight -= 1
                 if unknown:
                     placement.tainted = max(placement.tainted, command.epoch)
-        if report is not None:
-            self.report(report, now, hello=False)
+        if report is None:
+            self.hearing.doubt(machine, now)
+            return
+        if report.host != command.machine:
+            self._took_its_place(machine, command, report, now)
+        self.report(report, now, hello=False)
+
+    def _took_its_place(
+        self, machine: Machine, command: Command, report: Report, now: Instant
+    ) -> None:
+        """Another machine has its address, and has carried out what was meant for it."""
+        log.warning("address_taken", machine=machine.id, by=report.host)
+        listed = {(shard.shard, shard.attempt) for shard in report.shards}
+        for made in command.orders:
+            task = parse_task_id(made["shard"])
+            placement = machine.held.get(task) if task is not None else None
+            if placement is not None and (made["shard"], placement.attempt) in listed:
+                # It is there, and nowhere else: its report makes it ours again.
+                self.cluster.release(machine, placement, requeue=False)
+        self.hearing.doubt(machine, now, sure=True)
+
+    def _copy(self, machine: Machine, report: Report, now: Instant) -> None:
+        """A report that was answered before has come again: it is no news, whatever it says."""
+        self.copies += 1
+        if now - self.copies_at > COPIES_SAID_S:
+            self.copies_at = now
+            log.info("report_copy_ignored", machine=machine.id, serial=report.serial,
+                     latest=machine.serial, copies=self.copies)  # fmt: skip
+            self.copies = 0
 
     def probed(self, probe: Probe, report: Report | None, now: Instant) -> None:
         machine = self.cluster.machines.get(probe.machine)
         if machine is None:
             return
         machine.probing = False
-        if report is not None:
+        if report is None:
+            self.hearing.not_answered(machine, now)
+        if report is not None and report.host != machine.id:
+            self.hearing.doubt(machine, now, sure=True)  # another machine has its address
+            self.report(report, now, hello=False)
+        elif report is not None:
             if (report.tenure, report.serial) <= (machine.tenure, machine.serial):
                 machine.heard = self.cluster.heard = now
+                self.hearing.proved(machine, now)
             self.report(report, now, hello=False)
         elif now - machine.heard > self.cluster.silence():
             if not machine.silent:
@@ -364,5 +434,6 @@
                     "machine_silent", machine=machine.id, seconds=round(now - machine.heard, 1)
                 )
             machine.silent = True
+            machine.calm = None
             machine.touched()
             self.cluster.hushed.add(machine.id)
--- a/umberward/decisions/scheduler.py
+++ b/umberward/decisions/scheduler.py
@@ -38,6 +38,7 @@
 from umberward.decisions.clearing import Clearing
 from umberward.decisions.cluster import Cluster, Command, Probe
 from umberward.decisions.fleet import Machine, with_room
+from umberward.decisions.hearing import Hearing
 from umberward.decisions.jobs import Job, Placement
 from umberward.decisions.pipelines import Pipelines
 from umberward.decisions.reports import Reports
@@ -74,7 +75,8 @@
         self.pipelines = Pipelines(self)
         self.writer = Writer(self, self.pipelines, platform.cluster.state.least(), now)
         self.watch = Watch(self, self.lender)
-        self.reports = Reports(self, self.blame, self.writer)
+        self.hearing = Hearing(self)
+        self.reports = Reports(self, self.hearing, self.blame, self.writer)
         self.attempts = 0
 
     # ---- what is said to it: passed on to the part that knows ----------------------------
@@ -97,6 +99,7 @@
         """Notice what time alone tells. To be called a few times a second."""
         self.now = now
         self.watch.tick(now)
+        self.hearing.tick(now)
         self.blame.tick(now)
         self.watch.pick_doomed(now)
 
--- a/umberward/decisions/watch.py
+++ b/umberward/decisions/watch.py
@@ -121,7 +121,7 @@
         late = now - self.cluster.silence() - 1.0
         met = [m for m in self.cluster.machines.values() if m.met]
         self.met = len(met)
-        self.hearing = sum(1 for m in met if not m.silent and m.heard > late)
+        self.hearing = sum(1 for m in met if not (m.silent or m.deaf) and m.heard > late)
 
     def deaf(self, now: Instant) -> bool:
         """Whether no worker at all is heard, though so many should report that one would be."""
