--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -167,10 +167,15 @@
     node = Node(check(raw, Operator()))
     node.membership.leader = K1
     node.membership.good = Instant(time.monotonic())
-    body = wire.encode(
-        {"host": "i-7", "address": "10.1.0.7:9000", "flavor": "small", "yard": "a", "tenure": 1,
-         "serial": 3, "epoch": 5, "shards": [], "reclaimable": False}
-    )  # fmt: skip
+    said: list[bytes] = []
+
+    def report() -> bytes:
+        said.append(wire.encode(
+            {"host": "i-7", "address": "10.1.0.7:9000", "flavor": "small", "yard": "a",
+             "tenure": 1, "serial": 3 + len(said), "epoch": 5, "shards": [], "reclaimable": False}
+        ))  # fmt: skip
+        return said[-1]
+
     heard = []
 
     async def leads(request: Request) -> Response:
@@ -182,7 +187,7 @@
         if known is not None:
             moved = known._replace(at=Instant(known.at - after))
             node.relays.sent[MachineId("i-7")] = moved
-        return await node._hello(Request("POST", "/hello", "", body))
+        return await node._hello(Request("POST", "/hello", "", report()))
 
     async def play() -> None:
         first = await hello(0.0)
@@ -199,7 +204,10 @@
         carried = await hello(5.0)
         assert (carried.status, carried.body) == (200, b"what the leader says")
         assert (await hello(0.0)).status == 200
+        # A late copy of an earlier report is neither carried nor sent anywhere.
+        copy = await node._hello(Request("POST", "/hello", "", said[1]))
+        assert copy.status == 421 and msgspec.msgpack.decode(copy.body) == {}
         await running.cancel()
 
     curio.run(play)
-    assert heard == [("/peer/hello", body)] * 2
+    assert heard == [("/peer/hello", body) for body in said[-2:]]
--- a/umberward/clients/state.py
+++ b/umberward/clients/state.py
@@ -177,19 +177,25 @@
         entry = self._entry(response.body)
         return Got(entry.data, Stamp(entry.stamp))
 
+    async def page(
+        self, prefix: str, last: str = "", most: int = 200, priority: int = URGENT
+    ) -> wire.Listing:
+        """So many entries behind the key `last`."""
+        target = f"/kv?prefix={quote(prefix)}&most={most}"
+        if last:
+            target += f"&from={quote(last)}"
+        response = await self._call("GET", target, timeout=3.0, priority=priority)
+        if response.status != 200:
+            raise Unavailable(f"list {prefix}: {response.status}")
+        return self._listing(response.body)  # type: ignore[no-any-return]
+
     async def entries(self, prefix: str) -> tuple[list[wire.Entry], Revision]:
         """All entries, and a revision from which a watch misses no change of them."""
         found: list[wire.Entry] = []
         last = ""
         revision: Revision | None = None
         while True:
-            target = f"/kv?prefix={quote(prefix)}&most=200"
-            if last:
-                target += f"&from={quote(last)}"
-            response = await self._call("GET", target, timeout=3.0, priority=URGENT)
-            if response.status != 200:
-                raise Unavailable(f"list {prefix}: {response.status}")
-            page = self._listing(response.body)
+            page = await self.page(prefix, last)
             # The first page's revision: changes behind the pages already read come by the watch.
             if revision is None:
                 revision = Revision(page.generation)
--- a/umberward/control/holder.py
+++ b/umberward/control/holder.py
@@ -59,6 +59,8 @@
 REFUSED_S = 2.0  # a write that was refused as it is will be refused again
 WATCH_S = 2.0  # how old our knowledge of the jobs may become while nothing changes
 LOOKUP_S = 0.2  # how often ends that were not seen are looked up
+SWEEP_S = 2.0  # how often a page of the live jobs is compared with what is known
+SWEPT = 50  # ... of so many
 SUMMARY_S = 10.0  # how often the state of the fleet is logged
 
 
@@ -100,6 +102,19 @@
     data: Any
 
 
+class Swept(NamedTuple):
+    """A page of the live jobs as they stand in the state service."""
+
+    entries: list[wire.Entry]
+
+
+class Missed(NamedTuple):
+    """A live job that was not known here, as it was read once more."""
+
+    id: JobId
+    found: changes.Got
+
+
 class Tick(NamedTuple):
     pass
 
@@ -162,6 +177,7 @@
             await self.tasks.spawn(self.renting.run)
             await self.tasks.spawn(self._store_hints)
             await self.tasks.spawn(self._look_up)
+            await self.tasks.spawn(self._sweep)
             if self.keeper is not None:
                 await self.tasks.spawn(self.keeper.watch)
                 await self.tasks.spawn(self.keeper.finish)
@@ -224,6 +240,11 @@
             scheduler.current = message.asked
         elif isinstance(message, Lend):
             answer = scheduler.lend(*message, now) if self.membership.leading() else None
+        elif isinstance(message, Swept):
+            answer = scheduler.swept(message.entries, now)
+            scheduler.mend(now)
+        elif isinstance(message, Missed):
+            records.take_missed(scheduler, message.id, message.found, now)
         elif isinstance(message, Ended):
             records.take_end(scheduler, message.id, message.data)
         elif isinstance(message, list):
@@ -440,6 +461,23 @@
                     data = past.data
                 await self.tell(Ended(id, data))
 
+    async def _sweep(self) -> None:
+        """No job that was accepted may be live and in nobody's memory, whatever went wrong."""
+        last = ""
+        while True:
+            await curio.sleep(SWEEP_S)
+            if not (self.scheduler.loaded and self.membership.leading()):
+                continue
+            try:
+                page = await self.store.page(LIVE, last, SWEPT, changes.LAZY)
+                last = page.entries[-1].path if page.more and page.entries else ""
+                for id in await self.ask(Swept(page.entries)) or ():
+                    found = await self.store.get(Key(LIVE + id))
+                    if found is not None:
+                        await self.tell(Missed(id, found))
+            except (state.Unavailable, state.Unknown) as error:
+                log.debug("not_swept", error=error)
+
     # ---- hints -------------------------------------------------------------------------
 
     async def _stored_hints(self) -> None:
--- a/umberward/control/mirror.py
+++ b/umberward/control/mirror.py
@@ -32,6 +32,7 @@
 # Polls that come meanwhile are answered together; their users wait 2 s. Submissions do not wait.
 GATHER_S = 0.15
 LULL_S = 10.0  # without polls a copy is brought up to date so often, as old changes are dropped
+LISTED_S = 5.0  # a copy that was listed so lately lacks nothing that its changes do not tell
 NOBODYS = object()  # nobody has submitted the job
 
 
@@ -66,6 +67,7 @@
         self.absent: OrderedDict[JobId, object] = OrderedDict()
         self.most_finals = settings.operator.poll_cache
         self.after: Revision | None = None
+        self.listed_at = 0.0  # when all live jobs were last read
         self.read_at = 0.0  # when the latest changes were asked for
         self.mail: curio.Queue = curio.Queue()
         self.hurry = curio.Event()
@@ -131,7 +133,8 @@
             return self.finals.get(id, found)
         return found
 
-    async def _past(self, id: JobId) -> FinalRecord | None:
+    async def _past(self, id: JobId) -> Live | FinalRecord | None:
+        """What the state service has of a job that our copy does not know as live."""
         # Noted before it is looked up: whatever is submitted meanwhile takes the note away.
         mark = object()
         self.absent[id] = mark
@@ -139,18 +142,37 @@
             self.absent.popitem(last=False)
         try:
             past = await self.store.get(Key(PAST + id))
+            live = None
+            if past is None and self.clock() - self.listed_at > LISTED_S:
+                live = await self.store.get(Key(LIVE + id))
         except BaseException:
             self.absent.pop(id, None)
             raise
+        if past is None and live is not None:
+            # It was accepted and our copy does not have it: its user must never be told otherwise.
+            log.warning("job_not_in_copy", job=id)
+            self._live(LIVE + id, live.data)
+            return self.live[id]
         if past is None:
             # Only now: somebody else who asked meanwhile must not take the mark for an answer.
             if self.absent.get(id) is mark:
                 self.absent[id] = NOBODYS
             return None
-        record = wire.converted(past.data, FinalRecord)
+        record = self._final(past.data, Key(PAST + id))
+        if record is None:
+            raise state.Unavailable(f"what is stored of {id} can't be read")
         self.keep(id, record)
         return record
 
+    def _final(self, data: object, key: str) -> FinalRecord | None:
+        """None: it says nothing that could be told to anybody."""
+        try:
+            return wire.converted(data, FinalRecord)  # type: ignore[no-any-return]
+        except wire.Malformed as error:
+            log.error("record_malformed", key=key, error=error)
+        phase = data.get("phase") if isinstance(data, dict) else None
+        return FinalRecord(phase) if phase in (wire.DONE, CANCELLED) else None
+
     def keep(self, id: JobId, final: FinalRecord) -> None:
         """Final states never change, so they need no refreshing."""
         self.live.pop(id, None)
@@ -175,6 +197,13 @@
             except (state.Unavailable, state.Unknown, state.TooOld) as error:
                 log.debug("states_not_read", error=error)
                 failed = state.Unavailable(str(error))
+            except curio.CancelledError:
+                raise
+            except Exception as error:
+                # Who asked must not wait for ever, and the next reading begins anew.
+                log.exception("states_not_read")
+                self.after = None
+                failed = state.Unavailable(str(error))
             for question in asked:
                 await question.reply(failed)
             await curio.sleep(self.pause)
@@ -195,6 +224,7 @@
                 for change in changes:
                     self._change(change)
                 return
+        self.listed_at = self.clock()
         entries, after = await self.store.entries(LIVE)
         self.live.clear()
         self.absent.clear()
@@ -215,26 +245,25 @@
         elif change.write is not None and change.write.startswith(LIVE):
             self._live(change.write, change.data)
         elif change.write is not None and change.write.startswith(PAST):
-            try:
-                final = wire.converted(change.data, FinalRecord)
-            except wire.Malformed as error:
-                log.error("record_malformed", key=change.write, error=error)
-                return
-            self.keep(JobId(change.write[len(PAST) :]), final)
+            final = self._final(change.data, change.write)
+            if final is not None:
+                self.keep(JobId(change.write[len(PAST) :]), final)
 
     def _live(self, path: str, data: object) -> None:
+        id = JobId(path[len(LIVE) :])
+        self.absent.pop(id, None)
+        self.graph.seen(id)
         try:
             record = wire.converted(data, JobRecord)
-        except wire.Malformed as error:
+            done = record.base + int(record.done, 16).bit_count()
+            needs = wire.unpack_needs(record.needs) if record.needs else []
+        except (wire.Malformed, ValueError) as error:
+            # It was accepted all the same, and its user is told so.
             log.error("record_malformed", key=path, error=error)
+            self.live[id] = Live(0, 0, service=False, waits=False)
             return
-        done = record.base + int(record.done, 16).bit_count()
-        id = JobId(path[len(LIVE) :])
-        self.absent.pop(id, None)
-        waits = bool(record.needs)
-        self.live[id] = Live(record.marked, done, record.spec.shape == wire.SERVICE, waits)
-        self.graph.seen(id)
-        if waits:
-            self.graph.add(id, wire.unpack_needs(record.needs))
+        self.live[id] = Live(record.marked, done, record.spec.shape == wire.SERVICE, bool(needs))
+        if needs:
+            self.graph.add(id, needs)
         else:
             self.graph.started(id)
--- a/umberward/control/node.py
+++ b/umberward/control/node.py
@@ -31,7 +31,7 @@
     WallTime,
     parse_job_id,
 )
-from umberward.decisions.relays import Relays
+from umberward.decisions.relays import News, Relays
 from umberward.decisions.tending import Loan
 from umberward.protocol import changes, wire
 from umberward.protocol.http import Client, Request, Response, Server, Sockets
@@ -65,7 +65,7 @@
         self.cloud = Cloud(settings.cloud, cluster.cloud.rps, self.upstream)
         self.skus: dict[TypeName, Sku] = {}
         self.mirror = Mirror(settings, self.store)
-        self.users = Users(settings, self.store, self.mirror, self.skus, _wall)
+        self.users = Users(settings, self.store, self.mirror, self.skus, _wall, self._reaches_state)
         self.graphs: Any = None
         if settings.operator.graphs_enabled:
             from umberward.graphs.gateway import Graphs
@@ -78,6 +78,8 @@
             settings, self.membership, self.client, self.rng, self._hints, self._lend, self._carried
         )
         self.relays = Relays()
+        self.news = News()
+        self.alone = False
 
     async def run(self) -> None:
         # Any of these ending means a fault of ours: it is logged, and the part starts again.
@@ -184,16 +186,19 @@
             head = wire.decode_head(request.body)
         except wire.Malformed as error:
             return Response(400, wire.encode({"error": str(error)}))
-        if request.origin is not None:
-            await self.server.name(request.origin, head.host)
-        self.peers.worker_heard()
+        fresh = self.news.told(MachineId(head.host), head.tenure, head.serial)
+        if fresh:
+            # A late copy shows neither where the worker is connected nor that it reports to us.
+            if request.origin is not None:
+                await self.server.name(request.origin, head.host)
+            self.peers.worker_heard()
         answer = await self._answer(head, request.body)
         if answer is not None:
             return answer
         if self.holder is None and self.peers.may_answer(head.host, head.epoch):
             # The leader and the state service are out of reach: the zone is cut off, or worse.
             return Response(200, wire.encode({"epoch": head.epoch, "orders": []}))
-        leader = self.peers.steward(head.epoch)
+        leader = self.peers.steward(head.epoch) if fresh else None
         if leader is None:
             return Response(421, wire.encode({}))
         host, now = MachineId(head.host), Instant(time.monotonic())
@@ -230,9 +235,18 @@
         if not self.skus:
             return False
         age = time.monotonic() - self.membership.good
+        alone = age >= CONTACT_S and self.peers.alone()
+        if alone != self.alone:
+            self.alone = alone
+            log.warning("alone" if alone else "not_alone", without_state_s=round(age, 1))
         if age < CONTACT_S:
             return True
-        return not self.peers.others_have_contact()
+        # In an outage all are without the state service, and users are told so by each.
+        return not (alone or self.peers.others_have_contact())
+
+    def _reaches_state(self) -> bool:
+        now = time.monotonic()
+        return now - max(self.membership.good, self.mirror.read_at) < CONTACT_S
 
 
 def _wall() -> WallTime:
--- a/umberward/control/peers.py
+++ b/umberward/control/peers.py
@@ -71,6 +71,7 @@
         self.answering = False  # workers of our zone, in place of the leader
         self.zoned = len(platform.cluster.zones) > 1  # else no zone can be cut off
         self.contact: dict[str, Told] = {}
+        self.asked_since = math.inf  # since when the others are asked for their contact
         self.heard_at = -math.inf  # when a worker last reported to us
         # A worker turns to the next controller 1 s after its last one has left it without an
         # answer for 4 s, and there are as many of them as report within this.
@@ -87,8 +88,11 @@
             now = time.monotonic()
             if now - self.membership.good >= CONTACT_S:
                 # Only who lacks the state service needs to know.
+                self.asked_since = min(self.asked_since, now)
                 await self._ask_contact()
-            elif now - asked >= HINTS_S:
+                continue
+            self.asked_since = math.inf
+            if now - asked >= HINTS_S:
                 asked = now
                 await self._ask_hints()
 
@@ -133,6 +137,14 @@
             for told in self.contact.values()
         )
 
+    def alone(self) -> bool:
+        """Whether no other controller has answered of late, though there are some: together with
+        the state service's silence that means that it is us who are cut off."""
+        now = time.monotonic()
+        if not self.addresses or now - self.asked_since < CONTACT_S:
+            return False
+        return all(now - told.at >= TOLD_S for told in self.contact.values())
+
     def steward(self, epoch: int) -> NodeName | None:
         """Who leads, for a worker that has seen that token; None: it is to look for itself.
 
--- a/umberward/control/users.py
+++ b/umberward/control/users.py
@@ -49,7 +49,11 @@
         mirror: Mirror,
         skus: dict[TypeName, Sku],
         wall: Callable[[], WallTime],
+        reached: Callable[[], bool] = lambda: True,
     ) -> None:
+        """`reached`: whether the state service can be asked at all; else all but what is known for
+        good is refused at once."""
+        self.reached = reached
         self.store = store
         self.mirror = mirror
         self.skus = skus
@@ -86,6 +90,7 @@
         final = self.mirror.finals.get(id)
         if final is not None:
             return _final(id, final)
+        self._need_state()
         if not self.skus:
             return Response(503, retry_after=RETRY_S)
         try:
@@ -130,6 +135,10 @@
 
     async def poll(self, id: JobId) -> Response:
         try:
+            final = self.mirror.finals.get(id)
+            if final is not None:
+                return _final(id, final)
+            self._need_state()
             return await self._known(id, urgent=False) or Response(404)
         except (state.Unavailable, state.Unknown) as error:
             log.debug("poll_not_answered", job=id, error=error)
@@ -137,6 +146,7 @@
 
     async def cancel(self, id: JobId) -> Response:
         try:
+            self._need_state()
             for _ in range(4):
                 response = await self._cancel(id)
                 if response is not None:
@@ -157,8 +167,12 @@
             if isinstance(known, FinalRecord):
                 return _final(id, known)
             return None
-        record = wire.converted(live.data, JobRecord)
-        past = FinalRecord(CANCELLED, record.base + int(record.done, 16).bit_count())
+        try:
+            record = wire.converted(live.data, JobRecord)
+            past = FinalRecord(CANCELLED, record.base + int(record.done, 16).bit_count())
+        except (wire.Malformed, ValueError) as error:
+            log.error("record_malformed", job=id, error=error)
+            past = FinalRecord(CANCELLED)
         writes = [changes.put(Key(PAST + id), past), changes.delete(Key(LIVE + id))]
         try:
             await self.store.commit([(Key(LIVE + id), live.stamp)], writes, priority=changes.URGENT)
@@ -170,6 +184,10 @@
 
     # ---- parts -------------------------------------------------------------------------
 
+    def _need_state(self) -> None:
+        if not self.reached():
+            raise state.Unavailable("the state service is out of our reach")
+
     async def _known(self, id: JobId | None, urgent: bool = True) -> Response | None:
         known = None if id is None else await self.mirror.state(id, urgent)
         if id is None or known is None:
--- a/umberward/decisions/clearing.py
+++ b/umberward/decisions/clearing.py
@@ -24,7 +24,7 @@
 from umberward.decisions.choice import choose
 from umberward.decisions.cluster import Cluster
 from umberward.decisions.fleet import Machine, with_room
-from umberward.decisions.jobs import Job, Placement, StopKey
+from umberward.decisions.jobs import Job, Placement, StopKey, may_stop
 from umberward.decisions.preemption import Plan
 
 log = logger(__name__)
@@ -111,18 +111,11 @@
                 yield from machines.values()
 
 
-def may_stop(mine: StopKey, other: StopKey) -> bool:
-    # Accelerated work is never stopped for ordinary work, whatever their standing: so it may
-    # stop ordinary work of lower rank, and the two cannot take turns.
-    if mine.accelerated != other.accelerated:
-        return mine.accelerated and (other.rank > mine.rank or other.standing > mine.standing)
-    return other.standing > mine.standing
-
-
 class Clearing:
     def __init__(self, cluster: Cluster, now: Instant) -> None:
         self.cluster = cluster
         self.cleared: dict[MachineId, Cleared] = {}
+        self.denied: set[MachineId] = set()  # held back from the job that is looked at
         self.preempt_at = now
         self.move_at = now
 
@@ -187,7 +180,7 @@
         image = ImageName(job.spec.bundle)
         zones = [placement.zone for placement in job.placed.values() if placement is not leaving]
         cap = (job.size + 1) // 2 if job.spec.apart else MAX_TASKS
-        kind = (job.kind, job.standing, job.rank)
+        kind = (job.kind, job.standing, job.rank, frozenset(self.denied))
         if job.plain and kind in stoppable.futile:
             return 0
         suits = self.cluster.suits(job)
@@ -198,6 +191,7 @@
             and (not near_image or image in m.images)
             and id not in self.cleared
             and id not in barred
+            and id not in self.denied
             and (room := free.get(id)) is not None
             and job.need.fits(room.plus(more))
             and zones.count(m.zone) < cap
@@ -305,32 +299,36 @@
         self, job: Job, stoppable: Stoppable, free: dict[MachineId, Amount], now: Instant
     ) -> int:
         """Room for a whole gang or none: half of a gang's room is of no use to anybody."""
-        found: dict[ZoneName, list[tuple[int, float, MachineId, int, list[Placement]]]] = {}
+        # For each machine: how soon a task could start there, the work lost, ...
+        found: dict[ZoneName, list[tuple[float, float, MachineId, int, list[Placement]]]] = {}
         suits = self.cluster.suits(job)
         # Where one gang finds no room, no other of its kind does in this pass.
-        kind = (job.kind, job.standing, job.rank, job.size, job.spec.same_place)
+        denied = self.denied
+        kind = (job.kind, job.standing, job.rank, job.size, job.spec.same_place, frozenset(denied))
         if kind in stoppable.futile:
             return 0
         rooms = stoppable.rooms(job)
         for machine in stoppable.of(suits):
             id = machine.id
             room = free[id]
-            if id in self.cleared:
+            if id in self.cleared or id in denied:
                 continue
             zone = machine.zone if job.spec.same_place else ZoneName("")
             here = found.setdefault(zone, [])
             fits = job.need.times_into(room)
+            soon = self._fetch_s(job, machine)
             if fits:
-                here.append((0, 0.0, id, fits, []))
+                here.append((soon, 0.0, id, fits, []))
             elif id in rooms and job.need.fits(room.plus(rooms[id][1])):
                 plan = stoppable.plan(machine, job, room, now)
                 if plan is not None:
-                    here.append((1, plan.cost[1], id, 1, plan.victims))
-        best: list[tuple[int, float, MachineId, int, list[Placement]]] = []
+                    soon += self._saving_s(plan.victims)
+                    here.append((soon, plan.cost[1], id, 1, plan.victims))
+        best: list[tuple[float, float, MachineId, int, list[Placement]]] = []
         least = 0.0
         for here in found.values():
             here.sort(key=lambda entry: entry[:3])
-            picked: list[tuple[int, float, MachineId, int, list[Placement]]] = []
+            picked: list[tuple[float, float, MachineId, int, list[Placement]]] = []
             left = job.size
             while left > 0 and len(picked) < len(here):
                 picked.append(here[len(picked)])
@@ -346,6 +344,17 @@
             left -= fits
         return job.size if best else 0
 
+    def _fetch_s(self, job: Job, machine: Machine) -> float:
+        """How long the job's image takes to be there."""
+        if ImageName(job.spec.bundle) in machine.images:
+            return 0.0
+        return job.spec.pull_gb / self.cluster.skus[machine.type].fetch_gb_per_s
+
+    def _saving_s(self, victims: list[Placement]) -> float:
+        """How long they take to leave: longer than nothing at all."""
+        owners = (self.cluster.jobs.get(victim.task.job) for victim in victims)
+        return max((job.spec.snapshot_cost_s for job in owners if job), default=0.0) + 0.1
+
     def hurries(self, job: Job) -> bool:
         """Whether its tasks would start too late if their image had to be fetched."""
         wait, _ = self.cluster.aims.get(job.spec.jobclass, (None, None))
--- a/umberward/decisions/cluster.py
+++ b/umberward/decisions/cluster.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections import Counter
 from collections.abc import Callable
@@ -38,6 +39,8 @@
 log = logger(__name__)
 
 ESTIMATE_SPARE = 1.3  # some tasks of a job take longer than its estimate
+BEGIN_S = 240.0  # every job should begin within four minutes (the users' rules)
+AGED_S = 0.4 * BEGIN_S  # a job that has waited so long is served before those that came later
 DEFAULT_WAIT_S = 120.0  # when a job should start for which nothing is said
 
 
@@ -58,6 +61,17 @@
     address: str
 
 
+class Asked(NamedTuple):
+    """What operators aim at for a class: in seconds, and in multiples of a job's own deadline."""
+
+    waits: list[float]
+    finished: list[float]
+    times: list[float]
+
+
+NOTHING_ASKED = Asked([], [], [])
+
+
 class Cluster:
     def __init__(
         self,
@@ -76,10 +90,18 @@
         self.quota = Quota(cluster.teams)
         # class -> (within how many seconds its tasks should start, its jobs be finished)
         self.aims: dict[str, tuple[float | None, float | None]] = {}
+        # class -> all such times, and by which multiples of their deadlines jobs should be done
+        self.asked: dict[str, Asked] = {}
         self.guarantee_s: float | None = None  # how soon guaranteed work should start
         for aim in cluster.objectives:
             if aim.kind == "guarantee" and aim.within_s:
                 self.guarantee_s = aim.within_s
+            if aim.job_class is not None:
+                asked = self.asked.setdefault(aim.job_class, Asked([], [], []))
+                if aim.kind == "deadline":
+                    asked.times.append(aim.times or 1.0)
+                elif aim.within_s and aim.kind in ("wait", "finished"):
+                    (asked.waits if aim.kind == "wait" else asked.finished).append(aim.within_s)
             if aim.job_class is not None and aim.within_s:
                 wait, finished = self.aims.get(aim.job_class, (None, None))
                 if aim.kind == "wait":
@@ -190,6 +212,42 @@
         # Those after it leave it so much time.
         return min(start_by, self.claims.get(job.id, NO_CLAIM).late - estimate)
 
+    def goals(self, job: Job) -> list[float]:
+        """Until when the job has to start for each thing asked of it, the next one first."""
+        spec = job.spec
+        estimate = ESTIMATE_SPARE * self.estimate(job)
+        waits, finished, times = self.asked.get(spec.jobclass, NOTHING_ASKED)
+        found = [job.ready_at + within for within in waits]
+        found += [job.ready_at + within - estimate for within in finished]
+        if spec.due_s is not None:
+            found += [job.at + spec.due_s * factor - estimate for factor in times or (1.0,)]
+        claim = self.claims.get(job.id)
+        if claim is not None:
+            found = [min([claim.late - estimate, *found])]
+        return sorted(found)
+
+    def goal(self, job: Job, wall: WallTime) -> float:
+        """Its place among jobs of equal standing: the latest start for the next of its goals that
+        can still be reached.
+
+        What can no longer be reached is no reason to be served before those who still can reach
+        theirs. A job that has missed all of them comes behind, but not for long: then it is first.
+        Replicas are served as they came: each second that one is away counts alike.
+        """
+        if job.service:
+            return self.deadline(job)
+        if wall > job.goal_at or job.id in self.claims:
+            left = (start_by for start_by in self.goals(job) if start_by >= wall)
+            job.goal_at = next(left, math.inf)
+        if job.goal_at < math.inf:
+            return job.goal_at
+        return max(self.deadline(job), job.ready_at + AGED_S)
+
+    def prompt(self, job: Job) -> bool:
+        """Whether it needs accelerators and should have them soon after it comes."""
+        aim = self.aims.get(job.spec.jobclass, (None, None))[0]
+        return job.need.accelerators > 0 and (aim is not None or job.spec.due_s is None)
+
     def takes(self, job: Job) -> float:
         """How long the job takes from when it may start, if there is room at once."""
         slowest = min((sku.fetch_gb_per_s for sku in self.skus.values()), default=1.0)
--- a/umberward/decisions/fleet.py
+++ b/umberward/decisions/fleet.py
@@ -24,7 +24,6 @@
 from umberward.decisions.jobs import Job, Placement, StopKey
 from umberward.protocol.wire import Sku
 
-
 DEAF_AFTER = 2  # questions without an answer, while reports come
 
 
--- a/umberward/decisions/hearing.py
+++ b/umberward/decisions/hearing.py
@@ -49,9 +49,9 @@
 
     def session_began(self, machine: Machine, now: Instant) -> None:
         """Its last session is over. Had our latest answer reached it, that would have lasted."""
-        if machine.answered is not None:
-            if now - machine.answered < self.cluster.workers.lease_s - ANSWER_S:
-                self.doubt(machine, now, sure=True)
+        lasts = self.cluster.workers.lease_s - ANSWER_S
+        if machine.answered is not None and now - machine.answered < lasts:
+            self.doubt(machine, now, sure=True)
         machine.session_at = now
 
     def reported(self, machine: Machine, now: Instant) -> None:
--- a/umberward/decisions/jobs.py
+++ b/umberward/decisions/jobs.py
@@ -47,13 +47,21 @@
     standing: tuple[int, int]
 
 
+def may_stop(mine: StopKey, other: StopKey) -> bool:
+    # Accelerated work is never stopped for ordinary work, whatever their standing: so it may
+    # stop ordinary work of lower rank, and the two cannot take turns.
+    if mine.accelerated != other.accelerated:
+        return mine.accelerated and (other.rank > mine.rank or other.standing > mine.standing)
+    return other.standing > mine.standing
+
+
 class Placement:
     """One attempt of one task on one machine, from the decision until it is surely gone."""
 
     __slots__ = (
         "task", "attempt", "machine", "zone", "need", "team", "key", "at", "sent", "seen",
         "inflight", "tainted", "hello_serial", "phase", "running_at", "saves_every", "stop",
-        "stop_at", "ready", "adopted", "fetched",
+        "stop_at", "ready", "adopted", "fetched", "prompt",
     )  # fmt: skip
 
     def __init__(
@@ -86,6 +94,7 @@
         self.saves_every = job.spec.snapshot_every_s
         self.stop: float | None = None  # grace with which it is being stopped
         self.stop_at = at
+        self.prompt = job.prompt
 
     @property
     def rank(self) -> int:
@@ -128,6 +137,7 @@
         self.unready = 0  # placements whose mark is not committed
         self.errors: set[MachineId] = set()
         self.hold_until = 0.0
+        self.failed_passes = 0
         self.holds = 0  # tries since it was blamed
         self.mistaken = False  # fails wherever it is started: blamed for it
         self.fails_after = 0.0  # the longest that one of its tasks ran before it failed
@@ -142,6 +152,8 @@
         # The kinds of machines that suit it, and when that was found.
         self.suits: tuple[int, set[Offer]] | None = None
         self.standing = (1, self.rank)  # the smaller, the earlier it is served
+        self.prompt = False  # accelerated work that should start soon after it comes
+        self.goal_at = -math.inf  # the latest start for the next of what is asked of it
 
     @property
     def key(self) -> StopKey:
@@ -241,6 +253,16 @@
         """Whether the failures of this task say nothing about machines."""
         return self.mistaken
 
+    def lost_tasks(self) -> int:
+        """How many tasks are in none of the places in which a task must be. A count, not a walk."""
+        known = self.done + len(self.placed) + len(self.unsure) + len(self.again)
+        return max(0, self.size - known - max(0, self.size - self.fresh))
+
+    def nowhere(self, index: int) -> bool:
+        at = bisect.bisect_left(self.again, index)
+        queued = at < len(self.again) and self.again[at] == index
+        return not (queued or index in self.placed or self.is_done(index))
+
     def settle(self) -> None:
         """All machines are known now: what was not found is nowhere."""
         for index in self.unsure:
--- a/umberward/decisions/provision.py
+++ b/umberward/decisions/provision.py
@@ -49,8 +49,8 @@
         self.free = free
         self.yielding = yielding  # what accelerated work would find besides
 
-    def room(self, need: Amount) -> Amount:
-        return self.free.plus(self.yielding) if need.accelerators > 0 else self.free
+    def room(self, prompt: bool) -> Amount:
+        return self.free.plus(self.yielding) if prompt else self.free
 
 
 class Provisioner:
@@ -188,13 +188,16 @@
         # Up to where there is no room left for a kind of job: it only gets less.
         searched: dict[Any, int] = {}
         for job, count in lacking:
+            if job.gang and job.spec.same_place and count > 1:
+                self._for_gang(job, count, virtual, wanted, now)
+                continue
             need = job.need
             left = count
             at = searched.get(job.kind, 0)
             while left > 0 and at < len(virtual):
                 self.tried += 1
                 paper = virtual[at]
-                room = paper.room(need)
+                room = paper.room(job.prompt)
                 if need.fits(room) and scheduler.allowed(job, *paper.offer):
                     took = min(left, need.times_into(room))
                     paper.free = paper.free.minus(need, took)
@@ -225,6 +228,50 @@
             made.append(Rental(claim, offer, min(count, RENT_LIMIT)))
         return made
 
+    def _for_gang(
+        self,
+        job: Job,
+        count: int,
+        virtual: list[Paper],
+        wanted: dict[Offer, int],
+        now: Instant,
+    ) -> None:
+        """Room in one zone for all of it: where least has to be rented for that, and can be."""
+        scheduler = self.scheduler
+        need = job.need
+        rooms: dict[ZoneName, list[Paper]] = {}
+        for paper in virtual:
+            self.tried += 1
+            if need.fits(paper.room(job.prompt)) and scheduler.allowed(job, *paper.offer):
+                rooms.setdefault(paper.offer.zone, []).append(paper)
+        choices = []
+        for zone in sorted(
+            {ZoneName(yard) for sku in scheduler.skus.values() for yard in sku.yards}
+        ):
+            here = rooms.get(zone, [])
+            missing = count - sum(need.times_into(paper.room(job.prompt)) for paper in here)
+            best = self._cheapest(job, missing, now, wanted, zone) if missing > 0 else None
+            if missing <= 0 or best is not None:
+                choices.append((max(0, missing), zone, here, best))
+        if not choices:
+            return
+        missing, _, here, best = min(choices, key=lambda choice: choice[:2])
+        left = count - missing
+        for paper in here:
+            took = min(left, need.times_into(paper.room(job.prompt)))
+            paper.free = paper.free.minus(need, took)
+            left -= took
+        if best is not None:
+            offer, each = best
+            sku = scheduler.skus[offer.type]
+            whole = Amount(sku.cores, sku.accelerators, sku.mem_gb)
+            machines = math.ceil(missing / each)
+            wanted[offer] = wanted.get(offer, 0) + machines
+            for _ in range(machines):
+                took = min(missing, each)
+                missing -= took
+                virtual.append(Paper(offer, whole.minus(need, took)))
+
     def _standing_room(self, lacking: list[tuple[Job, int]]) -> list[Paper]:
         """The machines that there are, less those that nothing which waits could use: of a fleet
         that is full, nearly all."""
@@ -280,9 +327,17 @@
                     break
 
     def _cheapest(
-        self, job: Job, left: int, now: Instant, wanted: dict[Offer, int]
+        self,
+        job: Job,
+        left: int,
+        now: Instant,
+        wanted: dict[Offer, int],
+        only: ZoneName | None = None,
     ) -> tuple[Offer, int] | None:
-        """The offer with the lowest price per task, and how many tasks one machine takes."""
+        """The offer with the lowest price per task, and how many tasks one machine takes.
+
+        `only`: the zone in which it has to be.
+        """
         scheduler = self.scheduler
         best: tuple[float, Offer, int] | None = None
         waited = scheduler.wall() - job.ready_at
@@ -296,7 +351,7 @@
             for zone in sku.yards:
                 for spot in (True, False):
                     offer = Offer(TypeName(sku.sku), ZoneName(zone), spot)
-                    if not scheduler.allowed(job, *offer):
+                    if not scheduler.allowed(job, *offer) or only not in (None, offer.zone):
                         continue
                     price = _price(sku, spot)
                     until = self.refused.get(offer, (Instant(0.0), 0.0))[0]
@@ -332,7 +387,7 @@
         lacking -= sum(
             1
             for paper in virtual
-            if need.fits(paper.room(need)) and scheduler.reserve.could_run(*paper.offer)
+            if need.fits(paper.room(prompt=True)) and scheduler.reserve.could_run(*paper.offer)
         )
         best: tuple[float, Offer] | None = None
         for sku in scheduler.skus.values():
--- a/umberward/decisions/records.py
+++ b/umberward/decisions/records.py
@@ -6,9 +6,10 @@
 from typing import Any
 
 from umberward.core.log import logger
-from umberward.core.types import JobId, Stamp
+from umberward.core.types import Instant, JobId, Stamp
 from umberward.decisions.scheduler import Scheduler
 from umberward.protocol import wire
+from umberward.protocol.changes import Got
 from umberward.protocol.wire import LIVE, PAST, FinalRecord, JobRecord
 
 log = logger(__name__)
@@ -34,6 +35,15 @@
         log.error("record_malformed", key=path, error=error)
 
 
+def take_missed(scheduler: Scheduler, id: JobId, found: Got, now: Instant) -> None:
+    """A live job that was in nobody's memory."""
+    try:
+        scheduler.take_up(wire.converted(found.data, JobRecord), found.stamp, now)
+    except (wire.Malformed, ValueError) as error:
+        # Nothing can be started of it; its user is told that it waits, and may cancel it.
+        log.error("record_malformed", job=id, error=error)
+
+
 def take_end(scheduler: Scheduler, id: JobId, data: Any, otherwise: float = 0.0) -> None:
     """`otherwise`: when the job ended if its record does not say so, as none waited for it when
     it was written; 0: before those that wait for it were submitted."""
--- a/umberward/decisions/relays.py
+++ b/umberward/decisions/relays.py
@@ -20,6 +20,28 @@
 MOST = 4096  # workers that are remembered
 
 
+class News:
+    """Which reports are new to this controller: copies of earlier ones may come at any time.
+
+    The latest of each of the MOST workers that were heard last is remembered, and so long any copy
+    of an earlier one is known for what it is; of a worker that is not, the first that comes counts.
+    """
+
+    def __init__(self) -> None:
+        self.latest: OrderedDict[MachineId, tuple[int, int]] = OrderedDict()
+
+    def told(self, host: MachineId, tenure: int, serial: int) -> bool:
+        """Whether this report is newer than any before it; it is remembered if so."""
+        known = self.latest.get(host)
+        if known is not None and (tenure, serial) <= known:
+            return False
+        self.latest[host] = (tenure, serial)
+        self.latest.move_to_end(host)
+        while len(self.latest) > MOST:
+            self.latest.popitem(last=False)
+        return True
+
+
 class Sent(NamedTuple):
     """A worker was sent to the leader at `at`; its reports are carried since `carried`."""
 
--- a/umberward/decisions/reserve.py
+++ b/umberward/decisions/reserve.py
@@ -2,7 +2,9 @@
 
 Accelerated machines are few, dear and slow to come, and their work needs nearly all of one. So as
 many of them as such work needed lately are kept open or run empty, for other work uses only what
-an accelerated task leaves over; and none is kept when no such work comes any more.
+an accelerated task leaves over; and none is kept when no such work comes any more. Only work that
+should start soon after it comes is meant (`Job.prompt`): what has a deadline and no aim for its
+start can wait for a machine, and uses the reserve meanwhile if it is of lower rank.
 """
 
 from __future__ import annotations
@@ -32,20 +34,20 @@
         self.at = now
 
     def placed(self, placement: Placement) -> None:
-        if placement.need.accelerators > 0:
+        if placement.prompt:
             self.running += 1
             if placement.need.accelerators >= self.need.accelerators:
                 self.need = placement.need
 
     def released(self, placement: Placement) -> None:
-        if placement.need.accelerators > 0:
+        if placement.prompt:
             self.running -= 1
 
     def note(self, waiting: Iterable[Job], now: Instant) -> None:
         """How much accelerated work there is at once."""
         self.waiting = 0
         for job in waiting:
-            if job.need.accelerators > 0:
+            if job.prompt:
                 self.waiting += job.startable()
                 self.rank = max(self.rank, job.rank)
                 self.spec = job.spec
@@ -105,7 +107,7 @@
         candidates = [m for offer in kinds if self.could_run(*offer) for m in kinds[offer].values()]
         for machine in candidates:
             room = free[machine.id]
-            if room.accelerators < need.accelerators:
+            if room.plus(self.yielding(machine)).accelerators < need.accelerators:
                 continue
             weight = sum(room.cores * self._weight(*kind) for kind, room in machine.loads().items())
             # Work that must be spread needs as much of a small zone as of a large one.
@@ -116,19 +118,19 @@
 
     def _weight(self, accelerated: bool, rank: int) -> float:
         """How much such work keeps accelerated work out, for each core that it takes."""
-        if self._yields(accelerated, rank):
-            return 0.01
+        if self._yields(rank):
+            return 0.02 if accelerated else 0.01
         return LASTING if rank == 0 else 1.0
 
-    def _yields(self, accelerated: bool, rank: int) -> bool:
-        """Whether it is stopped at once when accelerated work comes."""
-        return rank > self.rank and not accelerated
+    def _yields(self, rank: int) -> bool:
+        """Whether it is stopped at once when prompt accelerated work comes."""
+        return rank > self.rank
 
     def yielding(self, machine: Machine) -> Amount:
         """How much room stopping such work would make."""
         room = NOTHING
-        for kind, amount in machine.loads().items():
-            if self._yields(*kind):
+        for (_, rank), amount in machine.loads().items():
+            if self._yields(rank):
                 room = room.plus(amount)
         return room
 
--- a/umberward/decisions/scheduler.py
+++ b/umberward/decisions/scheduler.py
@@ -11,6 +11,7 @@
 
 import random
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
 from typing import Any
 
 from umberward.core.log import logger
@@ -35,14 +36,15 @@
 )
 from umberward.decisions.blame import Blame
 from umberward.decisions.choice import choose
-from umberward.decisions.clearing import Clearing
+from umberward.decisions.clearing import Clearing, Stoppable
 from umberward.decisions.cluster import Cluster, Command, Probe
 from umberward.decisions.fleet import Machine, with_room
+from umberward.decisions.gathering import Gathering
 from umberward.decisions.hearing import Hearing
 from umberward.decisions.jobs import Job, Placement
 from umberward.decisions.pipelines import Pipelines
 from umberward.decisions.reports import Reports
-from umberward.decisions.tending import Lender, Loan
+from umberward.decisions.tending import DRIFT, MARGIN_S, Lender, Loan
 from umberward.decisions.thrift import Thrift
 from umberward.decisions.watch import Watch
 from umberward.decisions.writer import Batch, Writer
@@ -53,6 +55,26 @@
 log = logger(__name__)
 
 
+MISSED_S = 15.0  # a live job that is not known for so long is taken up
+LONGEST_PAUSE_S = 30.0  # ... of a job whose placing fails, until it is tried again
+
+
+@dataclass
+class Pass:
+    """What the jobs of one placing pass share."""
+
+    usable: list[Machine]
+    free: dict[MachineId, Amount]
+    roomy: list[Machine]
+    names: set[MachineId]  # of the roomy ones
+    unsure: dict[TeamName, Amount]
+    kept: set[MachineId]
+    able: set[MachineId]
+    stoppable: Stoppable | None
+    # Kinds of jobs for which nothing is left in this pass: thousands of tasks may wait.
+    full: set[Any] = field(default_factory=set)
+
+
 class Scheduler(Cluster):
     """The cluster, and all that is decided about it: the one thing that a holder speaks to."""
 
@@ -70,6 +92,7 @@
         borrowers = {NodeName(peer.label): ZoneName(peer.site) for peer in platform.peers}
         self.lender = Lender(self.workers, borrowers, epoch)
         self.clearing = Clearing(self, now)
+        self.gathering = Gathering(self)
         self.thrift = Thrift(self, self.clearing, now)
         self.blame = Blame(self, now)
         self.pipelines = Pipelines(self)
@@ -78,6 +101,9 @@
         self.hearing = Hearing(self)
         self.reports = Reports(self, self.hearing, self.blame, self.writer)
         self.attempts = 0
+        self.missed: dict[JobId, Instant] = {}  # live, and not known here: since when
+        self.lately_gone: dict[JobId, Instant] = {}  # an older reading may still show them
+        self.unsettled: dict[JobId, Instant] = {}  # until when tasks of theirs may be somewhere
 
     # ---- what is said to it: passed on to the part that knows ----------------------------
 
@@ -165,9 +191,64 @@
             self.admit(job)
         self.pipelines.graph.seen(id)
 
+    def swept(self, entries: Iterable[wire.Entry], now: Instant) -> list[JobId]:
+        """Records of live jobs as they were read just now; returns the ids of those that nobody
+        here knows of, for the second time in a row, so that no news of them is on its way."""
+        found = []
+        for entry in entries:
+            id = JobId(entry.path[len(wire.LIVE) :])
+            if id in self.jobs or id in self.pipelines.jobs or id in self.lately_gone:
+                self.missed.pop(id, None)
+            elif now - self.missed.setdefault(id, now) > MISSED_S:
+                found.append(id)
+        return found
+
+    def take_up(self, record: JobRecord, stamp: Stamp, now: Instant) -> None:
+        """A job that is live and that we had lost sight of."""
+        id = JobId(record.spec.uid)
+        if self.missed.pop(id, None) is None or id in self.lately_gone:
+            return
+        log.warning("job_taken_up", job=id, marked=record.marked)
+        self.job_put(record, stamp)
+        job = self.jobs.get(id)
+        if job is not None and job.unsure:
+            self._settle_later(job, now)
+
+    def _settle_later(self, job: Job, now: Instant) -> None:
+        """Its tasks may be on machines, which list them with their next reports. Where none comes,
+        the session is over within this time."""
+        self.unsettled[job.id] = Instant(now + self.workers.cancel_s * DRIFT + 2 * MARGIN_S)
+
+    def mend(self, now: Instant) -> None:
+        """What the books have lost is put in order; to be called once in a while."""
+        for id, until in list(self.unsettled.items()):
+            job = self.jobs.get(id)
+            if job is None or now > until:
+                del self.unsettled[id]
+                if job is not None:
+                    job.settle()
+                    self.unplaced[id] = job
+                    self.want_pass = True
+        for id, at in list(self.lately_gone.items()):
+            if now - at <= MISSED_S:
+                break
+            del self.lately_gone[id]
+        if not self.all_settled:
+            return
+        for job in self.jobs.values():
+            if job.id in self.unsettled:
+                continue
+            lost = job.lost_tasks()
+            if lost:
+                log.warning("tasks_without_place", job=job.id, tasks=lost)
+                job.unsure.update(n for n in range(job.base, job.fresh) if job.nowhere(n))
+            if job.unsure:
+                self._settle_later(job, now)
+
     def admit(self, job: Job) -> None:
         """The job's tasks may start from now on."""
         self.jobs[job.id] = self.unplaced[job.id] = job
+        job.prompt = self.prompt(job)
         self.want_grades = True
         self.want_pass = True
 
@@ -180,6 +261,7 @@
     def job_gone(self, id: JobId) -> None:
         """A job's live record is gone: it is done, or was cancelled by some controller."""
         self.pipelines.gone(id)
+        self.lately_gone[id] = self.now
         job = self.jobs.pop(id, None)
         self.unplaced.pop(id, None)
         if job is None:
@@ -224,21 +306,17 @@
 
     def waiting(self, now: Instant) -> list[Job]:
         """Jobs with tasks to place, in the order in which they are served."""
-        ready = []
+        ready: list[tuple[Any, int, Job]] = []
+        wall = self.wall()
         self.considered += len(self.unplaced)
         for job in list(self.unplaced.values()):
             if not job.startable():
                 del self.unplaced[job.id]
             elif job.hold_until <= now:
-                ready.append(job)
-        ready.sort(
-            key=lambda job: (
-                job.mistaken,
-                self.pipelines.served_as(job),
-                self.deadline(job),
-            )
-        )
-        return ready
+                order = (job.mistaken, self.pipelines.served_as(job), self.goal(job, wall))
+                ready.append((order, len(ready), job))
+        ready.sort()
+        return [job for *_, job in ready]
 
     def _grade(self) -> None:
         """Each job's standing: who is served first and who may be stopped for whom.
@@ -281,65 +359,82 @@
         self.clearing.keep(free, now)
         kept, able = self.reserve.split(self.ready.kinds, free)
         self.kept = kept
+        self.gathering.look(waiting, free, now)
         roomy = with_room(usable, free, waiting)
-        names = {m.id for m in roomy}
-        # Kinds of jobs for which nothing is left in this pass: thousands of tasks may wait.
-        full: set[Any] = set()
-        stoppable = self.clearing.look(waiting, usable, now)
+        state = Pass(
+            usable, free, roomy, {m.id for m in roomy}, unsure, kept, able,
+            self.clearing.look(waiting, usable, now),
+        )  # fmt: skip
         for job in waiting:
-            need = job.need
-            count = min(
-                job.startable(),
-                self.quota.room(job.team, need, unsure.get(job.team, NOTHING)),
+            try:
+                self._place_job(job, state, now)
+            except Exception:
+                # The others are served all the same, and it is tried again.
+                job.failed_passes += 1
+                job.hold_until = now + min(LONGEST_PAUSE_S, 2.0**job.failed_passes)
+                log.exception("job_not_placed", job=job.id, again_s=job.hold_until - now)
+        self.clearing.denied = set()
+        if state.stoppable is not None and self.all_settled:
+            self.clearing.move_replicas(state.kept, state.able, usable, free, state.stoppable, now)
+        if self.all_settled:
+            self.thrift.move(state.kept, usable, now)
+
+    def _place_job(self, job: Job, state: Pass, now: Instant) -> None:
+        need = job.need
+        free, stoppable, full = state.free, state.stoppable, state.full
+        count = min(
+            job.startable(),
+            self.quota.room(job.team, need, state.unsure.get(job.team, NOTHING)),
+        )
+        if count <= 0 or (job.gang and (count < job.size or job.placed or job.unsure)):
+            return
+        if job.mistaken:
+            # One try at a time, in room that happens to be there; nobody gives way for it.
+            if job.placed:
+                return
+            count = job.size if job.gang else 1
+        mine = self.clearing.give(job, free)
+        # What was cleared for the job counts as full for all others.
+        open_ = state.roomy
+        if mine:
+            open_ = [m for m in state.usable if m.id in mine or m.id in state.names]
+        denied = self.clearing.denied = self.gathering.denied(job)
+        if denied:
+            open_ = [m for m in open_ if m.id not in denied]
+        # Replicas stay long: they take accelerated machines only if nothing else is left.
+        lasting = job.service and need.accelerators <= 0
+        barred = self.barred(job, state.able if lasting else state.kept) - mine
+        kind = (job.kind, lasting, bool(barred), bool(denied))
+        chosen: list[MachineId] = []
+        # Replicas wait for what is being cleared for them: it is gone in a moment.
+        coming = 0
+        if lasting:
+            coming = sum(1 for id in mine if id in free and not need.fits(free[id]))
+            if stoppable is not None and self.clearing.hurries(job):
+                coming += self.clearing.near_image(
+                    job, count - coming, open_, free, state.able, stoppable, now
+                )
+        if coming < count and (mine or kind not in full):
+            chosen = choose(self, job, count - coming, open_, free, barred, prefer=mine)
+            if not chosen and not mine and job.plain:
+                full.add(kind)
+        if len(chosen) + coming < count and stoppable is not None:
+            coming += self.clearing.preempt(
+                job, count - len(chosen) - coming, stoppable, free, mine, now
             )
-            if count <= 0 or (job.gang and (count < job.size or job.placed or job.unsure)):
-                continue
-            if job.mistaken:
-                # One try at a time, in room that happens to be there; nobody gives way for it.
-                if job.placed:
-                    continue
-                count = job.size if job.gang else 1
-            mine = self.clearing.give(job, free)
-            # What was cleared for the job counts as full for all others.
-            open_ = [m for m in usable if m.id in mine or m.id in names] if mine else roomy
-            # Replicas stay long: they take accelerated machines only if nothing else is left.
-            lasting = job.service and need.accelerators <= 0
-            barred = self.barred(job, able if lasting else kept) - mine
-            kind = (job.kind, lasting, bool(barred))
-            chosen: list[MachineId] = []
-            # Replicas wait for what is being cleared for them: it is gone in a moment.
-            coming = 0
-            if lasting:
-                coming = sum(1 for id in mine if id in free and not need.fits(free[id]))
-                if stoppable is not None and self.clearing.hurries(job):
-                    coming += self.clearing.near_image(
-                        job, count - coming, open_, free, able, stoppable, now
-                    )
-            if coming < count and (mine or kind not in full):
-                chosen = choose(self, job, count - coming, open_, free, barred, prefer=mine)
+        for step, wider in enumerate((state.kept - mine, set()) if lasting else ()):
+            if len(chosen) + coming < count and (mine or (kind, step) not in full):
+                chosen = choose(self, job, count - coming, open_, free, wider, prefer=mine)
                 if not chosen and not mine and job.plain:
-                    full.add(kind)
-            if len(chosen) + coming < count and stoppable is not None:
-                coming += self.clearing.preempt(
-                    job, count - len(chosen) - coming, stoppable, free, mine, now
-                )
-            for step, wider in enumerate((kept - mine, set()) if lasting else ()):
-                if len(chosen) + coming < count and (mine or (kind, step) not in full):
-                    chosen = choose(self, job, count - coming, open_, free, wider, prefer=mine)
-                    if not chosen and not mine and job.plain:
-                        full.add((kind, step))
-            if job.gang and len(chosen) < job.size:
-                chosen = []
-            used = mine if len(chosen) == count else mine.intersection(chosen)
-            self.clearing.take_back(used, mine, free)
-            self._start(job, chosen, free, now)
-            if need.accelerators > 0 and chosen:
-                kept, able = self.reserve.split(self.ready.kinds, free)
-                self.kept = kept
-        if stoppable is not None and self.all_settled:
-            self.clearing.move_replicas(kept, able, usable, free, stoppable, now)
-        if self.all_settled:
-            self.thrift.move(kept, usable, now)
+                    full.add((kind, step))
+        if job.gang and len(chosen) < job.size:
+            chosen = []
+        used = mine if len(chosen) == count else mine.intersection(chosen)
+        self.clearing.take_back(used, mine, free)
+        self._start(job, chosen, free, now)
+        if need.accelerators > 0 and chosen:
+            state.kept, state.able = self.reserve.split(self.ready.kinds, free)
+            self.kept = state.kept
 
     def _start(
         self, job: Job, chosen: list[MachineId], free: dict[MachineId, Amount], now: Instant
--- a/umberward/graphs/live.py
+++ b/umberward/graphs/live.py
@@ -83,6 +83,10 @@
         if index not in self.doubtful and self.graph.is_ready(self.number, index):
             super().put_back(index)
 
+    def lost_tasks(self) -> int:
+        """Those that are not ready yet are in none of its places."""
+        return 0
+
     def startable(self) -> int:
         return bisect.bisect_left(self.again, self.base + self.window)
 
