--- a/umberward/decisions/patience.py
+++ b/umberward/decisions/patience.py
@@ -1,10 +1,13 @@
-"""Which work waits for cheap accelerated machines rather than using dear ones. No I/O.
+"""Which work waits for cheap machines rather than using dear ones. No I/O.
 
-An accelerated machine costs several times as much when it is no spot machine, and accelerated work
-that has a deadline and may use spot machines often has the time to wait for one. It waits as long
-as the cheap machines, taking it in the order of service, will have started it by when it must
-start; and it uses dear machines only while these are held for other work anyway (the reserve). Dear
-ones get empty that way, and are returned.
+A machine with accelerators costs ten times as much for each core as one without, and several times
+as much when it is no spot machine. Two kinds of work never need that:
+
+- Work of the lowest rank. It uses dear machines where other work keeps them anyway: what
+  accelerated work leaves over, and the reserve. Else it would fill each that gets free, so that
+  none is ever empty and returned, and have more of them rented.
+- Accelerated work that has a deadline and may use spot machines, as long as the cheap machines,
+  taking it in the order of service, will have started it by when it must start.
 
 Elsewhere the difference in price is small next to what a missed deadline costs its user.
 """
@@ -13,19 +16,31 @@
 
 import math
 from collections.abc import Iterable, Mapping
-from typing import Any
+from typing import Any, NamedTuple
 
 from umberward.core.types import Amount, JobId, Offer
 from umberward.decisions.cluster import Cluster
+from umberward.decisions.fleet import Machine
 from umberward.decisions.jobs import Job
+from umberward.protocol import wire
 
-CHEAP = 1.5  # up to so many times the lowest price a machine is cheap
+CHEAP = 1.5  # up to so many times the lowest price a machine is cheap for accelerated work
+FAIR = 2.0  # ... and to so many times the lowest price of ordinary ones, for the lowest rank
 LEAST_S = 1.0
+LOWEST = max(wire.RANKS.values())
+
 
+class Cheap(NamedTuple):
+    """What is cheap for a kind of jobs: a task's price for an hour, and the machines there are."""
 
-def may_wait(job: Job) -> bool:
-    """Whether it is a matter of price at all where the job runs."""
-    return job.need.accelerators > 0 and not (job.prompt or job.gang or job.service)
+    bound: float
+    offers: frozenset[Offer]
+    leftover: bool  # whether it may fill what accelerated work leaves over on others
+
+    def allows(self, machine: Machine) -> bool:
+        return machine.offer in self.offers or (
+            self.leftover and any(accelerated for accelerated, _ in machine.loads())
+        )
 
 
 def price(cluster: Cluster, job: Job, offer: Offer) -> float:
@@ -38,46 +53,57 @@
     return math.inf if whole is None or not each else whole / each
 
 
-def cheap_bound(cluster: Cluster, job: Job) -> float:
-    """Up to which price the job's machines are cheap; from the cloud's list, rented or not."""
-    return CHEAP * min(
-        (
-            price(cluster, job, Offer(sku_name, yard, spot))  # type: ignore[arg-type]
-            for sku_name, sku in cluster.skus.items()
-            for yard in sku.yards
-            for spot in (True, False)
-        ),
-        default=math.inf,
-    )
-
-
 def patient(
     cluster: Cluster, waiting: Iterable[Job], machines: Mapping[Offer, int]
-) -> dict[JobId, float]:
-    """The jobs that wait for cheap machines, and up to which price these are; `machines`: how many
-    there are of each kind. `waiting`: in the order of service."""
-    found: dict[JobId, float] = {}
-    slots: dict[Any, tuple[float, int]] = {}  # of a kind of jobs: what is cheap, and how many fit
+) -> dict[JobId, Cheap]:
+    """The jobs that use cheap machines only, for now; `machines`: how many there are of each kind.
+    `waiting`: in the order of service."""
+    found: dict[JobId, Cheap] = {}
+    kinds: dict[Any, Cheap] = {}
+    slots: dict[Any, int] = {}  # how many of a kind's tasks cheap machines take
     ahead: dict[Any, int] = {}
     wall = cluster.wall()
     for job in waiting:
-        if not may_wait(job):
+        if job.service or job.gang or job.prompt:
+            continue
+        accelerated = job.need.accelerators > 0
+        if not accelerated and job.rank < LOWEST:
             continue
-        if job.kind not in slots:
-            bound = cheap_bound(cluster, job)
-            slots[job.kind] = (bound, _slots(cluster, job, bound, machines))
-        bound, many = slots[job.kind]
-        before = ahead[job.kind] = ahead.get(job.kind, 0) + job.startable()
-        left = cluster.goal(job, wall) - wall
-        if before <= many * left / max(LEAST_S, cluster.estimate(job)):
-            found[job.id] = bound
+        kind = (job.kind, accelerated)
+        if kind not in kinds:
+            kinds[kind] = _cheap(cluster, job, accelerated)
+        if accelerated:
+            cheap = kinds[kind]
+            if kind not in slots:
+                slots[kind] = _slots(cluster, job, cheap, machines)
+            ahead[kind] = ahead.get(kind, 0) + job.startable()
+            left = cluster.goal(job, wall) - wall
+            if ahead[kind] > slots[kind] * left / max(LEAST_S, cluster.estimate(job)):
+                continue
+        found[job.id] = kinds[kind]
     return found
 
 
-def _slots(cluster: Cluster, job: Job, bound: float, machines: Mapping[Offer, int]) -> int:
+def _cheap(cluster: Cluster, job: Job, accelerated: bool) -> Cheap:
+    """From the cloud's list, whether rented or not."""
+    lowest = min(
+        (
+            price(cluster, job, Offer(type_, zone, spot))  # type: ignore[arg-type]
+            for type_, sku in cluster.skus.items()
+            for zone in sku.yards
+            for spot in ((True, False) if accelerated else (False,))
+        ),
+        default=math.inf,
+    )
+    bound = lowest * (CHEAP if accelerated else FAIR)
+    offers = frozenset(offer for offer in cluster.offers if price(cluster, job, offer) <= bound)
+    return Cheap(bound, offers, not accelerated)
+
+
+def _slots(cluster: Cluster, job: Job, cheap: Cheap, machines: Mapping[Offer, int]) -> int:
     many = 0
     for offer, count in machines.items():
-        if price(cluster, job, offer) <= bound:
+        if price(cluster, job, offer) <= cheap.bound:
             sku = cluster.skus[offer.type]
             whole = Amount(sku.cores, sku.accelerators, sku.mem_gb)
             many += count * job.need.times_into(whole)
--- a/umberward/decisions/provision.py
+++ b/umberward/decisions/provision.py
@@ -21,7 +21,7 @@
 )
 from umberward.decisions.fleet import Machine, least_need
 from umberward.decisions.jobs import Job
-from umberward.decisions.patience import patient
+from umberward.decisions.patience import Cheap, patient
 from umberward.decisions.scheduler import Scheduler
 from umberward.protocol.wire import BOOTING, FAILED, RENT_LIMIT, Host, Sku
 
@@ -66,7 +66,7 @@
         self.expected: dict[MachineId, Expected] = {}
         self.strange: dict[MachineId, Instant] = {}  # listed and not reporting, since when
         self.started = now
-        self.patient: dict[JobId, float] = {}  # jobs that wait for machines of at most this price
+        self.patient: dict[JobId, Cheap] = {}  # jobs that wait for cheap machines
         self.lacking_since: Instant | None = None
 
     # ---- what the cloud says -----------------------------------------------------------
@@ -351,7 +351,8 @@
         waited = scheduler.wall() - job.ready_at
         patience = PATIENT_PART * (scheduler.deadline(job) - job.ready_at)
         fair = math.inf if waited > patience else FAIR_PRICE * self._fair(job)
-        fair = min(fair, self.patient.get(job.id, math.inf))
+        if job.id in self.patient:
+            fair = min(fair, self.patient[job.id].bound)
         for sku in scheduler.skus.values():
             whole = Amount(sku.cores, sku.accelerators, sku.mem_gb)
             each = job.need.times_into(whole)
--- a/umberward/decisions/scheduler.py
+++ b/umberward/decisions/scheduler.py
@@ -43,7 +43,7 @@
 from umberward.decisions.gathering import Gathering
 from umberward.decisions.hearing import Hearing
 from umberward.decisions.jobs import Job, Placement
-from umberward.decisions.patience import patient, price
+from umberward.decisions.patience import Cheap, patient
 from umberward.decisions.pipelines import Pipelines
 from umberward.decisions.reports import Reports
 from umberward.decisions.tending import DRIFT, MARGIN_S, Lender, Loan
@@ -73,8 +73,8 @@
     kept: set[MachineId]
     able: set[MachineId]
     stoppable: Stoppable | None
-    # Jobs that wait for cheap machines, and up to which price they take any.
-    patient: dict[JobId, float]
+    # Jobs that wait for cheap machines, and what these are.
+    patient: dict[JobId, Cheap]
     # Kinds of jobs for which nothing is left in this pass: thousands of tasks may wait.
     full: set[Any] = field(default_factory=set)
 
@@ -413,13 +413,13 @@
         denied = self.clearing.denied = self.gathering.denied(job)
         if denied:
             open_ = [m for m in open_ if m.id not in denied]
-        bound = state.patient.get(job.id)
-        if bound is not None:
-            open_ = [m for m in open_ if m.id in state.kept or price(self, job, m.offer) <= bound]
+        cheap = state.patient.get(job.id)
+        if cheap is not None:
+            open_ = [m for m in open_ if m.id in state.kept or cheap.allows(m)]
         # Replicas stay long: they take accelerated machines only if nothing else is left.
         lasting = job.service and need.accelerators <= 0
         barred = self.barred(job, state.able if lasting else state.kept) - mine
-        kind = (job.kind, lasting, bool(barred), bool(denied), bound)
+        kind = (job.kind, lasting, bool(barred), bool(denied), cheap is None)
         chosen: list[MachineId] = []
         # Replicas wait for what is being cleared for them: it is gone in a moment.
         coming = 0
