--- /dev/null
+++ b/umberward/decisions/lateness.py
@@ -0,0 +1,92 @@
+"""Which jobs are put off when not all can be done by their deadlines. No I/O.
+
+In the order of their latest starts, work that is too much makes everybody late: each job waits for
+one before it that will be late all the same. By the algorithm of Moore and Hodgson as few as can be
+are late: jobs are taken in the order of their latest starts, and whenever one would start too late,
+the longest of those taken is put off. What is put off is served behind the rest, and not for long:
+a job that has waited for a part of the four minutes is served first, whatever its size.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Iterable
+from typing import Any, NamedTuple
+
+from umberward.core.types import Instant, JobId
+from umberward.decisions.cluster import AGED_S, Cluster
+from umberward.decisions.jobs import Job
+
+LOOK_EVERY_S = 0.4
+
+
+class Wait(NamedTuple):
+    """One job: until when its last task should start, and for how long it keeps the machines."""
+
+    start_by: float
+    takes: float
+    job: JobId
+
+
+def put_off(waits: Iterable[Wait], free_at: float) -> set[JobId]:
+    """As few as can be, so that each of the others starts in time. Times in seconds; `free_at`:
+    when the machines have done what comes before all of them."""
+    chosen: list[tuple[float, JobId]] = []  # a heap, the longest first
+    late: set[JobId] = set()
+    total = 0.0
+    for wait in sorted(waits):
+        heapq.heappush(chosen, (-wait.takes, wait.job))
+        total += wait.takes
+        if free_at + total > wait.start_by:
+            longest, job = heapq.heappop(chosen)
+            total += longest
+            late.add(job)
+    return late
+
+
+class Lateness:
+    def __init__(self, cluster: Cluster, now: Instant) -> None:
+        self.cluster = cluster
+        self.look_at = now
+        self.late: set[JobId] = set()
+
+    def look(self, jobs: Iterable[Job], now: Instant) -> None:
+        """To be called before jobs are brought into the order of service."""
+        if now < self.look_at:
+            return
+        self.look_at = Instant(now + LOOK_EVERY_S)
+        self.late = set()
+        wall = self.cluster.wall()
+        groups: dict[Any, list[Job]] = {}
+        for job in jobs:
+            if job.spec.due_s is not None and not (job.gang or job.service or job.mistaken):
+                groups.setdefault((job.need.accelerators > 0, job.rank), []).append(job)
+        for (accelerated, rank), members in groups.items():
+            if len(members) < 2:
+                continue
+            rate = self._rate(accelerated, rank)
+            waits = []
+            free_at: float = wall
+            for job in members:
+                amount = job.need.accelerators if accelerated else job.need.cores
+                work = job.startable() * amount * self.cluster.estimate(job)
+                if rate <= 0:
+                    continue
+                if wall - job.ready_at > AGED_S:
+                    free_at += work / rate  # served first
+                else:
+                    waits.append(Wait(self.cluster.goal(job, wall), work / rate, job.id))
+            self.late |= put_off(waits, free_at)
+
+    def _rate(self, accelerated: bool, rank: int) -> float:
+        """How much such work the machines do at once: what they have of it and what is free."""
+        total = 0.0
+        for machine in self.cluster.ready.machines.values():
+            sku = self.cluster.skus.get(machine.type)
+            held = machine.loads().get((accelerated, rank))
+            place = 1 if accelerated else 0
+            if held is not None:
+                total += held[place]
+            if sku is not None:
+                total += max(0.0, machine.free(sku)[place])
+        return total
--- a/umberward/decisions/scheduler.py
+++ b/umberward/decisions/scheduler.py
@@ -43,6 +43,7 @@
 from umberward.decisions.gathering import Gathering
 from umberward.decisions.hearing import Hearing
 from umberward.decisions.jobs import Job, Placement
+from umberward.decisions.lateness import Lateness
 from umberward.decisions.patience import Cheap, patient
 from umberward.decisions.pipelines import Pipelines
 from umberward.decisions.reports import Reports
@@ -97,6 +98,7 @@
         self.lender = Lender(self.workers, borrowers, epoch)
         self.clearing = Clearing(self, now)
         self.gathering = Gathering(self)
+        self.lateness = Lateness(self, now)
         self.thrift = Thrift(self, self.clearing, now)
         self.blame = Blame(self, now)
         self.pipelines = Pipelines(self)
@@ -317,17 +319,23 @@
 
     def waiting(self, now: Instant) -> list[Job]:
         """Jobs with tasks to place, in the order in which they are served."""
-        ready: list[tuple[Any, int, Job]] = []
+        ready: list[Job] = []
         wall = self.wall()
         self.considered += len(self.unplaced)
         for job in list(self.unplaced.values()):
             if not job.startable():
                 del self.unplaced[job.id]
             elif job.hold_until <= now:
-                order = (job.mistaken, self.pipelines.served_as(job), self.goal(job, wall))
-                ready.append((order, len(ready), job))
-        ready.sort()
-        return [job for *_, job in ready]
+                ready.append(job)
+        self.lateness.look(ready, now)
+        late = self.lateness.late
+        ordered: list[tuple[Any, int, Job]] = []
+        for job in ready:
+            served = self.pipelines.served_as(job)
+            order = (job.mistaken, served, job.id in late, self.goal(job, wall))
+            ordered.append((order, len(ordered), job))
+        ordered.sort()
+        return [job for *_, job in ordered]
 
     def _grade(self) -> None:
         """Each job's standing: who is served first and who may be stopped for whom.
