--- a/umberward/decisions/choice.py
+++ b/umberward/decisions/choice.py
@@ -93,4 +93,9 @@
     accelerators = cluster.skus[machine.type].accelerators
     if job.service or job.gang:
         return (fetch, accelerators, -machine.booked.cores)
-    return (float(machine.id in cluster.kept), scarce, accelerators, fetch, -machine.booked.cores)
+    kept = float(machine.id in cluster.kept)
+    if job.need.accelerators > 0:
+        # It fills one dear machine after the other, those first that are kept anyway: what gets
+        # empty can be returned.
+        return (scarce, 1.0 - kept, -machine.booked.accelerators, fetch, -machine.booked.cores)
+    return (kept, scarce, accelerators, fetch, -machine.booked.cores)
--- a/umberward/decisions/patience.py
+++ b/umberward/decisions/patience.py
@@ -18,11 +18,12 @@
 from collections.abc import Iterable, Mapping
 from typing import Any, NamedTuple
 
-from umberward.core.types import Amount, JobId, Offer
+from umberward.core.types import NOTHING, Amount, JobId, Offer
 from umberward.decisions.cluster import Cluster
 from umberward.decisions.fleet import Machine
 from umberward.decisions.jobs import Job
 from umberward.protocol import wire
+from umberward.protocol.wire import Sku
 
 CHEAP = 1.5  # up to so many times the lowest price a machine is cheap for accelerated work
 FAIR = 2.0  # ... and to so many times the lowest price of ordinary ones, for the lowest rank
@@ -37,10 +38,15 @@
     offers: frozenset[Offer]
     leftover: bool  # whether it may fill what accelerated work leaves over on others
 
-    def allows(self, machine: Machine) -> bool:
-        return machine.offer in self.offers or (
-            self.leftover and any(accelerated for accelerated, _ in machine.loads())
-        )
+    def room(self, machine: Machine, free: Amount, sku: Sku) -> Amount:
+        """What the job may use of a machine's free room."""
+        if machine.offer in self.offers:
+            return free
+        if not self.leftover or free.accelerators >= sku.accelerators:
+            return NOTHING
+        # Each accelerator that is free keeps its part of the machine.
+        part = free.accelerators / sku.accelerators
+        return free.minus(Amount(part * sku.cores, 0.0, part * sku.mem_gb))
 
 
 def price(cluster: Cluster, job: Job, offer: Offer) -> float:
--- a/umberward/decisions/scheduler.py
+++ b/umberward/decisions/scheduler.py
@@ -427,8 +427,14 @@
         if denied:
             open_ = [m for m in open_ if m.id not in denied]
         cheap = state.patient.get(job.id)
+        room_in = free
         if cheap is not None:
-            open_ = [m for m in open_ if m.id in state.kept or cheap.allows(m)]
+            room_in = {
+                m.id: free[m.id]
+                if m.id in state.kept
+                else cheap.room(m, free[m.id], self.skus[m.type])
+                for m in open_
+            }
         # Replicas stay long: they take accelerated machines only if nothing else is left.
         lasting = job.service and need.accelerators <= 0
         barred = self.barred(job, state.able if lasting else state.kept) - mine
@@ -443,7 +449,7 @@
                     job, count - coming, open_, free, state.able, stoppable, now
                 )
         if coming < count and (mine or kind not in full):
-            chosen = choose(self, job, count - coming, open_, free, barred, prefer=mine)
+            chosen = choose(self, job, count - coming, open_, room_in, barred, prefer=mine)
             if not chosen and not mine and job.plain:
                 full.add(kind)
         if len(chosen) + coming < count and stoppable is not None:
