--- a/umberward/decisions/gathering.py
+++ b/umberward/decisions/gathering.py
@@ -23,7 +23,7 @@
 
 log = logger(__name__)
 
-GATHER_S = 0.2 * BEGIN_S  # from when on room is gathered
+GATHER_S = 0.35 * BEGIN_S  # from when on room is gathered
 MOVE_GAIN_S = 10.0  # it is gathered in another zone if that is so much sooner
 ANYWHERE = ZoneName("")
 
--- a/umberward/decisions/reserve.py
+++ b/umberward/decisions/reserve.py
@@ -32,6 +32,7 @@
         self.waiting = 0  # ... and that wait for one
         self.peak = 0.0  # how many there were at once, waiting ones included
         self.at = now
+        self.kept: set[MachineId] = set()
 
     def placed(self, placement: Placement) -> None:
         if placement.prompt:
@@ -107,14 +108,23 @@
         candidates = [m for offer in kinds if self.could_run(*offer) for m in kinds[offer].values()]
         for machine in candidates:
             room = free[machine.id]
-            if room.plus(self.yielding(machine)).accelerators < need.accelerators:
+            open_ = room.plus(self.yielding(machine))
+            if open_.accelerators < need.accelerators:
                 continue
             weight = sum(room.cores * self._weight(*kind) for kind, room in machine.loads().items())
-            # Work that must be spread needs as much of a small zone as of a large one.
-            able.append((not need.fits(room), -zones.get(machine.zone, 0.0), weight, machine.id))
+            # Work that must be spread needs as much of a small zone as of a large one. What gives
+            # way at once fills the reserve: had that to be empty, it would move on to the next
+            # empty machine each time, until such work stands on all and none is returned.
+            able.append(
+                (
+                    not need.fits(open_), machine.id not in self.kept,
+                    -zones.get(machine.zone, 0.0), weight, machine.id,
+                )
+            )  # fmt: skip
         able.sort()
         names = [id for *_, id in able]
-        return set(names[: self.size()]), set(names)
+        self.kept = set(names[: self.size()])
+        return set(self.kept), set(names)
 
     def _weight(self, accelerated: bool, rank: int) -> float:
         """How much such work keeps accelerated work out, for each core that it takes."""
