--- a/umberward/decisions/patience.py
+++ b/umberward/decisions/patience.py
@@ -7,7 +7,8 @@
   accelerated work leaves over, and the reserve. Else it would fill each that gets free, so that
   none is ever empty and returned, and have more of them rented.
 - Accelerated work that has a deadline and may use spot machines, as long as the cheap machines,
-  taking it in the order of service, will have started it by when it must start.
+  taking it in the order of service, will have started it by when it must start. It leaves the
+  reserve alone as well: what has to save first would hold up the work that the reserve is for.
 
 Elsewhere the difference in price is small next to what a missed deadline costs its user.
 """
--- a/umberward/decisions/provision.py
+++ b/umberward/decisions/provision.py
@@ -144,7 +144,9 @@
         if not scheduler.all_settled:
             return []
         found = []
-        lacking = {job.kind: job for job, _ in scheduler.lacking(now)}.values()
+        lacking = {
+            (job.kind, job.id in self.patient): job for job, _ in scheduler.lacking(now)
+        }.values()
         reserved = scheduler.reserve.size() if scheduler.operator.rent_spare > 0 else 0
         for machine in scheduler.machines.values():
             if machine.held or machine.strays or not machine.settled or machine.returning:
@@ -167,6 +169,7 @@
             if sku is None or not any(
                 job.need.fits(Amount(sku.cores, sku.accelerators, sku.mem_gb))
                 and scheduler.allowed(job, machine.type, machine.zone, machine.spot)
+                and (job.id not in self.patient or machine.offer in self.patient[job.id].offers)
                 for job in lacking
             ):
                 found.append(machine)
--- a/umberward/decisions/scheduler.py
+++ b/umberward/decisions/scheduler.py
@@ -431,7 +431,7 @@
         if cheap is not None:
             room_in = {
                 m.id: free[m.id]
-                if m.id in state.kept
+                if m.id in state.kept and cheap.leftover
                 else cheap.room(m, free[m.id], self.skus[m.type])
                 for m in open_
             }
