--- a/tests/guards.py
+++ b/tests/guards.py
@@ -12,13 +12,23 @@
 from umberward.control.mirror import Mirror
 from umberward.control.users import Users
 from umberward.core.types import JobId
-from umberward.decisions import blame, choice, pipelines, placement, tending, watch
+from umberward.decisions import (
+    blame,
+    choice,
+    pipelines,
+    placement,
+    provision,
+    scheduler,
+    tending,
+    watch,
+)
 from umberward.decisions.blame import Blame
 from umberward.decisions.fleet import Machine
 from umberward.decisions.gathering import Gathering
 from umberward.decisions.hearing import Hearing
 from umberward.decisions.jobs import Job
 from umberward.decisions.pipelines import NO_CLAIM, Graph, Pipelines
+from umberward.decisions.provision import Provisioner
 from umberward.decisions.quota import Quota
 from umberward.decisions.reports import Reports
 from umberward.decisions.scheduler import Scheduler
@@ -484,7 +494,21 @@
     patch.setattr(Machine, "confirmed", property(lambda _: True, lambda *_: None), raising=False)
 
 
+def cheap_only(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(scheduler, "patient", lambda *_: {})
+    patch.setattr(provision, "patient", lambda *_: {})
+
+
+def one_zone(patch: pytest.MonkeyPatch) -> None:
+    def anywhere(self: Provisioner, job: Job, count: int, virtual: Any, *_: Any) -> None:
+        """As if room in any zone were room for it."""
+
+    patch.setattr(Provisioner, "_for_gang", anywhere)
+
+
 GUARDS: dict[str, Patch] = {
+    "cheap-only": cheap_only,
+    "one-zone": one_zone,
     "readable-or-known": readable_or_known,
     "read-of-its-own": read_of_its_own,
     "swept": swept,
--- a/tests/test_regress.py
+++ b/tests/test_regress.py
@@ -12,7 +12,7 @@
 from click.testing import CliRunner
 
 from tools.regress import __main__ as regress
-from tools.regress import entries, served, sites
+from tools.regress import entries, largest, served, sites
 
 JOURNAL = Path(__file__).parent / "journal"
 
@@ -134,3 +134,32 @@
         ],
     )
     assert served.least_by_aims(day) == served.Part("lists", 0.6)
+
+
+LOG = """
+  1.0 n INFO umberward.decisions.scheduler: job_ready job=req-1 jobclass=gang tasks=4 size=112.0
+  1.0 n INFO umberward.decisions.scheduler: job_ready job=req-2 jobclass=gang tasks=1 size=28.0
+  1.0 n INFO umberward.decisions.scheduler: job_ready job=req-3 jobclass=web tasks=9 size=18.0
+  2.0 n INFO umberward.decisions.reports: job_began job=req-2 waited_s=1.0
+  2.5 n INFO umberward.decisions.reports: job_began job=req-3 waited_s=1.5
+  9.0 n INFO umberward.decisions.scheduler: job_ended job=req-2 phase=done
+  260.0 n INFO umberward.decisions.reports: job_began job=req-1 waited_s=259.0
+""".splitlines()
+
+
+def test_the_largest_of_each_class_are_judged_for_themselves() -> None:
+    gang, web = largest.read(LOG)
+    # Of two gangs the larger one counts, though the other was served.
+    assert gang == largest.Largest("gang", 1, 0.0, 259.0)
+    # Services never end: what began is served.
+    assert web == largest.Largest("web", 1, 1.0, 1.5)
+    assert largest.judge([web]) == ""
+    assert largest.judge([gang]) == (
+        "failed: 0.00 of the largest of gang served; one of the largest of gang began after 259 s"
+    )
+    assert largest.summary([gang, web]) == "0.00 gang, began by 259 s gang"
+
+
+def test_what_was_cancelled_is_not_asked_for() -> None:
+    log = [*LOG[:4], "3.0 n INFO umberward.control.users: cancelled_by_user job=req-1"]
+    assert largest.read(log)[0] == largest.Largest("gang", 1, 1.0, 0.0)
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -1,4 +1,5 @@
-"""Whatever is lost, late or overtaken, no session that a worker lives in is taken for over."""
+"""Whatever is lost, late, doubled or overtaken: no session that a worker lives in is taken for
+over, no task runs twice, and every accepted job is known and served in the end."""
 
 from __future__ import annotations
 
@@ -6,7 +7,7 @@
 from hypothesis import example, given, settings
 from test_scenarios import Play
 
-TROUBLES = ("mute", "deaf", "slow", "cut", "holding", "astray")
+TROUBLES = ("mute", "deaf", "slow", "cut", "holding", "astray", "oneway")
 WORKERS = ("m1", "m2", "m3")
 
 _events = st.one_of(
@@ -15,6 +16,7 @@
     st.tuples(st.just("lead"), st.just(""), st.just("")),
     st.tuples(st.just("submit"), st.just(""), st.just("")),
     st.tuples(st.just("freeze"), st.just(""), st.just("")),
+    st.tuples(st.just("copy"), st.sampled_from(WORKERS), st.sampled_from(("0.5", "6", "25"))),
 )
 _days = st.lists(st.tuples(_events, st.sampled_from((0.1, 0.6, 2.0, 4.5, 9.9))), max_size=10)
 
@@ -55,6 +57,8 @@
         elif verb == "submit":
             jobs += 1
             game.do_submit(f"req-{jobs:06}", "shards=2", "runs=200")
+        elif verb == "copy":
+            game.do_copy(worker, trouble)
         elif verb == "freeze":
             game.do_freeze("3")
         elif verb == "set":
@@ -66,3 +70,15 @@
         game.do_run(str(pause))
     game.do_run("15")
     assert not game.world.broken
+    # Whatever befell them, all that were accepted are known, and run once the links are whole.
+    for name in WORKERS:
+        for trouble in TROUBLES:
+            game.do_set(name, f"not-{trouble}")
+        game.do_release(name)
+    game.do_run("40")
+    assert not game.world.broken
+    for number in range(1, jobs + 1):
+        game.do_poll(f"req-{number:06}")
+        assert game.see_status() == 200
+    placed = sum(len(job.placed) for job in game.world.scheduler.jobs.values())
+    assert placed == min(6, 2 + 2 * jobs)
