--- a/umberward/decisions/patience.py
+++ b/umberward/decisions/patience.py
@@ -74,8 +74,8 @@
         if job.service or job.gang or job.prompt:
             continue
         accelerated = job.need.accelerators > 0
-        if not accelerated and job.rank < LOWEST:
-            continue
+        if not accelerated and (job.rank < LOWEST or job.standing[0] == 0):
+            continue  # what is guaranteed to a team has not to be cheap
         kind = (job.kind, accelerated)
         if kind not in kinds:
             kinds[kind] = _cheap(cluster, job, accelerated)
--- a/umberward/decisions/provision.py
+++ b/umberward/decisions/provision.py
@@ -147,7 +147,7 @@
         lacking = {
             (job.kind, job.id in self.patient): job for job, _ in scheduler.lacking(now)
         }.values()
-        reserved = scheduler.reserve.kept if scheduler.operator.rent_spare > 0 else set()
+        reserved = scheduler.reserve.size() if scheduler.operator.rent_spare > 0 else 0
         for machine in scheduler.machines.values():
             if machine.held or machine.strays or not machine.settled or machine.returning:
                 continue
@@ -156,8 +156,11 @@
                 if scheduler.blame.given_up(machine, now):
                     found.append(machine)
                 continue
-            if machine.id in reserved:
-                continue  # returned, it would be rented again
+            if reserved > 0 and scheduler.reserve.could_run(
+                machine.type, machine.zone, machine.spot
+            ):
+                reserved -= 1  # returned, it would be rented again
+                continue
             sku = scheduler.skus.get(machine.type)
             quiet = now - max(machine.idle_since, machine.since)
             if quiet <= max(scheduler.operator.idle_seconds, sku.boot_s if sku else 0.0):
