A machine that reports again after a cut is doubted anew, not returned for its silence

Cause: the doubt of a command that was lost in the cut counted from then, so that a machine which was back after 40 s was given up before it could answer. Now the doubt begins anew with the report, and the question goes out at once.

--- a/tests/guards.py
+++ b/tests/guards.py
@@ -15,6 +15,7 @@
 from umberward.decisions import (
     blame,
     choice,
+    hearing,
     pipelines,
     placement,
     provision,
@@ -471,6 +472,14 @@
     patch.setattr(Hearing, "given_up", lambda *_: [])
 
 
+def returned_anew(patch: pytest.MonkeyPatch) -> None:
+    def returned(self: Hearing, machine: Machine, now: Any) -> None:
+        self.doubt(machine, now, sure=True)
+
+    patch.setattr(Hearing, "returned", returned)
+    patch.setattr(hearing, "AT_ONCE_S", 1e9)
+
+
 def many_unheard(patch: pytest.MonkeyPatch) -> None:
     patch.setattr(Hearing, "many", lambda _: False)
 
@@ -519,6 +528,7 @@
     "gathered-room-is-used": gathered_room_is_used,
     "hearing": hearing_off,
     "given-up": given_up,
+    "returned-anew": returned_anew,
     "many-unheard": many_unheard,
     "half-gangs": half_gangs,
     "copies-known": copies_known,
--- a/umberward/decisions/fleet.py
+++ b/umberward/decisions/fleet.py
@@ -52,7 +52,8 @@
         self.session_at = now  # when its session was first heard of
         self.doubted: Instant | None = None  # since when it may not hear us
         self.unanswered = 0  # questions since then that had no answer
-        self.ask_at = now  # when it may be asked again
+        self.asked_at = now  # when it was last asked about that, and may be asked again
+        self.ask_at = now
         self.confirmed = True  # more than one report that may be a late copy tells of it
         self.min_tenure = Tenure(0)  # reports of earlier sessions are late ones
         self.epoch = Epoch(0)
--- a/umberward/decisions/hearing.py
+++ b/umberward/decisions/hearing.py
@@ -19,6 +19,7 @@
 
 log = logger(__name__)
 
+AT_ONCE_S = 0.5  # a machine that reports is asked again so soon
 ASK_S = 1.0  # between two questions until it is decided
 SPARING_S = 5.0  # ... and from then on
 ANSWER_S = 4.0  # a worker waits so long for the answer to a report (PROTOCOL)
@@ -47,6 +48,13 @@
             machine.touched()
         self._ask(machine, now)
 
+    def returned(self, machine: Machine, now: Instant) -> None:
+        """It was silent, left a question unanswered, and reports again. How long it was silent says
+        nothing about how long it has not heard us."""
+        machine.doubted = None
+        machine.ask_at = now
+        self.doubt(machine, now, sure=True)
+
     def session_began(self, machine: Machine, now: Instant) -> None:
         """Its last session is over. Had our latest answer reached it, that would have lasted."""
         lasts = self.cluster.workers.lease_s - ANSWER_S
@@ -62,6 +70,7 @@
         if now - max(machine.session_at, machine.doubted) > self.lease_s:
             self.proved(machine, now)
         else:
+            machine.ask_at = min(machine.ask_at, Instant(machine.asked_at + AT_ONCE_S))
             self._ask(machine, now)
 
     def proved(self, machine: Machine, now: Instant) -> None:
@@ -129,6 +138,7 @@
         if machine.probing or machine.returning or now < machine.ask_at:
             return
         machine.probing = True
+        machine.asked_at = now
         machine.ask_at = Instant(now + (SPARING_S if machine.deaf else ASK_S))
         self.cluster.out.append(Probe(machine.id, machine.address))
 
--- a/umberward/decisions/reports.py
+++ b/umberward/decisions/reports.py
@@ -139,7 +139,7 @@
         machine.heard = self.cluster.heard = now
         if hello and machine.silent:
             # It left a question unanswered: that we hear it does not mean that it hears us.
-            self.hearing.doubt(machine, now, sure=True)
+            self.hearing.returned(machine, now)
         machine.silent = machine.lapsed = False
         machine.address = report.address
         if report.tenure > machine.tenure:
--- a/umberward/decisions/watch.py
+++ b/umberward/decisions/watch.py
@@ -189,8 +189,14 @@
             return
         known = [self.cluster.machines.get(id) for id in self.cluster.hushed]
         silent = [m for m in known if m is not None and m.silent and not m.returning]
-        # One that has reported since it left us without an answer is not dead (hearing.py).
-        silent = [m for m in silent if m.doubted is None or m.heard <= m.doubted]
+        # One that has reported since it left us without an answer, and of late, is not dead: it
+        # does not hear us (hearing.py).
+        lease_s = self.cluster.workers.lease_s
+        silent = [
+            m
+            for m in silent
+            if m.doubted is None or m.heard <= m.doubted or now - m.heard > lease_s
+        ]
         self.cluster.hushed = {m.id for m in silent}
         if not silent:
             return
