--- a/umberward/decisions/lateness.py
+++ b/umberward/decisions/lateness.py
@@ -69,13 +69,17 @@
             free_at: float = wall
             for job in members:
                 amount = job.need.accelerators if accelerated else job.need.cores
-                work = job.startable() * amount * self.cluster.estimate(job)
+                runs = self.cluster.estimate(job)
+                work = job.startable() * amount * runs
                 if rate <= 0:
                     continue
                 if wall - job.ready_at > AGED_S:
                     free_at += work / rate  # served first
-                else:
-                    waits.append(Wait(self.cluster.goal(job, wall), work / rate, job.id))
+                    continue
+                # Its last task starts while those that were started last still run: half of a
+                # run before all that work is done, as what runs now is half done on average.
+                start_by = self.cluster.goal(job, wall) + 0.5 * runs
+                waits.append(Wait(start_by, work / rate, job.id))
             self.late |= put_off(waits, free_at)
 
     def _rate(self, accelerated: bool, rank: int) -> float:
