--- a/umberward/decisions/cluster.py
+++ b/umberward/decisions/cluster.py
@@ -237,14 +237,18 @@
         """
         if job.service:
             return self.deadline(job)
-        if wall > job.goal_at or job.id in self.claims:
-            left = (start_by for start_by in self.goals(job) if start_by >= wall)
-            job.goal_at = next(left, math.inf)
-        if job.goal_at < math.inf:
+        if self.can_reach(job, wall):
             # To begin in time is a goal of its own: a late goal is no reason to wait for ever.
             return min(job.goal_at, max(self.deadline(job), job.ready_at + LATEST_S))
         return max(self.deadline(job), job.ready_at + AGED_S)
 
+    def can_reach(self, job: Job, wall: WallTime) -> bool:
+        """Whether it can still reach one of its goals; the next one is noted."""
+        if wall > job.goal_at or job.id in self.claims:
+            left = (start_by for start_by in self.goals(job) if start_by >= wall)
+            job.goal_at = next(left, math.inf)
+        return job.goal_at < math.inf
+
     def prompt(self, job: Job) -> bool:
         """Whether it needs accelerators and should have them soon after it comes."""
         aim = self.aims.get(job.spec.jobclass, (None, None))[0]
--- a/umberward/decisions/patience.py
+++ b/umberward/decisions/patience.py
@@ -3,9 +3,9 @@
 A machine with accelerators costs ten times as much for each core as one without, and several times
 as much when it is no spot machine. Two kinds of work never need that:
 
-- Work of the lowest rank. It uses dear machines where other work keeps them anyway: what
-  accelerated work leaves over, and the reserve. Else it would fill each that gets free, so that
-  none is ever empty and returned, and have more of them rented.
+- Work of the lowest rank, until it may miss a goal that it can still reach. It uses dear machines
+  where other work keeps them anyway: what accelerated work leaves over, and the reserve. Else it
+  would fill each that gets free, so that none is ever empty and returned, and have more rented.
 - Accelerated work that has a deadline and may use spot machines, as long as the cheap machines,
   taking it in the order of service, will have started it by when it must start. It leaves the
   reserve alone as well: what has to save first would hold up the work that the reserve is for.
@@ -19,8 +19,8 @@
 from collections.abc import Iterable, Mapping
 from typing import Any, NamedTuple
 
-from umberward.core.types import NOTHING, Amount, JobId, Offer
-from umberward.decisions.cluster import Cluster
+from umberward.core.types import NOTHING, Amount, JobId, Offer, WallTime
+from umberward.decisions.cluster import BEGIN_S, Cluster
 from umberward.decisions.fleet import Machine
 from umberward.decisions.jobs import Job
 from umberward.protocol import wire
@@ -28,6 +28,8 @@
 
 CHEAP = 1.5  # up to so many times the lowest price a machine is cheap for accelerated work
 FAIR = 2.0  # ... and to so many times the lowest price of ordinary ones, for the lowest rank
+LONG_S = 0.25 * BEGIN_S  # so long work of the lowest rank waits, or ...
+PATIENT_PART = 0.3  # ... for this part of the time in which it should start
 LEAST_S = 1.0
 LOWEST = max(wire.RANKS.values())
 
@@ -76,6 +78,8 @@
         accelerated = job.need.accelerators > 0
         if not accelerated and (job.rank < LOWEST or job.standing[0] == 0):
             continue  # what is guaranteed to a team has not to be cheap
+        if not accelerated and _pressed(cluster, job, wall):
+            continue
         kind = (job.kind, accelerated)
         if kind not in kinds:
             kinds[kind] = _cheap(cluster, job, accelerated)
@@ -91,6 +95,14 @@
     return found
 
 
+def _pressed(cluster: Cluster, job: Job, wall: float) -> bool:
+    """Whether it has waited so long for cheap machines that it may miss a goal that it can still
+    reach. What has missed all of them has no use for dear ones."""
+    waited = wall - job.ready_at
+    longest = max(LONG_S, PATIENT_PART * (cluster.deadline(job) - job.ready_at))
+    return waited > longest and cluster.can_reach(job, WallTime(wall))
+
+
 def _cheap(cluster: Cluster, job: Job, accelerated: bool) -> Cheap:
     """From the cloud's list, whether rented or not."""
     lowest = min(
