--- a/umberward/decisions/patience.py
+++ b/umberward/decisions/patience.py
@@ -20,7 +20,7 @@
 from typing import Any, NamedTuple
 
 from umberward.core.types import NOTHING, Amount, JobId, Offer, WallTime
-from umberward.decisions.cluster import BEGIN_S, Cluster
+from umberward.decisions.cluster import BEGIN_S, LATEST_S, Cluster
 from umberward.decisions.fleet import Machine
 from umberward.decisions.jobs import Job
 from umberward.protocol import wire
@@ -99,6 +99,8 @@
     """Whether it has waited so long for cheap machines that it may miss a goal that it can still
     reach. What has missed all of them has no use for dear ones."""
     waited = wall - job.ready_at
+    if waited > LATEST_S and not (job.began or job.placed):
+        return True  # it should begin, if only with some of its tasks
     longest = max(LONG_S, PATIENT_PART * (cluster.deadline(job) - job.ready_at))
     return waited > longest and cluster.can_reach(job, WallTime(wall))
 
