--- a/tests/test_regress.py
+++ b/tests/test_regress.py
@@ -163,3 +163,8 @@
 def test_what_was_cancelled_is_not_asked_for() -> None:
     log = [*LOG[:4], "3.0 n INFO umberward.control.users: cancelled_by_user job=req-1"]
     assert largest.read(log)[0] == largest.Largest("gang", 1, 1.0, 0.0)
+
+
+def test_a_cancellation_that_nobody_logged_counts_all_the_same() -> None:
+    assert largest.read(LOG[:4], {"gang": 1})[0].share == 0.0  # one of two is missing besides
+    assert largest.read(LOG[:5], {"gang": 1})[0] == largest.Largest("gang", 1, 1.0, 0.0)
--- a/tools/regress/__main__.py
+++ b/tools/regress/__main__.py
@@ -161,7 +161,10 @@
     wrong = [f"broken: {', '.join(sorted(found.rules_broken.by_kind))}"] if found.broken else []
     if served.judge(least):
         wrong.append(served.judge(least))
-    biggest = largest.read((done.stdout + done.stderr).splitlines())
+    biggest = largest.read(
+        (done.stdout + done.stderr).splitlines(),
+        {name: kind.cancelled for name, kind in found.classes.items()},
+    )
     if largest.judge(biggest):
         wrong.append(largest.judge(biggest))
     if found.processor_s > MARKED_S:
--- a/tools/regress/largest.py
+++ b/tools/regress/largest.py
@@ -9,7 +9,7 @@
 
 import math
 import re
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
 BEGIN_S = 240.0
@@ -29,8 +29,12 @@
     longest_s: float
 
 
-def read(lines: Iterable[str]) -> list[Largest]:
-    """From the log of a day, class by class."""
+def read(lines: Iterable[str], users_cancelled: Mapping[str, int] | None = None) -> list[Largest]:
+    """From the log of a day, class by class.
+
+    `users_cancelled`: how many of each class were, as the bench counts them. A controller that
+    ends before it can say so logs no cancellation.
+    """
     sizes: dict[str, dict[str, float]] = {}
     began: dict[str, float] = {}
     done: set[str] = set()
@@ -50,6 +54,11 @@
         elif fields.get("phase") == "done":
             done.add(id)
             began.setdefault(id, 0.0)  # its beginning fell between two leaders
+    for name, jobs in sizes.items():
+        lost = [id for id in jobs if id not in began and id not in done and id not in cancelled]
+        known = sum(1 for id in jobs if id in cancelled)
+        if len(lost) <= (users_cancelled or {}).get(name, 0) - known:
+            cancelled.update(lost)
     return [_judge(name, jobs, began, done, cancelled) for name, jobs in sorted(sizes.items())]
 
 
