--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -12,7 +12,7 @@
 from umberward.control.node import Node
 from umberward.control.peers import Told
 from umberward.core.settings import Operator, check
-from umberward.core.types import Instant, JobId, MachineId
+from umberward.core.types import Instant, JobId, MachineId, TaskId
 from umberward.decisions.lateness import Wait, put_off
 from umberward.decisions.relays import MOST, News
 from umberward.protocol.http import Request
@@ -122,3 +122,28 @@
     # Marks grow by doubling, so that a longer job needs no more of them in the same time; nothing
     # is written for each task.
     assert abs(large[0] - small[0]) <= 2 and large[0] <= 15
+
+
+def test_a_machine_with_the_address_of_one_that_is_gone() -> None:
+    """It carries out what was meant for the other: the task counts there, and is not started again
+    when the other is deleted."""
+    game = Play()
+    game.do_machine("m1", "small", "a")
+    game.do_lead()
+    game.do_run("2")
+    game.do_set("m1", "holding")
+    game.do_submit("req-000001", "runs=30")
+    game.do_run("0.3")
+    world, scheduler = game.world, game.world.scheduler
+    assert scheduler is not None
+    command = world.workers["m1"].held[0][0]
+    game.do_set("m1", "dead")
+    game.do_machine("m2", "small", "a")
+    game.do_run("2")
+    other = world.workers["m2"]
+    assert other.direct(command.epoch, command.tenure, command.orders)
+    scheduler.machines[MachineId("m1")].held[TaskId(JobId("req-000001"), 0)].tainted = 0
+    scheduler.commanded(command, other.report(), False, Instant(world.now))
+    game.do_run("15")
+    assert not world.broken
+    assert game.see_where("req-000001") == "m2" and game.see_starts("req-000001/0") == 1
