--- a/tools/regress/__main__.py
+++ b/tools/regress/__main__.py
@@ -9,7 +9,7 @@
 
 import click
 
-from tools.regress import entries, served, sites
+from tools.regress import entries, largest, served, sites
 from tools.regress.entries import Entry, Row
 
 KIT = Path("../given/kit")
@@ -130,7 +130,8 @@
     name = Path(day).stem.rpartition("x")[2] if day.endswith(".toml") else day
     report = site.with_name(f"{site.stem}-{Path(day).stem}.json")
     report.unlink(missing_ok=True)
-    words = [str(BENCH), "run", str(site), day, "--report", str(report), "--why", f"{why} ({name})"]
+    words = [str(BENCH), "run", str(site), day, "--report", str(report), "--log", "info"]
+    words += ["--why", f"{why} ({name})"]
     done = subprocess.run(words, check=False, capture_output=True, text=True)
     line = f"{site.stem:34}{name.partition('-')[2] or name:14}"
     if not report.exists():
@@ -141,11 +142,16 @@
     wrong = [f"broken: {', '.join(sorted(found.rules_broken.by_kind))}"] if found.broken else []
     if served.judge(least):
         wrong.append(served.judge(least))
+    biggest = largest.read((done.stdout + done.stderr).splitlines())
+    if largest.judge(biggest):
+        wrong.append(largest.judge(biggest))
     if found.processor_s > MARKED_S:
         wrong.append(f"over {MARKED_S:.0f} s")
     failed = found.broken or (least is not None and least.share < served.FAILED_PART)
+    failed = failed or bool(largest.judge(biggest))
     figure = _figure(done.stdout)
     part = "-" if least is None else f"{least.share:.2f} {least.who}"
+    part = f"{part}; largest {largest.summary(biggest)}"
     text = f"{line}{figure:>7}{found.processor_s:7.0f}  {part}  {'; '.join(wrong)}".rstrip()
     return text, failed
 
--- /dev/null
+++ b/tools/regress/largest.py
@@ -0,0 +1,92 @@
+"""How the largest jobs of each class fared on a day, from what the controllers logged. No I/O.
+
+The users' page asks that of a class's largest jobs too at least half is served and that they begin
+within four minutes, and does not say which these are. Here they are the tenth of a class with the
+most tasks times cores, at least one.
+"""
+
+from __future__ import annotations
+
+import math
+import re
+from collections.abc import Iterable
+from typing import NamedTuple
+
+BEGIN_S = 240.0
+PART = 0.1
+
+_EVENT = re.compile(r": (job_ready|job_began|job_ended|cancelled_by_user) (.*)")
+_FIELD = re.compile(r"(\w+)=(\S+)")
+
+
+class Largest(NamedTuple):
+    """Of one class: how many of its largest there were, which share of those not cancelled is done,
+    and after how many seconds the last of them began (infinite: one never did)."""
+
+    name: str
+    many: int
+    share: float
+    longest_s: float
+
+
+def read(lines: Iterable[str]) -> list[Largest]:
+    """From the log of a day, class by class."""
+    sizes: dict[str, dict[str, float]] = {}
+    began: dict[str, float] = {}
+    done: set[str] = set()
+    cancelled: set[str] = set()
+    for line in lines:
+        found = _EVENT.search(line)
+        if found is None:
+            continue
+        fields = dict(_FIELD.findall(found[2]))
+        id = fields.get("job", "")
+        if found[1] == "job_ready":
+            sizes.setdefault(fields["jobclass"], {})[id] = float(fields["size"])
+        elif found[1] == "job_began":
+            began[id] = min(began.get(id, math.inf), float(fields["waited_s"]))
+        elif found[1] == "cancelled_by_user":
+            cancelled.add(id)
+        elif fields.get("phase") == "done":
+            done.add(id)
+            began.setdefault(id, 0.0)  # its beginning fell between two leaders
+    return [_judge(name, jobs, began, done, cancelled) for name, jobs in sorted(sizes.items())]
+
+
+def _judge(
+    name: str,
+    sizes: dict[str, float],
+    began: dict[str, float],
+    done: set[str],
+    cancelled: set[str],
+) -> Largest:
+    order = sorted(sizes, key=lambda id: (-sizes[id], id))
+    chosen = order[: max(1, round(PART * len(order)))]
+    asked = [id for id in chosen if id not in cancelled]
+    # Services never end: what began is served.
+    ends = any(id in done for id in sizes)
+    served = [id for id in asked if id in (done if ends else began)]
+    share = len(served) / len(asked) if asked else 1.0
+    longest = max((began.get(id, math.inf) for id in asked), default=0.0)
+    return Largest(name, len(chosen), share, longest)
+
+
+def judge(found: Iterable[Largest]) -> str:
+    """What speaks against landing; empty: nothing."""
+    wrong = []
+    for one in found:
+        if one.share < 0.5:
+            wrong.append(f"failed: {one.share:.2f} of the largest of {one.name} served")
+        if one.longest_s > BEGIN_S:
+            wrong.append(f"one of the largest of {one.name} began after {one.longest_s:.0f} s")
+    return "; ".join(wrong)
+
+
+def summary(found: Iterable[Largest]) -> str:
+    """The least served and the longest wait to begin, in a few words."""
+    known = list(found)
+    if not known:
+        return "-"
+    least = min(known, key=lambda one: one.share)
+    longest = max(known, key=lambda one: one.longest_s)
+    return f"{least.share:.2f} {least.name}, began by {longest.longest_s:.0f} s {longest.name}"
--- a/umberward/decisions/jobs.py
+++ b/umberward/decisions/jobs.py
@@ -143,6 +143,7 @@
         self.mistaken = False  # fails wherever it is started: blamed for it
         self.fails_after = 0.0  # the longest that one of its tasks ran before it failed
         self.ran: set[int] = set()  # replicas that have run
+        self.began = False  # one of its tasks was seen running
         self.ran_well = False
         self.stopped_at = 0.0
         # Jobs of one class need the same kind of room: where one finds none, none does.
--- a/umberward/decisions/reports.py
+++ b/umberward/decisions/reports.py
@@ -347,6 +347,11 @@
             machine.note_image(ImageName(spec.bundle), spec.pull_gb, room)
         if phase == wire.RUNNING and placement.running_at is None:
             placement.running_at = now
+            if not job.began:
+                job.began = True
+                if not placement.adopted:
+                    waited = round(self.cluster.wall() - job.ready_at, 1)
+                    log.info("job_began", job=job.id, waited_s=waited)
             self._say_if_late(job, placement, now)
 
     def _say_if_late(self, job: Job, placement: Placement, now: Instant) -> None:
--- a/umberward/decisions/scheduler.py
+++ b/umberward/decisions/scheduler.py
@@ -262,6 +262,11 @@
         """The job's tasks may start from now on."""
         self.jobs[job.id] = self.unplaced[job.id] = job
         job.prompt = self.prompt(job)
+        if not job.marked:
+            log.info(
+                "job_ready", job=job.id, jobclass=job.spec.jobclass, tasks=job.size,
+                size=round(job.size * max(job.need.cores, job.need.accelerators), 1),
+            )  # fmt: skip
         self.want_grades = True
         self.want_pass = True
 
