--- /dev/null
+++ b/tests/controllers.py
@@ -0,0 +1,291 @@
+"""Several whole controllers against the loopback's stand-ins, on a clock that jumps.
+
+`Node` runs as it does in a process: its real membership, users, mirror, holder, relays and loans.
+State service, workers and cloud are those of `umberward/local`. Only sockets and time are played
+(`network.py`). Rules are checked ten times a second, on the workers' truth.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import random
+from collections.abc import Iterator, Mapping
+from typing import Any
+from unittest import mock
+
+import curio
+import msgspec
+from network import Clock, Jumping, Network, Trouble
+from rules import Rules
+from world import SKUS, raw_settings
+
+from umberward.control import node as node_module
+from umberward.control.node import Node
+from umberward.core.settings import Operator, check
+from umberward.core.types import Key, TypeName
+from umberward.local import servers
+from umberward.local.cloudcore import Capacity, CloudCore, Machine
+from umberward.local.servers import CloudServer, StateServer, WorkerServer
+from umberward.local.statecore import StateCore
+from umberward.local.workercore import Fate, WorkerCore
+from umberward.protocol import wire
+from umberward.protocol.changes import Got
+from umberward.protocol.http import NoAnswer, NotSent, Response
+from umberward.protocol.wire import PAST, Spec
+
+STEP_S = 0.1
+USERS_WAIT_S = 5.0
+POLL_WAIT_S = 2.0
+USERS_PATIENCE_S = 60.0
+KNOWN_S = 75.0  # troubles over, a job must be answered about within this time
+
+
+class Worker(WorkerCore):
+    """Its starts and completions are checked."""
+
+    rules: Controllers
+
+    def start(self, name: str, attempt: int) -> None:
+        self.rules.started(self, name, attempt)
+        super().start(name, attempt)
+
+    def _exit(self, task: Any, cause: str, stored: bool | None = None) -> None:
+        super()._exit(task, cause, stored)
+        if cause == wire.DONE:
+            self.rules.completed(task.name)
+
+
+class Controllers(Rules):
+    def __init__(self, size: int = 3, seed: int = 1, **workers: float) -> None:
+        """`workers`: fields of the settings' `cluster.workers` that differ."""
+        raw = raw_settings()
+        raw["cluster"]["size"] = size
+        raw["cluster"]["workers"].update(workers)
+        raw["cluster"]["machine_limits"]["sockets"] = 400
+        self.raw = raw
+        super().__init__(check(raw, Operator()).platform.cluster)
+        self.clock = Clock()
+        self.rng = random.Random(seed)
+        self.network = Network(self.clock, self.rng)
+        self.names = [f"k{number}" for number in range(size)]
+        self.listen = {n: self.network.address(n, 100 + i) for i, n in enumerate(self.names)}
+        self.peers = {n: self.network.address(n, 200 + i) for i, n in enumerate(self.names)}
+        self.states = [self.network.address("state", 300 + i) for i in range(size)]
+        self.cloud_at = self.network.address("cloud", 400)
+        self.nodes: dict[str, Node] = {}
+        self.tasks: dict[str, Any] = {}
+        self.running_workers: dict[str, Any] = {}
+        self.terms: list[tuple[str, int]] = []  # who won, with which token
+        self.unknown: dict[str, set[str]] = {}  # submitted without an answer
+        self.requested: set[str] = set()  # cancellations that users have asked for
+
+    # ---- the rules' view ---------------------------------------------------------------
+
+    @property
+    def now(self) -> float:  # type: ignore[override]
+        return self.clock.now
+
+    def kept(self) -> Mapping[Key, Got]:
+        return self.state.core.keys  # type: ignore[return-value]
+
+    def gone(self, worker: WorkerCore) -> bool:
+        return worker.host not in self.workers
+
+    # ---- as a whole --------------------------------------------------------------------
+
+    @contextlib.contextmanager
+    def playing(self) -> Iterator[Controllers]:
+        with contextlib.ExitStack() as stack:
+            stack.enter_context(self.clock.running())
+            stack.enter_context(mock.patch.object(node_module, "Client", self.network.client))
+            stack.enter_context(mock.patch.object(node_module, "Server", self.network.server))
+            stack.enter_context(mock.patch.object(servers, "Server", self.network.server))
+            stack.enter_context(mock.patch.object(servers, "LOOK_S", STEP_S))
+            self.kernel = stack.enter_context(curio.Kernel(selector=Jumping(self.clock)))
+            self.kernel.run(self._start)
+            yield self
+
+    async def _start(self) -> None:
+        limits = self.cluster.state
+        core = StateCore(int(limits.value_kb * 1024), limits.txn_ops)
+        self.state = StateServer(core, limits, self.states)
+        # No machine can be rented but those that a scenario names.
+        self.cloud_core = CloudCore(list(SKUS.values()), 5.0, self.rng, 1.0)
+        self.cloud_core.capacity = {
+            Capacity(sku.sku, zone, spot): 0
+            for sku in SKUS.values() for zone in sku.yards for spot in (True, False)
+        }  # fmt: skip
+        self.cloud = CloudServer(self.cloud_core, 20.0, self.cloud_at, self._deleted)
+        self.network.building = "user"
+        self.user = self.network.client()
+        for server in [*self.state.servers, self.cloud.server]:
+            await curio.spawn(server.run, daemon=True)
+        await curio.spawn(self._clockwork, daemon=True)
+
+    async def _clockwork(self) -> None:
+        while True:
+            revision = self.state.core.revision
+            if not self.state.down:
+                self.state.core.tick(self.now)
+            if self.state.core.revision != revision:
+                await self.state.notify()
+            self.cloud_core.tick(self.now)
+            for worker in self.workers.values():
+                worker.tick(self.now)
+            self.check_now()
+            await curio.sleep(STEP_S)
+
+    def run(self, seconds: float) -> None:
+        self.kernel.run(curio.sleep, seconds)
+
+    # ---- controllers -------------------------------------------------------------------
+
+    def start(self, name: str) -> None:
+        self.kernel.run(self._start_node, name)
+
+    async def _start_node(self, name: str) -> None:
+        number = self.names.index(name)
+        zones = self.raw["cluster"]["zones"]
+        raw = {
+            **self.raw, "label": name, "site": zones[number % len(zones)],
+            "listen": str(self.listen[name]), "peer_bind": str(self.peers[name]),
+            "endpoints": {"cloud": str(self.cloud_at), "state": str(self.states[number])},
+            "peers": [
+                {"label": n, "site": zones[i % len(zones)], "addr": str(self.peers[n])}
+                for i, n in enumerate(self.names) if n != name
+            ],
+        }  # fmt: skip
+        self.network.building = name
+        node = Node(check(raw, Operator(idle_seconds=86400.0)), self.clock)
+        node.rng.seed(self.rng.getrandbits(32))
+        elected = node.membership.elected
+
+        async def note(epoch: Any) -> None:
+            self.terms.append((name, epoch))
+            await elected(epoch)
+
+        node.membership.elected = note
+        self.nodes[name] = node
+        self.tasks[name] = await curio.spawn(node.run, daemon=True)
+
+    def crash(self, name: str) -> None:
+        """The process ends; what it has sent is under way."""
+        self.kernel.run(self._crash, name)
+
+    async def _crash(self, name: str) -> None:
+        node = self.nodes.pop(name, None)
+        if node is None:
+            return
+        for client in (node.client, node.upstream):
+            client.ended = True  # type: ignore[attr-defined]
+        if node.holder_task is not None:
+            await node.holder_task.cancel()
+        await self.tasks.pop(name).cancel()
+
+    def leader(self) -> str | None:
+        """Who leads by the state service."""
+        found = self.state.core.keys.get("leader")
+        return None if found is None else str(found.data["node"])
+
+    # ---- machines ----------------------------------------------------------------------
+
+    def machine(self, name: str, flavor: str, zone: str) -> None:
+        self.kernel.run(self._machine, name, flavor, zone)
+
+    async def _machine(self, name: str, flavor: str, zone: str) -> None:
+        sku = SKUS[TypeName(flavor)]
+        address = self.network.address(name, 1000 + len(self.running_workers))
+        self.cloud_core.machines[name] = Machine(name, sku, zone, False, self.now, self.now)
+        self.cloud_core.machines[name].address = str(address)
+        core = Worker(
+            name, str(address), sku, zone, False, self.cluster.workers, self.mates, self.describe,
+            self.fate, self.now,
+        )  # fmt: skip
+        core.rules = self
+        self.workers[name] = core
+        self.network.building = name
+        worker = WorkerServer(
+            core, self.listen, self.cluster.workers.report_s, self.network.client(), self.rng
+        )
+        self.running_workers[name] = await curio.spawn(worker.run, daemon=True)
+
+    def _deleted(self, machines: list[Machine]) -> None:
+        for machine in machines:
+            worker = self.workers.pop(machine.id, None)
+            if worker is not None:
+                worker.end_session()
+                self.network.troubles[f"gone {machine.id}"] = Trouble(machine.id, "*", "lost")
+
+    def fate(self, name: str, _: Spec) -> Fate:
+        return Fate(self.specs[name.split("/")[0]]["_runs"])
+
+    # ---- users -------------------------------------------------------------------------
+
+    def submit(self, spec: dict[str, Any], name: str) -> Response | None:
+        self.specs.setdefault(spec["uid"], spec)
+        response = self._users(name, "POST", "/v1/jobs", wire.encode(spec), USERS_WAIT_S)
+        if response is not None and response.status in (200, 201):
+            self.submitted.setdefault(spec["uid"], self.now)
+            self.check_phase(spec["uid"], response)
+        return response
+
+    def poll(self, id: str, name: str) -> Response | None:
+        response = self._users(name, "GET", f"/v1/jobs/{id}", b"", POLL_WAIT_S)
+        self._heard(id, response)
+        return response
+
+    def cancel(self, id: str, name: str) -> Response | None:
+        """Asked once; who is not answered asks again."""
+        self.requested.add(id)
+        response = self._users(name, "POST", f"/v1/jobs/{id}/cancel", b"", USERS_WAIT_S)
+        if self._heard(id, response) == wire.CANCELLED:
+            past = self.kept().get(Key(PAST + id))
+            if past is None or past.data["phase"] != wire.CANCELLED:
+                self.broken.append(f"{id} is called cancelled and was not committed")
+            self.cancelled.setdefault(id, self.now)
+        return response
+
+    def _heard(self, id: str, response: Response | None) -> str | None:
+        if response is None:
+            return None
+        if response.status == 404 and id not in self.submitted:
+            return None
+        phase = self.check_phase(id, response)
+        if phase == wire.CANCELLED and id not in self.requested:
+            self.broken.append(f"went_back: nobody has cancelled {id}")
+        return phase
+
+    def _users(
+        self, name: str, method: str, target: str, body: bytes, wait: float
+    ) -> Response | None:
+        async def ask() -> Response | None:
+            try:
+                found: Response = await self.user.request(
+                    self.listen[name], method, target, body, wait
+                )
+                return found
+            except (NotSent, NoAnswer):
+                return None
+
+        made: Response | None = self.kernel.run(ask)
+        return made
+
+    def known_by_all(self, seconds: float = KNOWN_S) -> None:
+        """Troubles are over: about each accepted job every controller answers in time."""
+        until = self.now + seconds
+        asked = [(id, name) for id in self.submitted for name in self.nodes]
+        while asked and self.now < until:
+            left = []
+            for id, name in asked:
+                response = self.poll(id, name)
+                if response is None or response.status != 200:
+                    left.append((id, name))
+            asked = left
+            if asked:
+                self.run(1.0)
+        self.broken += [f"forgotten: {id}, asked of {name}" for id, name in asked]
+
+    def phase(self, response: Response | None) -> str:
+        if response is None or response.status != 200:
+            return "none"
+        return str(msgspec.msgpack.decode(response.body)["phase"])
--- a/tests/guards.py
+++ b/tests/guards.py
@@ -9,7 +9,9 @@
 import pytest
 
 from umberward.control import hints, holder, mirror, users
+from umberward.control.membership import Membership
 from umberward.control.mirror import Mirror
+from umberward.control.peers import Peers
 from umberward.control.users import Users
 from umberward.core.types import JobId
 from umberward.decisions import (
@@ -33,7 +35,7 @@
 from umberward.decisions.quota import Quota
 from umberward.decisions.reports import Reports
 from umberward.decisions.scheduler import Scheduler
-from umberward.decisions.tending import Borrower, Lender
+from umberward.decisions.tending import Borrower, Bounds, Lender
 from umberward.decisions.thrift import Thrift
 from umberward.decisions.watch import Watch
 from umberward.decisions.writer import Writer
@@ -51,7 +53,7 @@
 
 def loan_bound(patch: pytest.MonkeyPatch) -> None:
     def session_over(self: Lender, zone: Any, answered: Any, lent: Any, now: Any) -> bool:
-        return bool(now - answered > self.lease_s)
+        return bool(now - answered > self.bounds.lease_s)
 
     patch.setattr(Lender, "session_over", session_over)
 
@@ -61,7 +63,7 @@
 
     def init(self: Borrower, *args: Any) -> None:
         whole(self, *args)
-        self.span_s = 40.0
+        self.bounds.tend_s = 40.0
 
     patch.setattr(Borrower, "__init__", init)
 
@@ -515,7 +517,43 @@
     patch.setattr(Provisioner, "_for_gang", anywhere)
 
 
+def knows_cancellations(patch: pytest.MonkeyPatch) -> None:
+    """As if a granted renewal proved that nothing unknown was cancelled."""
+
+    def may_answer(self: Bounds, known: Any, held: Any, now: Any) -> bool:
+        return known is not None and now < held + self.tend_s
+
+    patch.setattr(Bounds, "may_answer", may_answer)
+
+
+def fresh_knows_nothing(patch: pytest.MonkeyPatch) -> None:
+    whole = Membership.may_answer
+
+    def may_answer(self: Membership, known: Any) -> bool:
+        return whole(self, self.good if known is None else known)
+
+    patch.setattr(Membership, "may_answer", may_answer)
+
+
+def tending_ends(patch: pytest.MonkeyPatch) -> None:
+    whole = Bounds.__init__
+
+    def init(self: Bounds, workers: Any) -> None:
+        whole(self, workers)
+        self.tend_s = 60.0
+
+    patch.setattr(Bounds, "__init__", init)
+
+
+def tells_others(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(Peers, "announce", lambda *_: None)
+
+
 GUARDS: dict[str, Patch] = {
+    "tells-others": tells_others,
+    "knows-cancellations": knows_cancellations,
+    "fresh-knows-nothing": fresh_knows_nothing,
+    "tending-ends": tending_ends,
     "cheap-only": cheap_only,
     "one-zone": one_zone,
     "readable-or-known": readable_or_known,
--- /dev/null
+++ b/tests/network.py
@@ -0,0 +1,192 @@
+"""A network in memory and a clock that jumps, for whole controllers in one process.
+
+`Server` and `Client` here take the place of those of `umberward.protocol.http`, so that all that is
+above them runs as it does on sockets. Every link has a state for each direction: a message may be
+refused, lost, held until the link is whole again, or late.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+import selectors
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from typing import Any, NamedTuple
+from unittest import mock
+
+import curio
+
+from umberward.core.types import Address
+from umberward.protocol.http import Handler, NoAnswer, NotSent, Request, Response
+
+TRIP_S = 0.001
+LOOK_S = 0.05  # how often a held message looks whether its link is whole
+
+
+class Clock:
+    """Stands still while anything can run, and jumps to the next moment at which something can."""
+
+    def __init__(self) -> None:
+        self.now = 1000.0
+
+    def __call__(self) -> float:
+        return self.now
+
+    @contextmanager
+    def running(self) -> Iterator[None]:
+        with mock.patch("time.monotonic", self), mock.patch("time.time", self):
+            yield
+
+
+class Jumping(selectors.DefaultSelector):
+    """curio's waiting is the clock's jump."""
+
+    def __init__(self, clock: Clock) -> None:
+        super().__init__()
+        self.clock = clock
+
+    def select(self, timeout: float | None = None) -> list[Any]:
+        if timeout is None:
+            raise RuntimeError("everybody waits for somebody else")
+        self.clock.now += max(0.0, timeout)
+        return []
+
+
+class Trouble(NamedTuple):
+    """What befalls messages from `src` to `dst` whose target begins with `path`, and their answers
+    if it is the other way round.
+
+    `what`: "refuse", "lost" or "hold"; or they come late by a time between `least` and `most`
+    seconds, those of a share `share` of them. A name that ends with `*` stands for all that begin
+    so.
+    """
+
+    src: str
+    dst: str
+    what: str
+    path: str = ""
+    least: float = 0.0
+    most: float = 0.0
+    share: float = 1.0
+
+    def meets(self, src: str, dst: str, target: str) -> bool:
+        return _matches(self.src, src) and _matches(self.dst, dst) and target.startswith(self.path)
+
+
+def _matches(pattern: str, name: str) -> bool:
+    return name.startswith(pattern[:-1]) if pattern.endswith("*") else name == pattern
+
+
+class Network:
+    def __init__(self, clock: Clock, rng: random.Random) -> None:
+        self.clock = clock
+        self.rng = rng
+        self.owners: dict[Address, str] = {}
+        self.serving: dict[Address, Server] = {}
+        self.troubles: dict[str, Trouble] = {}
+        self.copied: dict[str, tuple[float, float, float]] = {}  # owner -> share, from, to
+        self.building = ""  # whose clients are made now
+
+    def client(self, _: Any = None) -> Client:
+        return Client(self, self.building)
+
+    def server(self, address: Address, handler: Handler, *_: Any) -> Server:
+        return Server(self, address, handler)
+
+    def address(self, owner: str, port: int) -> Address:
+        made = Address("127.0.0.1", port)
+        self.owners[made] = owner
+        return made
+
+    def _met(self, src: str, dst: str, target: str) -> Iterator[Trouble]:
+        return (one for one in self.troubles.values() if one.meets(src, dst, target))
+
+    def refuses(self, src: str, dst: str, target: str) -> bool:
+        return any(one.what == "refuse" for one in self._met(src, dst, target))
+
+    async def pass_on(self, src: str, dst: str, target: str) -> bool:
+        """Wait as long as the message is under way; False: it is lost."""
+        late = TRIP_S
+        for one in self._met(src, dst, target):
+            if one.what == "lost":
+                return False
+            if one.what == "late" and self.rng.random() < one.share:
+                late = max(late, self.rng.uniform(one.least, one.most))
+        await curio.sleep(late)
+        while any(one.what == "hold" for one in self._met(src, dst, target)):
+            await curio.sleep(LOOK_S)
+        return True
+
+
+class Server:
+    def __init__(self, network: Network, address: Address, handler: Handler) -> None:
+        self.network = network
+        self.address = address
+        self.handler = handler
+
+    async def run(self) -> None:
+        self.network.serving[self.address] = self
+        try:
+            await curio.sleep(math.inf)
+        finally:
+            if self.network.serving.get(self.address) is self:
+                del self.network.serving[self.address]
+
+    async def name(self, peer: Any, name: str) -> None:
+        """Connections are not played."""
+
+
+class Client:
+    def __init__(self, network: Network, owner: str) -> None:
+        self.network = network
+        self.owner = owner
+        self.ended = False  # its process is
+
+    async def request(
+        self, address: Address, method: str, target: str, body: bytes = b"", timeout: float = 2.0,
+        fresh: bool = False, still: Callable[[], bool] | None = None,
+    ) -> Response:  # fmt: skip
+        network = self.network
+        there = network.owners.get(address, "nobody")
+        path, _, query = target.partition("?")
+        if address not in network.serving or network.refuses(self.owner, there, target):
+            await curio.sleep(TRIP_S)
+            raise NotSent(f"{address}: refused")
+        if self.ended or still is not None and not still():
+            raise NotSent(f"{method} {address}: no longer ours to say")
+        answered = curio.Event()
+        answers: list[Response] = []
+
+        async def carry() -> None:
+            if await network.pass_on(self.owner, there, target):
+                server = network.serving.get(address)
+                if server is None:
+                    return
+                response = await server.handler(Request(method, path, query, body))
+                # A process that has ended since says nothing.
+                if network.serving.get(address) is server and await network.pass_on(
+                    there, self.owner, target
+                ):
+                    answers.append(response)
+                    await answered.set()
+
+        await curio.spawn(carry, daemon=True)
+        if path == "/hello" and self.owner in network.copied:
+            await curio.spawn(self._copy, address, Request(method, path, query, body), daemon=True)
+        await curio.ignore_after(timeout, answered.wait)
+        if not answers:
+            raise NoAnswer(f"{method} {address}: no answer")
+        return answers[0]
+
+    async def _copy(self, address: Address, request: Request) -> None:
+        """The same report comes once more, long after; nobody waits for an answer."""
+        share, least, most = self.network.copied[self.owner]
+        if self.network.rng.random() < share:
+            await curio.sleep(self.network.rng.uniform(least, most))
+            server = self.network.serving.get(address)
+            if server is not None:
+                await server.handler(request)
+
+    async def forget(self, address: Address) -> None:
+        """Connections are not played."""
--- /dev/null
+++ b/tests/test_meetings.py
@@ -0,0 +1,151 @@
+"""Two troubles that meet, with whole controllers (`controllers.py`).
+
+The files of tests/scenarios/meetings are played by the one runner; docs/meetings.md says of each
+what meets there. A controller is named by its place (`k0`) or by what `call` has named it.
+"""
+
+from __future__ import annotations
+
+import contextlib
+from pathlib import Path
+from typing import Any
+
+import pytest
+from controllers import USERS_PATIENCE_S, Controllers
+from guards import GUARDS
+from network import Trouble
+from test_scenarios import Failed, Play, _guard, _pairs, play
+
+FILES = sorted((Path(__file__).parent / "scenarios/meetings").glob("*.txt"))
+
+
+class MeetingPlay(Play):
+    world: Controllers  # type: ignore[assignment]
+
+    def __init__(self) -> None:
+        self.world = Controllers()
+        self.called: dict[str, str] = {}
+        self.last: Any = None
+        self.open = contextlib.ExitStack()
+
+    def __enter__(self) -> MeetingPlay:
+        return self
+
+    def __exit__(self, *_: Any) -> None:
+        self.open.close()
+
+    # ---- the world ---------------------------------------------------------------------
+
+    def do_cluster(self, size: str, *words: str) -> None:
+        """So many controllers, which start one after the other; other settings of the workers."""
+        given = {name: float(value) for name, value in _pairs(list(words)).items()}
+        seed = int(given.pop("seed", 1))
+        self.world = Controllers(int(size), seed, **given)
+        self.open.enter_context(self.world.playing())
+        for name in self.world.names:
+            self.world.start(name)
+
+    def do_call(self, name: str, called: str) -> None:
+        """`call leader old`; `call other new`: one that does not lead and has no name yet."""
+        leader = self.world.leader()
+        if name == "leader":
+            assert leader is not None
+            self.called[called] = leader
+            return
+        taken = {leader, *self.called.values()}
+        self.called[called] = next(n for n in self.world.names if n not in taken)
+
+    def _name(self, word: str) -> str:
+        return self.called.get(word, word)
+
+    def do_machine(self, name: str, flavor: str, zone: str, *kind: str) -> None:
+        self.world.machine(name, flavor, zone)
+
+    def do_crash(self, name: str = "") -> None:
+        self.world.crash(self._name(name))
+
+    def do_back(self, name: str) -> None:
+        self.world.start(self._name(name))
+
+    def do_refuse(self, name: str, what: str) -> None:
+        """The state service refuses this controller alone."""
+        number = self.world.names.index(self._name(name))
+        (self.world.state.refused.add if what == "on" else self.world.state.refused.discard)(number)
+
+    def do_state(self, mode: str) -> None:
+        self.world.state.set_down(mode == "down")
+
+    def do_trouble(self, label: str, src: str, dst: str, what: str, *words: str) -> None:
+        """`trouble NAME FROM TO refuse|lost|hold|late [path=/do] [least=2] [most=12] [share=1]`"""
+        given = _pairs(list(words))
+        path = given.pop("path", "")
+        times = {name: float(value) for name, value in given.items()}
+        self.world.network.troubles[label] = Trouble(
+            self._name(src), self._name(dst), what, path, **times
+        )
+
+    def do_clear(self, label: str) -> None:
+        del self.world.network.troubles[label]
+
+    def do_copies(self, name: str, share: str, least: str, most: str) -> None:  # type: ignore[override]
+        """Of that share of the machine's reports a copy comes again, so many seconds later."""
+        self.world.network.copied[name] = (float(share), float(least), float(most))
+
+    # ---- users -------------------------------------------------------------------------
+
+    def do_submit(self, id: str, name: str, *words: str) -> None:  # type: ignore[override]
+        self.last = self.world.submit(self._spec(id, words), self._name(name))
+
+    def do_poll(self, id: str, name: str) -> None:  # type: ignore[override]
+        self.last = self.world.poll(id, self._name(name))
+
+    def do_cancel(self, id: str, name: str) -> None:  # type: ignore[override]
+        """Until it is answered, as its user does."""
+        until = self.world.now + USERS_PATIENCE_S
+        while self.world.now < until:
+            self.last = self.world.cancel(id, self._name(name))
+            if self.last is not None and self.last.status == 200:
+                return
+            self.world.run(1.0)
+
+    def do_cancel_once(self, id: str, name: str) -> None:
+        self.last = self.world.cancel(id, self._name(name))
+
+    def do_known(self) -> None:
+        """Troubles are over: each controller answers about each job in time."""
+        self.world.known_by_all()
+
+    # ---- expectations ------------------------------------------------------------------
+
+    def see_phase(self) -> str:
+        return self.world.phase(self.last)
+
+    def see_leader(self) -> str:
+        leader = self.world.leader()
+        return next((n for n, known in self.called.items() if known == leader), str(leader))
+
+    def see_terms(self) -> int:
+        return len(self.world.terms)
+
+
+def play_meeting(path: Path) -> None:
+    with contextlib.ExitStack() as stack:
+
+        def make() -> MeetingPlay:
+            return stack.enter_context(MeetingPlay())
+
+        play(path, make)
+
+
+@pytest.mark.parametrize("path", FILES, ids=lambda path: path.stem)
+def test_meeting(path: Path) -> None:
+    play_meeting(path)
+
+
+@pytest.mark.parametrize("path", [p for p in FILES if _guard(p)], ids=lambda path: path.stem)
+def test_fails_without_its_guard(path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    name = _guard(path)
+    assert name is not None
+    GUARDS[name](monkeypatch)
+    with pytest.raises(Failed):
+        play_meeting(path)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -54,6 +54,7 @@
         rng,
         lambda: None,
         _nothing,
+        _nothing,
         _nothing,  # type: ignore[arg-type]
     )
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 import curio
+from rules import Rules
 
 from umberward.clients import state
 from umberward.control import hints, holder
@@ -34,10 +35,10 @@
 from umberward.decisions.cluster import Command, Probe
 from umberward.decisions.provision import Provisioner
 from umberward.decisions.scheduler import Scheduler
-from umberward.decisions.tending import Borrower
+from umberward.decisions.tending import Borrower, Bounds
 from umberward.local import statecore
 from umberward.local.statecore import StateCore
-from umberward.local.workercore import Fate, Mates, Task, WorkerCore
+from umberward.local.workercore import Fate, Task, WorkerCore
 from umberward.protocol import changes, wire
 from umberward.protocol.changes import Got
 from umberward.protocol.http import Response
@@ -217,25 +218,18 @@
             self.world.completed(task.name)
 
 
-class World:
+class World(Rules):
+    workers: dict[str, Worker]  # type: ignore[assignment]
+
     def __init__(self, raw: dict[str, Any] | None = None) -> None:
         self.settings = check(raw or raw_settings(), Operator())
+        super().__init__(self.settings.platform.cluster)
         self.now = 100.0
         self.store = FakeState()
-        self.workers: dict[str, Worker] = {}
-        self.specs: dict[str, dict[str, Any]] = {}
         self.scheduler: Scheduler | None = None
         self.provisioner: Provisioner | None = None
         self.epoch = 0
         self.seen_revision = 0
-        self.mates = Mates()
-        self.described: dict[str, Spec] = {}
-        self.cancelled: dict[str, float] = {}
-        self.ended: dict[str, str] = {}
-        self.broken: list[str] = []
-        self.starts: dict[str, int] = {}
-        self.submitted: dict[str, float] = {}
-        self.began: dict[str, float] = {}  # from a job's submission to its first start
         self.placing = True
         self.watching = True
         self.cloud_up = True
@@ -250,7 +244,7 @@
         self.former: list[Scheduler] = []
         times = self.settings.platform.cluster.workers
         self.led_since = self.now
-        self.tend_s = times.cancel_s - times.lease_s - 1.5  # for so long the former one answers
+        self.tend_s = Bounds(times).tend_s  # for so long the former one answers
         # The other controllers, with the zone of each, and the zones that are cut off.
         self.borrowers = {
             peer.label: (peer.site, Borrower(self.settings.platform.cluster.workers))
@@ -318,6 +312,12 @@
         made.load_done()
         self.seen_revision = self.store.revision
 
+    def kept(self) -> dict[Key, Got]:
+        return self.store.keys  # type: ignore[return-value]
+
+    def gone(self, worker: Worker) -> bool:  # type: ignore[override]
+        return worker.dead
+
     def cut_zone(self, zone: str, cut: bool) -> None:
         """The zone's workers and controllers reach each other and nobody else."""
         self.apart = self.apart | {zone} if cut else self.apart - {zone}
@@ -346,12 +346,12 @@
         if response.status in (200, 201) and isinstance(spec, dict):
             self.specs.setdefault(spec["uid"], spec)
             self.submitted.setdefault(spec["uid"], self.now)
-            self._check_phase(spec["uid"], response)
+            self.check_phase(spec["uid"], response)
         return response
 
     def poll(self, id: str) -> Response:
         response = self._serve(self.users.poll, JobId(id))
-        self._check_phase(id, response)
+        self.check_phase(id, response)
         return response
 
     def poll_at_once(self, id: str, times: int) -> int:
@@ -381,7 +381,7 @@
 
     def cancel(self, id: str) -> Response:
         response = self._serve(self.users.cancel, JobId(id))
-        if response.status == 200 and self._check_phase(id, response) == wire.CANCELLED:
+        if response.status == 200 and self.check_phase(id, response) == wire.CANCELLED:
             self.cancelled.setdefault(id, self.now)
         return response
 
@@ -427,7 +427,7 @@
             response = await self.users.cancel(JobId(id))
             await running.cancel()
             self.mirror, self.users = mirror, users
-            assert self._check_phase(id, response) == wire.CANCELLED
+            assert self.check_phase(id, response) == wire.CANCELLED
             self.cancelled[id] = self.now
             self.now += seconds
 
@@ -443,21 +443,6 @@
         made: Response = curio.run(serve)
         return made
 
-    def _check_phase(self, id: str, response: Response) -> str | None:
-        if response.status != 200:
-            if response.status == 404 and id in self.specs:
-                self.broken.append(f"forgotten: {id}")
-            return None
-        phase: str = _decode(response.body)["phase"]
-        for need in self.specs.get(id, {}).get("waits_on") or ():
-            if self.ended.get(need) == wire.CANCELLED and phase != wire.CANCELLED:
-                self.broken.append(f"orphaned: {id} is {phase}, {need} was cancelled")
-        if id in self.ended and phase != self.ended[id]:
-            self.broken.append(f"went_back: {id} was {self.ended[id]}, is {phase}")
-        if phase in (wire.DONE, wire.CANCELLED):
-            self.ended[id] = phase
-        return phase
-
     # ---- time --------------------------------------------------------------------------
 
     def run(self, seconds: float) -> None:
@@ -477,7 +462,7 @@
                 records.take_changes(scheduler, self.store.core.news("", self.seen_revision))
                 self._look_up(scheduler)
                 self.seen_revision = self.store.revision
-                scheduler.current = now
+                scheduler.known = now
             if self.store.mode != "down":
                 self._lend(scheduler, now)
             scheduler.tick(now)
@@ -503,7 +488,8 @@
         for name, (zone, borrower) in self.borrowers.items():
             if zone not in self.apart and now - borrower.asked >= 1.0:
                 loan = scheduler.lend(NodeName(name), borrower.serial, borrower.idle, now)
-                borrower.keep(loan, now, now)
+                if loan is not None:
+                    borrower.keep(loan, now, now)
 
     def _sweep(self, scheduler: Scheduler, now: Instant) -> None:
         if now < self.sweep_at or self.store.mode == "down" or not scheduler.loaded:
@@ -637,63 +623,6 @@
         worker.direct(command.epoch, command.tenure, command.orders)
         return worker.report()
 
-    def describe(self, job: str) -> Spec | None:
-        """A job's description, as its user has uploaded it."""
-        if job not in self.described and job in self.specs:
-            known = Spec.__struct_fields__
-            plain = {name: value for name, value in self.specs[job].items() if name in known}
-            # Here images are at hand, and what is saved is another matter.
-            plain["pull_gb"] = 0.0
-            self.described[job] = wire.converted(plain, Spec)
-        return self.described.get(job)
-
-    def fate(self, name: str, _: Spec) -> Fate:
-        spec = self.specs[name.split("/")[0]]
-        if spec.get("_mistaken"):
-            return Fate(0.0, "error")
-        return Fate(spec["_runs"])
-
-    def completed(self, name: str) -> None:
-        self.specs[name.split("/")[0]].setdefault("_done", set()).add(name)
-
-    def started(self, worker: Worker, name: str, attempt: int) -> None:
-        """What the rules say of a start."""
-        id = name.split("/")[0]
-        spec = self.specs[id]
-        if name in spec.get("_done", ()):
-            self.broken.append(f"{name} started again after it was done")
-        self.starts[name] = self.starts.get(name, 0) + 1
-        self.began.setdefault(id, self.now - self.submitted.get(id, self.now))
-        for need in spec.get("waits_on") or ():
-            past = self.store.keys.get(Key(PAST + need))
-            if past is None or past.data["phase"] != wire.DONE:
-                self.broken.append(f"too_early: {name} started before {need} was done")
-        for other in self.workers.values():
-            if name in other.alive and not other.dead:
-                self.broken.append(f"ran_twice: {name} on {other.host} and {worker.host}")
-        if id in self.cancelled and self.now - self.cancelled[id] > 25.0:
-            self.broken.append(f"ran_cancelled: {name}")
-        self._check_place(worker, spec, name)
-
-    def _check_place(self, worker: Worker, spec: dict[str, Any], name: str) -> None:
-        id = spec["uid"]
-        zones = [
-            w.zone
-            for w in self.workers.values()
-            for t in w.alive.values()
-            if t.name.split("/")[0] == id and not w.dead
-        ]
-        if spec.get("flavors") and worker.sku.sku not in spec["flavors"]:
-            self.broken.append(f"wrong_place: {name} on a {worker.sku.sku}")
-        if spec.get("yard") and worker.zone != spec["yard"]:
-            self.broken.append(f"wrong_place: {name} in {worker.zone}")
-        if worker.spot and not spec["reclaimable"]:
-            self.broken.append(f"wrong_place: {name} on a spot machine")
-        if spec["same_place"] and any(zone != worker.zone for zone in zones):
-            self.broken.append(f"wrong_place: {name} not with the others")
-        if spec["apart"] and zones.count(worker.zone) >= (spec["shards"] + 1) // 2:
-            self.broken.append(f"wrong_place: too many of {id} in {worker.zone}")
-
     def _check_ready(self) -> None:
         """What was kept of the machines from pass to pass is what a look at all of them finds."""
         scheduler = self.scheduler
@@ -714,26 +643,7 @@
     def _check(self) -> None:
         self._check_sessions()
         self._check_ready()
-        used: dict[str, float] = {}
-        for worker in self.workers.values():
-            if worker.dead:
-                continue
-            for name in worker.alive:
-                id = name.split("/")[0]
-                spec = self.specs[id]
-                used[spec["owner"]] = used.get(spec["owner"], 0.0) + spec["cores"]
-                if id in self.cancelled and self.now - self.cancelled[id] > 25.0:
-                    self.broken.append(f"ran_cancelled: {name}")
-        for team in self.settings.platform.cluster.teams:
-            if 0 < team.cpus_max < used.get(team.name, 0.0) - 1e-6:
-                self.broken.append(f"quota: {team.name} uses {used[team.name]}")
-        for key in self.store.keys:
-            if key.startswith(PAST) and self.store.keys[key].data["phase"] == wire.DONE:
-                spec = self.specs.get(key[len(PAST) :])
-                if spec is None:
-                    continue  # a record that the scenario wrote itself
-                if len(spec.get("_done", ())) < spec["shards"] and spec["shape"] != wire.GANG:
-                    self.broken.append(f"not_done: {spec['uid']}")
+        self.check_now()
 
     def _check_blocks(self) -> None:
         stored = {
@@ -745,18 +655,3 @@
         self.blocked = (self.blocked | stored) & set(self.workers)
         for name in self.blocked - stored:
             self.broken.append(f"{name} stands in no block any more")
-
-    def running(self, id: str) -> list[tuple[str, str]]:
-        return [
-            (name, worker.host)
-            for worker in self.workers.values()
-            if not worker.dead
-            for name in worker.alive
-            if name.split("/")[0] == id
-        ]
-
-
-def _decode(body: bytes) -> Any:
-    import msgspec
-
-    return msgspec.msgpack.decode(body)
--- a/umberward/control/holder.py
+++ b/umberward/control/holder.py
@@ -57,7 +57,7 @@
 STORE_HINTS_S = 3.0
 STORED_AGE_S = 15.0  # how old stored hints are taken to be
 REFUSED_S = 2.0  # a write that was refused as it is will be refused again
-WATCH_S = 2.0  # how old our knowledge of the jobs may become while nothing changes
+WATCH_S = 0.5  # how old our knowledge of the jobs becomes while nothing changes
 LOOKUP_S = 0.2  # how often ends that were not seen are looked up
 SWEEP_S = 2.0  # how often a page of the live jobs is compared with what is known
 SWEPT = 50  # ... of so many
@@ -80,6 +80,13 @@
     report: Report | None
 
 
+class Listed(NamedTuple):
+    """All live jobs, as they stood in the state service at the moment `asked` or later."""
+
+    entries: list[wire.Entry]
+    asked: Instant
+
+
 class Changes(NamedTuple):
     """All changes that stood in the state service at the moment `asked`, and maybe more."""
 
@@ -95,6 +102,12 @@
     idle: bool
 
 
+class CancelledElsewhere(NamedTuple):
+    """Another controller has told its users so; the state service may not have told us yet."""
+
+    ids: list[JobId]
+
+
 class Ended(NamedTuple):
     """What became of a job was looked up."""
 
@@ -200,8 +213,9 @@
                             await self._stored_hints()
                     if self.keeper is not None and not self.scheduler.loaded:
                         await self.keeper.load()
+                    asked = _now()
                     entries, after = await self.store.entries(LIVE)
-                    await self.ask(entries)
+                    await self.ask(Listed(entries, asked))
                 asked = _now()
                 news, after = await self.store.watch(JOBS, after, WATCH_S)
                 await self.tell(Changes(news, asked))
@@ -237,7 +251,7 @@
             scheduler.probed(message.probe, message.report, now)
         elif isinstance(message, Changes):
             records.take_changes(scheduler, message.changes)
-            scheduler.current = message.asked
+            self._known(message.asked)
         elif isinstance(message, Lend):
             answer = scheduler.lend(*message, now) if self.membership.leading() else None
         elif isinstance(message, Swept):
@@ -245,10 +259,17 @@
             scheduler.mend(now)
         elif isinstance(message, Missed):
             records.take_missed(scheduler, message.id, message.found, now)
+        elif isinstance(message, CancelledElsewhere):
+            # This ends what runs, and proves nothing about what else was cancelled.
+            for id in message.ids:
+                if scheduler.knows(id):
+                    log.info("cancelled_elsewhere", job=id)
+                    scheduler.job_gone(id)
         elif isinstance(message, Ended):
             records.take_end(scheduler, message.id, message.data)
-        elif isinstance(message, list):
-            self._load_jobs(message)
+        elif isinstance(message, Listed):
+            self._load_jobs(message.entries)
+            self._known(message.asked)
         elif self.keeper is not None and self.keeper.takes(message):
             pass
         elif isinstance(message, Tick):
@@ -274,6 +295,10 @@
         await self._flush()
         return answer
 
+    def _known(self, asked: Instant) -> None:
+        """Of all that was cancelled before we asked we have been told."""
+        self.scheduler.known = max(asked, self.scheduler.known or asked)
+
     def _load_jobs(self, entries: list[wire.Entry]) -> None:
         listed = set()
         for entry in entries:
--- a/umberward/control/membership.py
+++ b/umberward/control/membership.py
@@ -14,6 +14,7 @@
 from umberward.core.log import logger
 from umberward.core.settings import Settings
 from umberward.core.types import Epoch, Instant, Key, LeaseId, NodeName, Revision, Stamp
+from umberward.decisions.tending import Bounds
 from umberward.protocol import changes, wire
 
 log = logger(__name__)
@@ -21,6 +22,7 @@
 LEADER = Key("leader")
 DRIFT = 0.999
 MARGIN_S = 0.15
+LEAST_TEND_S = 3.0  # a shorter time is used up by renewals and readings of every day
 RETURN_REST_S = 1.0  # for so long a restarted leader leaves its place to the others
 
 
@@ -34,16 +36,23 @@
         rng: random.Random,
         elected: Callable[[Epoch], Awaitable[None]],
         lost: Callable[[], Awaitable[None]],
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
+        """`clock`: steady, in seconds."""
         platform = settings.platform
         self.me = NodeName(platform.label)
         self.record_key = Key(f"controllers/{platform.label}")
         self.store = store
         self.ttl = settings.operator.lease_seconds
+        self.clock = clock
         workers = platform.cluster.workers
-        # Without the state service we may go on answering reports for so long: a cancellation
-        # that somebody else confirms meanwhile must still be kept (docs/design.md, "Silence").
-        self.tend_s = max(0.0, workers.cancel_s - workers.lease_s - 1.5)
+        self.bounds = Bounds(workers)
+        if self.bounds.tend_s < LEAST_TEND_S:
+            log.warning(
+                "no_time_without_state_service",
+                reason="cluster.workers.cancel_s leaves none above cluster.workers.lease_s",
+                cancel_s=workers.cancel_s, lease_s=workers.lease_s,
+            )  # fmt: skip
         self.rng = rng
         self.elected = elected
         self.lost = lost
@@ -64,12 +73,23 @@
         return (
             self.epoch is not None
             and self.lease is not None
-            and time.monotonic() < self.good + self.ttl * DRIFT - MARGIN_S
+            and self.clock() < self.good + self.ttl * DRIFT - MARGIN_S
         )
 
     def tending(self) -> bool:
-        """Whether reports may be answered."""
-        return self.epoch is not None and time.monotonic() < self.good + self.tend_s
+        """Whether our term may go on without the state service: commands that start nothing may
+        still be given, and reports be answered as far as `may_answer` says."""
+        lasts = max(self.bounds.tend_s, self.ttl)
+        return self.epoch is not None and self.clock() < self.good + lasts
+
+    def may_answer(self, known: Instant | None) -> bool:
+        """Whether a report may be answered so that its session goes on, by one that knows all that
+        was cancelled until `known`. The one judge for answers of our own and carried ones."""
+        if self.epoch is None or known is None:
+            return False
+        if self.bounds.tend_s < LEAST_TEND_S and self.leading():
+            return True  # else no session could ever last; the operators were warned
+        return self.bounds.may_answer(known, self.good, Instant(self.clock()))
 
     def condition(self) -> tuple[Key, Stamp]:
         """What makes a write valid only while we lead."""
@@ -95,7 +115,7 @@
         if lease is not None:
             with contextlib.suppress(state.Unavailable, state.Unknown):
                 await self.store.drop(lease)
-        self.rest_until = time.monotonic() + 2 * self.ttl  # let another one win
+        self.rest_until = self.clock() + 2 * self.ttl  # let another one win
 
     async def deposed(self, seen: Epoch) -> None:
         """A worker has seen a higher token: another controller has won since, though we may not
@@ -118,7 +138,7 @@
             await curio.sleep(self.ttl / 5 * self.rng.uniform(0.9, 1.1))
 
     async def _renew(self) -> None:
-        sent = Instant(time.monotonic())
+        sent = Instant(self.clock())
         if self.lease is None:
             self.lease = await self.store.grant(self.ttl)
             self.good = sent
@@ -147,7 +167,7 @@
             try:
                 after = await self._look()
                 while True:
-                    if self.leader is None and time.monotonic() >= self.rest_until:
+                    if self.leader is None and self.clock() >= self.rest_until:
                         await self._campaign()
                         break
                     hold = 10.0 if self.leader is not None else 1.0
@@ -183,7 +203,7 @@
             # transactions a condition that fails from now on. The others have heard what it had
             # learnt and we have not; and if we end again and again, at each return within the
             # time of the former lease we would keep the others from leading.
-            self.rest_until = time.monotonic() + RETURN_REST_S
+            self.rest_until = self.clock() + RETURN_REST_S
             log.info("former_self_led", rest_s=RETURN_REST_S)
             await self.store.commit(
                 [(LEADER, stamp)], [changes.delete(LEADER)], priority=changes.URGENT
@@ -198,7 +218,7 @@
         return revision
 
     async def _campaign(self) -> None:
-        if self.lease is None or time.monotonic() > self.good + self.ttl * 0.8:
+        if self.lease is None or self.clock() > self.good + self.ttl * 0.8:
             await self._renew()
         if self.lease is None:
             return
--- a/umberward/control/node.py
+++ b/umberward/control/node.py
@@ -4,6 +4,7 @@
 
 import random
 import time
+from collections.abc import Callable
 from typing import Any
 
 import curio
@@ -13,7 +14,7 @@
 from umberward.clients.state import State
 from umberward.control import hints
 from umberward.control.hints import Hints
-from umberward.control.holder import Hello, Holder, Lend
+from umberward.control.holder import CancelledElsewhere, Hello, Holder, Lend
 from umberward.control.membership import Membership
 from umberward.control.mirror import Mirror
 from umberward.control.peers import CONTACT_S, Peers
@@ -23,6 +24,7 @@
 from umberward.core.types import (
     Epoch,
     Instant,
+    JobId,
     Key,
     MachineId,
     NodeName,
@@ -49,8 +51,10 @@
 
 
 class Node:
-    def __init__(self, settings: Settings) -> None:
+    def __init__(self, settings: Settings, clock: Callable[[], float] = time.monotonic) -> None:
+        """`clock`: steady, in seconds."""
         self.settings = settings
+        self.clock = clock
         self.rng = random.Random()
         limits = settings.platform.cluster.machine_limits
         # Each worker keeps a connection, and each user; what is left is for what we open.
@@ -64,19 +68,25 @@
         self.store = State(settings.state, cluster.state, cluster.size, self.upstream)
         self.cloud = Cloud(settings.cloud, cluster.cloud.rps, self.upstream)
         self.skus: dict[TypeName, Sku] = {}
-        self.mirror = Mirror(settings, self.store)
-        self.users = Users(settings, self.store, self.mirror, self.skus, _wall, self._reaches_state)
+        self.mirror = Mirror(settings, self.store, clock)
+        self.users = Users(
+            settings, self.store, self.mirror, self.skus, _wall, self._reaches_state,
+            lambda id: self.peers.announce(id),
+        )  # fmt: skip
         self.graphs: Any = None
         if settings.operator.graphs_enabled:
             from umberward.graphs.gateway import Graphs
 
             self.graphs = Graphs(settings, self.store, self.skus, _wall, self.rng)
-        self.membership = Membership(settings, self.store, self.rng, self._elected, self._lost)
+        self.membership = Membership(
+            settings, self.store, self.rng, self._elected, self._lost, clock
+        )
         self.holder: Holder | None = None
         self.holder_task: Any = None
         self.peers = Peers(
-            settings, self.membership, self.client, self.rng, self._hints, self._lend, self._carried
-        )
+            settings, self.membership, self.client, self.rng, self._hints, self._lend,
+            self._carried, self._cancelled_elsewhere,
+        )  # fmt: skip
         self.relays = Relays()
         self.news = News()
         self.alone = False
@@ -92,6 +102,7 @@
             self._know_flavors,
             self.peers.run,
             self.peers.borrow,
+            self.peers.tell_cancelled,
         ]
         async with curio.TaskGroup() as group:
             for part in parts:
@@ -120,12 +131,16 @@
         holder = self.holder
         if holder is None or not holder.scheduler.loaded:
             return None
-        return hints.gather(holder.scheduler, holder.provisioner, Instant(time.monotonic()))
+        return hints.gather(holder.scheduler, holder.provisioner, Instant(self.clock()))
 
     async def _lend(self, borrower: NodeName, seen: int, idle: bool) -> Loan | None:
         holder = self.holder
         return None if holder is None else await holder.ask(Lend(borrower, seen, idle))
 
+    async def _cancelled_elsewhere(self, ids: list[JobId]) -> None:
+        if self.holder is not None:
+            await self.holder.tell(CancelledElsewhere(ids))
+
     # ---- machine types -----------------------------------------------------------------
 
     async def _know_flavors(self) -> None:
@@ -201,7 +216,7 @@
         leader = self.peers.steward(head.epoch) if fresh else None
         if leader is None:
             return Response(421, wire.encode({}))
-        host, now = MachineId(head.host), Instant(time.monotonic())
+        host, now = MachineId(head.host), Instant(self.clock())
         if self.relays.carries(host, leader, now):
             carried = await self.peers.carry(leader, request.body)
             if carried is not None:
@@ -220,9 +235,9 @@
     async def _answer(self, head: wire.Head, body: bytes) -> Response | None:
         """As the one who holds the machines, or tends them; None: that we are not."""
         holder = self.holder
-        if holder is not None and self.membership.tending():
+        if holder is not None and self.membership.may_answer(holder.scheduler.known):
             orders = await holder.ask(Hello(head, body))
-            if orders is not None and self.membership.tending():
+            if orders is not None and self.membership.may_answer(holder.scheduler.known):
                 if not self.membership.leading():
                     # Without our lease nothing may be started; what is there goes on.
                     orders = [order for order in orders if order["verb"] == wire.KILL]
@@ -234,7 +249,7 @@
         """Not ready: no machine types yet, or only we are without the state service."""
         if not self.skus:
             return False
-        age = time.monotonic() - self.membership.good
+        age = self.clock() - self.membership.good
         alone = age >= CONTACT_S and self.peers.alone()
         if alone != self.alone:
             self.alone = alone
@@ -245,7 +260,7 @@
         return not (alone or self.peers.others_have_contact())
 
     def _reaches_state(self) -> bool:
-        now = time.monotonic()
+        now = self.clock()
         return now - max(self.membership.good, self.mirror.read_at) < CONTACT_S
 
 
--- a/umberward/control/peers.py
+++ b/umberward/control/peers.py
@@ -4,7 +4,6 @@
 
 import math
 import random
-import time
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 from urllib.parse import parse_qsl
@@ -18,7 +17,15 @@
 from umberward.control.membership import Membership
 from umberward.core.log import logger
 from umberward.core.settings import Settings
-from umberward.core.types import Epoch, Instant, MachineId, NodeName
+from umberward.core.types import (
+    Address,
+    Epoch,
+    Instant,
+    JobId,
+    MachineId,
+    NodeName,
+    parse_job_id,
+)
 from umberward.decisions.tending import Borrower, Loan
 from umberward.protocol.http import Client, NoAnswer, NotSent, Request, Response
 
@@ -31,6 +38,8 @@
 CARRY_S = 1.5  # for so long a report is carried: its worker waits 4 s for an answer
 CARRY_AGAIN_S = 2.0  # for so long none is carried after one that was not answered
 CARRIED_AT_ONCE = 16  # reports on their way to the leader
+TELL_S = 0.1  # how often the others are told of cancellations
+TOLD_AT_ONCE = 500
 TIMEOUT_S = 0.5  # a silent peer must not keep the others waiting
 
 
@@ -43,6 +52,13 @@
     leader: NodeName | None  # as it knew
 
 
+class CancelledJobs(msgspec.Struct):
+    """What one controller tells the others when users were told that these jobs are cancelled."""
+
+    sender: str = msgspec.field(name="from")
+    cancelled: list[str] = []
+
+
 class Peers:
     """`told` gives what this controller has learnt itself, if it leads."""
 
@@ -55,14 +71,19 @@
         told: Callable[[], Hints | None],
         lend: Callable[[NodeName, int, bool], Awaitable[Loan | None]],
         answer: Callable[[bytes], Awaitable[Response]],
+        cancelled: Callable[[list[JobId]], Awaitable[None]],
     ) -> None:
         self.addresses = settings.peers
         self.membership = membership
+        self.clock = membership.clock
         self.client = client
         self.rng = rng
         self.told = told
         self.lend = lend
         self.answer = answer  # a report that another controller has carried to us
+        self.cancelled = cancelled  # hears which jobs others have told their users are cancelled
+        self.to_tell: dict[JobId, None] = {}
+        self.doubted: set[str] = set()  # who has sent what could not be read
         self.carry_again = -math.inf
         self.carrying = curio.Semaphore(CARRIED_AT_ONCE)
         platform = settings.platform
@@ -85,7 +106,7 @@
         asked = 0.0
         while True:
             await curio.sleep(self.rng.uniform(0.8, 1.2))
-            now = time.monotonic()
+            now = self.clock()
             if now - self.membership.good >= CONTACT_S:
                 # Only who lacks the state service needs to know.
                 self.asked_since = min(self.asked_since, now)
@@ -105,18 +126,56 @@
                 continue
             borrower = self.borrower
             target = f"/peer/loan?for={self.me}&seen={borrower.serial}&idle={int(borrower.idle)}"
-            asked = Instant(time.monotonic())
+            asked = Instant(self.clock())
             try:
                 response = await self.client.request(address, "GET", target, b"", TIMEOUT_S)
                 if response.status == 200:
                     loan = msgspec.convert(cbor2.loads(response.body), Loan)
-                    borrower.keep(loan, asked, Instant(time.monotonic()))
+                    borrower.keep(loan, asked, Instant(self.clock()))
             except (NotSent, NoAnswer, msgspec.ValidationError, cbor2.CBORDecodeError) as error:
                 log.debug("loan_not_had", error=error)
 
+    def announce(self, id: JobId) -> None:
+        """A user was told that the job is cancelled: whoever still tends its tasks, without the
+        state service, may stop them earlier than its own bound would."""
+        self.to_tell[id] = None
+
+    async def tell_cancelled(self) -> None:
+        """Once to each; what gets lost costs nothing but time, as no bound counts on it."""
+        while True:
+            await curio.sleep(TELL_S)
+            ids = list(self.to_tell)[:TOLD_AT_ONCE]
+            if not ids:
+                continue
+            for id in ids:
+                del self.to_tell[id]
+            body = cbor2.dumps({"from": self.me, "cancelled": ids})
+            for address in self.addresses.values():
+                await curio.spawn(self._tell, address, body, daemon=True)
+
+    async def _tell(self, address: Address, body: bytes) -> None:
+        try:
+            await self.client.request(address, "POST", "/peer/cancelled", body, TIMEOUT_S)
+        except (NotSent, NoAnswer) as error:
+            log.debug("cancellations_not_told", error=error)
+
+    async def _told_cancelled(self, body: bytes) -> Response:
+        try:
+            told = msgspec.convert(cbor2.loads(body), CancelledJobs)
+            ids = [id for id in map(parse_job_id, told.cancelled) if id is not None]
+            if len(ids) < len(told.cancelled) or told.sender not in self.addresses:
+                raise ValueError("not the ids of jobs, or not from another controller")
+        except (msgspec.ValidationError, cbor2.CBORDecodeError, ValueError) as error:
+            if str(error) not in self.doubted and len(self.doubted) < TOLD_AT_ONCE:
+                self.doubted.add(str(error))
+                log.warning("message_refused", path="/peer/cancelled", error=error)
+            return Response(400)
+        await self.cancelled(ids)
+        return Response(200)
+
     def may_answer(self, host: str, epoch: int) -> bool:
         """Whether we may keep this worker's session alive, cut off as we are from the others."""
-        now = Instant(time.monotonic())
+        now = Instant(self.clock())
         if now - self.membership.good < CONTACT_S:
             self.answering = False
             return False
@@ -126,12 +185,12 @@
             log.warning(
                 "answering_cut_off_zone",
                 machines=len(self.borrower.hosts),
-                for_s=round(self.borrower.until - now, 1),
+                known_age_s=round(now - self.borrower.known, 1),
             )
         return may
 
     def others_have_contact(self) -> bool:
-        now = time.monotonic()
+        now = self.clock()
         return any(
             now - told.at < TOLD_S and told.contact_age < CONTACT_S
             for told in self.contact.values()
@@ -140,7 +199,7 @@
     def alone(self) -> bool:
         """Whether no other controller has answered of late, though there are some: together with
         the state service's silence that means that it is us who are cut off."""
-        now = time.monotonic()
+        now = self.clock()
         if not self.addresses or now - self.asked_since < CONTACT_S:
             return False
         return all(now - told.at >= TOLD_S for told in self.contact.values())
@@ -154,7 +213,7 @@
         a lower token than the worker's.
         """
         leader = self.membership.leader
-        now = time.monotonic()
+        now = self.clock()
         if now - self.membership.good >= CONTACT_S:
             told = [
                 told
@@ -171,7 +230,7 @@
         """The leader's answer to a worker's report; None: it was not reached, or does not lead."""
         address = self.addresses.get(leader)
         # A leader that is gone must not hold up all that still turn to it.
-        if address is None or self.carrying.locked() or time.monotonic() < self.carry_again:
+        if address is None or self.carrying.locked() or self.clock() < self.carry_again:
             return None
         async with self.carrying:
             try:
@@ -180,32 +239,32 @@
                 )
             except (NotSent, NoAnswer) as error:
                 log.debug("report_not_carried", error=error)
-                self.carry_again = time.monotonic() + CARRY_AGAIN_S
+                self.carry_again = self.clock() + CARRY_AGAIN_S
                 return None
         return Response(200, response.body) if response.status == 200 else None
 
     def keep(self, found: Hints) -> None:
         """The newest hints are kept, whoever they come from."""
         if self.latest is None or found.epoch >= self.latest.epoch:
-            self.latest, self.latest_at = found, time.monotonic()
+            self.latest, self.latest_at = found, self.clock()
 
     def fresh(self) -> tuple[Hints, float] | None:
         """What the last leader knew, and how old that is."""
-        age = time.monotonic() - self.latest_at
+        age = self.clock() - self.latest_at
         if self.latest is None or age > hints.OLD_S:
             return None
         return self.latest, age
 
     def worker_heard(self) -> None:
         """A worker has reported to this controller, whoever answers it."""
-        self.heard_at = time.monotonic()
+        self.heard_at = self.clock()
 
     async def others_hear(self) -> bool:
         """Whether a controller that has the state service was reported to by a worker of late.
 
         A worker that gets no answer from its holder turns to all controllers within a few seconds.
         """
-        asked = time.monotonic()
+        asked = self.clock()
         await self._ask_contact()
         return any(
             told.at >= asked and told.contact_age < CONTACT_S and told.heard_age < self.hearing_s
@@ -218,7 +277,7 @@
                 response = await self.client.request(address, "GET", "/peer", b"", TIMEOUT_S)
                 told = cbor2.loads(response.body)
                 self.contact[label] = Told(
-                    time.monotonic(),
+                    self.clock(),
                     float(told["contact_age"]),
                     float(told.get("heard_age", math.inf)),  # earlier versions do not tell
                     None if told["leader"] is None else NodeName(str(told["leader"])),
@@ -246,23 +305,25 @@
         if request.path == "/peer":
             told = {
                 "label": self.membership.me,
-                "contact_age": time.monotonic() - self.membership.good,
+                "contact_age": self.clock() - self.membership.good,
                 "leader": self.membership.leader,
                 "stamp": self.membership.leader_stamp,
-                "heard_age": time.monotonic() - self.heard_at,
+                "heard_age": self.clock() - self.heard_at,
             }
             return Response(200, cbor2.dumps(told))
         if request.path == "/peer/hello" and request.method == "POST":
             return await self.answer(request.body)
+        if request.path == "/peer/cancelled" and request.method == "POST":
+            return await self._told_cancelled(request.body)
         if request.path == "/peer/loan" and self.membership.leading():
             return await self._loan(request.query)
         if request.path == "/peer/hints" and self.membership.leading():
             # Made once for all that ask at about the same time.
-            if time.monotonic() - self.made_at > 0.9 * HINTS_S:
+            if self.clock() - self.made_at > 0.9 * HINTS_S:
                 found = self.told()
                 if found is None:
                     return Response(404)
-                self.made, self.made_at = hints.dumps(found), time.monotonic()
+                self.made, self.made_at = hints.dumps(found), self.clock()
             return Response(200, self.made)
         return Response(404)
 
--- a/umberward/control/users.py
+++ b/umberward/control/users.py
@@ -50,9 +50,11 @@
         skus: dict[TypeName, Sku],
         wall: Callable[[], WallTime],
         reached: Callable[[], bool] = lambda: True,
+        confirmed: Callable[[JobId], None] = lambda id: None,
     ) -> None:
         """`reached`: whether the state service can be asked at all; else all but what is known for
-        good is refused at once."""
+        good is refused at once. `confirmed` is told of each cancellation that a user is told of."""
+        self.confirmed = confirmed
         self.reached = reached
         self.store = store
         self.mirror = mirror
@@ -150,6 +152,9 @@
             for _ in range(4):
                 response = await self._cancel(id)
                 if response is not None:
+                    final = self.mirror.finals.get(id)
+                    if final is not None and final.phase == CANCELLED:
+                        self.confirmed(id)
                     return response
         except state.OverBudget as error:
             return Response(429, retry_after=max(RETRY_S, error.wait))
--- a/umberward/decisions/cluster.py
+++ b/umberward/decisions/cluster.py
@@ -110,7 +110,9 @@
                 elif aim.kind == "finished":
                     finished = min(finished or aim.within_s, aim.within_s)
                 self.aims[aim.job_class] = (wait, finished)
-        self.current = now  # of all that was cancelled until then we know
+        # Of all that was cancelled until then we know: when the latest answered reading of the jobs
+        # was asked. None: this term has read nothing yet.
+        self.known: Instant | None = None
         self.epoch = epoch
         self.term = epoch
         self.higher = Epoch(0)  # a token above ours that a worker has seen
--- a/umberward/decisions/hearing.py
+++ b/umberward/decisions/hearing.py
@@ -15,7 +15,7 @@
 from umberward.core.types import Instant, MachineId
 from umberward.decisions.cluster import Cluster, Probe
 from umberward.decisions.fleet import DEAF_AFTER, Machine
-from umberward.decisions.tending import DRIFT, MARGIN_S
+from umberward.decisions.tending import Bounds
 
 log = logger(__name__)
 
@@ -31,7 +31,7 @@
 class Hearing:
     def __init__(self, cluster: Cluster) -> None:
         self.cluster = cluster
-        self.lease_s = cluster.workers.lease_s * DRIFT + MARGIN_S
+        self.lease_s = Bounds(cluster.workers).lease_s
         self.doubted: dict[MachineId, Machine] = {}
 
     # ---- what raises a doubt, and what ends it -------------------------------------------
--- a/umberward/decisions/reports.py
+++ b/umberward/decisions/reports.py
@@ -108,7 +108,7 @@
         machine = self.cluster.machines.get(id)
         if machine is None:
             if TypeName(report.flavor) not in self.cluster.skus:
-                return []
+                return None  # what it runs we could not stop
             machine = self.cluster.machine(
                 id, report.address, TypeName(report.flavor), ZoneName(report.yard),
                 report.reclaimable, now,
@@ -117,6 +117,10 @@
             log.info("machine_new", machine=id, type=report.flavor, zone=report.yard)
         if report.tenure < machine.min_tenure:
             return None  # a session that we take for over must not be kept alive by our answer
+        if machine.returning:
+            # While the cloud does not delete it, nothing is taken from its reports, and so nothing
+            # on it is stopped: what is cancelled meanwhile must end with its lease.
+            return None
         if hello and report.tenure == machine.tenure:
             # Whatever is made of the report below, it is answered, and that renews the lease:
             # also if the machine is being returned, or if the answer to a direct question has
@@ -127,8 +131,6 @@
                 machine.answered = now
             else:
                 self._copy(machine, report, now)
-        if machine.returning:
-            return []
         if (report.tenure, report.serial) <= (machine.tenure, machine.serial):
             return []  # late: something newer was seen
         machine.calm = None
--- a/umberward/decisions/scheduler.py
+++ b/umberward/decisions/scheduler.py
@@ -47,7 +47,7 @@
 from umberward.decisions.patience import Cheap, patient
 from umberward.decisions.pipelines import Pipelines
 from umberward.decisions.reports import Reports
-from umberward.decisions.tending import DRIFT, MARGIN_S, Lender, Loan
+from umberward.decisions.tending import Lender, Loan
 from umberward.decisions.thrift import Thrift
 from umberward.decisions.watch import Watch
 from umberward.decisions.writer import Batch, Writer
@@ -141,7 +141,7 @@
     def unheard(self, now: Instant) -> bool:
         return self.watch.unheard(now)
 
-    def lend(self, borrower: NodeName, seen: int, idle: bool, now: Instant) -> Loan:
+    def lend(self, borrower: NodeName, seen: int, idle: bool, now: Instant) -> Loan | None:
         return self.watch.lend(borrower, seen, idle, now)
 
     def committed(self, batch: Batch, stamp: Stamp, now: Instant) -> None:
@@ -184,10 +184,14 @@
         self.want_pass = True
         log.info("took_over", epoch=self.epoch, machines=len(self.machines), jobs=len(self.jobs))
 
+    def knows(self, id: JobId) -> bool:
+        """Whether it is live as far as we know."""
+        return id in self.jobs or id in self.pipelines.jobs
+
     def job_put(self, record: JobRecord, stamp: Stamp) -> None:
         """A job's record was read or has come by the watch."""
         id = JobId(record.spec.uid)
-        if id in self.jobs or id in self.pipelines.jobs:
+        if self.knows(id):
             return
         job = Job(record, stamp, self.value_limit)
         if record.needs and not record.marked:
@@ -203,7 +207,7 @@
         found = []
         for entry in entries:
             id = JobId(entry.path[len(wire.LIVE) :])
-            if id in self.jobs or id in self.pipelines.jobs or id in self.lately_gone:
+            if self.knows(id) or id in self.lately_gone:
                 self.missed.pop(id, None)
             elif now - self.missed.setdefault(id, now) > MISSED_S:
                 found.append(id)
@@ -230,7 +234,7 @@
     def _settle_later(self, job: Job, now: Instant) -> None:
         """Its tasks may be on machines, which list them with their next reports. Where none comes,
         the session is over within this time."""
-        self.unsettled[job.id] = Instant(now + self.workers.cancel_s * DRIFT + 2 * MARGIN_S)
+        self.unsettled[job.id] = Instant(now + self.lender.bounds.takeover_s)
 
     def mend(self, now: Instant) -> None:
         """What the books have lost is put in order; to be called once in a while."""
--- a/umberward/decisions/tending.py
+++ b/umberward/decisions/tending.py
@@ -1,4 +1,7 @@
-"""Who may answer the workers of a zone that is cut off from the leader. No I/O.
+"""How long workers' sessions may be kept alive, and by whom if a zone is cut off. No I/O.
+
+All bounds stand in `Bounds`: who answers a worker, and who waits for a session's end, count with
+the same terms (docs/design.md, "Silence of the state service").
 
 A zone may be cut off with a controller in it. That controller commands nothing there, but if it
 answers the zone's workers with the token that they know, their leases do not run out and their
@@ -21,11 +24,41 @@
 from umberward.core.settings import Workers
 from umberward.core.types import Epoch, Instant, MachineId, NodeName, ZoneName
 
-DRIFT = 1.001
+DRIFT = 1.001  # twice as much as two steady clocks drift apart
 MARGIN_S = 0.5
 REACHED_S = 2.5  # a leader that answered so lately is within reach: its workers are sent to it
 
 
+class Bounds:
+    """Lengths of time, in seconds, after which something is sure; from the settings of the workers.
+
+    A cancellation that we don't know was confirmed after `known`: the moment at which the latest
+    answered reading of the jobs was *asked*. An answer that we send at t < known + tend_s is to a
+    report that was sent before t, so the session that it keeps alive is over by
+
+        t + lease_s * DRIFT < known + (tend_s + lease_s) * DRIFT = known + cancel_s - MARGIN_S
+
+    by any of the clocks, and so within `cancel_s` of the cancellation. `held` bounds it likewise:
+    the moment at which the latest granted renewal of our lease was sent. Whoever leads after us was
+    elected later, and can count on all that we keep alive being over `takeover_s` after that.
+    """
+
+    def __init__(self, workers: Workers) -> None:
+        # 0: there is no time in which a session could be kept alive without the state service.
+        self.tend_s = max(0.0, (workers.cancel_s - MARGIN_S) / DRIFT - workers.lease_s)
+        # After our answer was ready, the session that it keeps alive is over.
+        self.lease_s = workers.lease_s * DRIFT + MARGIN_S
+        # After we have lent the machine: the borrower answers for tend_s at most.
+        self.lent_s = workers.cancel_s * DRIFT + MARGIN_S
+        # After a term has begun: the former holder's last renewal was granted before that.
+        self.takeover_s = workers.cancel_s * DRIFT + 2 * MARGIN_S
+
+    def may_answer(self, known: Instant | None, held: Instant, now: Instant) -> bool:
+        """Whether a report may be answered so that its session goes on. To be asked at the moment
+        of sending, by whoever answers: a term that has read nothing knows nothing (None)."""
+        return known is not None and now < min(known, held) + self.tend_s
+
+
 class Loan(msgspec.Struct):
     """What the leader answers to a controller that asks for the machines of its zone.
 
@@ -44,8 +77,7 @@
 
     def __init__(self, workers: Workers, borrowers: dict[NodeName, ZoneName], term: int) -> None:
         """`borrowers`: the other controllers, with the zone of each."""
-        self.lease_s = workers.lease_s * DRIFT + MARGIN_S
-        self.cancel_s = workers.cancel_s * DRIFT + MARGIN_S
+        self.bounds = Bounds(workers)
         self.borrowers = borrowers
         self.zones = set(borrowers.values())
         self.serials = term << 20  # no two leaders give the same
@@ -79,13 +111,13 @@
     ) -> bool:
         """Whether a worker's session is surely over: we have answered it last at `answered`, and
         have lent it last at `lent`."""
-        if now - answered <= self.lease_s:
+        if now - answered <= self.bounds.lease_s:
             return False
-        if lent is None or now - lent > self.cancel_s:
+        if lent is None or now - lent > self.bounds.lent_s:
             return True
         spans = [self.idle.get(name) for name, place in self.borrowers.items() if place == zone]
         return all(
-            span is not None and span[0] <= answered and span[1] - answered > self.lease_s
+            span is not None and span[0] <= answered and span[1] - answered > self.bounds.lease_s
             for span in spans
         )
 
@@ -94,11 +126,11 @@
     """The other controllers' side: the loan that counts, and for how long."""
 
     def __init__(self, workers: Workers) -> None:
-        self.span_s = (workers.cancel_s - workers.lease_s) / DRIFT - MARGIN_S
+        self.bounds = Bounds(workers)
         self.serial = 0  # of the last answer
         self.epoch = Epoch(0)
         self.hosts: frozenset[str] = frozenset()
-        self.until = Instant(0.0)
+        self.known = Instant(0.0)  # the leader knew of all that was cancelled until then
         self.asked = Instant(0.0)
         self.reached = Instant(0.0)
         self.used = Instant(-1.0)
@@ -113,7 +145,7 @@
         self.serial = loan.serial
         self.epoch = Epoch(loan.epoch)
         self.hosts = frozenset(loan.hosts)
-        self.until = Instant(asked + self.span_s - loan.age)
+        self.known = Instant(asked - loan.age)
         self.asked = asked
         self.reached = now
 
@@ -124,7 +156,7 @@
         """
         if (
             epoch != self.epoch
-            or now >= self.until
+            or not self.bounds.may_answer(self.known, self.asked, now)
             or now - self.reached <= REACHED_S
             or host not in self.hosts
         ):
--- a/umberward/decisions/watch.py
+++ b/umberward/decisions/watch.py
@@ -17,7 +17,7 @@
 )
 from umberward.decisions.cluster import Cluster, Probe
 from umberward.decisions.fleet import Machine
-from umberward.decisions.tending import DRIFT, MARGIN_S, Lender, Loan
+from umberward.decisions.tending import Lender, Loan
 
 log = logger(__name__)
 
@@ -102,13 +102,11 @@
                     # Its lease has run out: it has killed all that it had.
                     self._expire(machine)
                 else:
-                    due = min(due, machine.answered + self.lender.lease_s)
+                    due = min(due, machine.answered + self.lender.bounds.lease_s)
         elif not machine.cleared:
-            takeover = self.cluster.workers.cancel_s * DRIFT + 2 * MARGIN_S
+            takeover = self.lender.bounds.takeover_s
             if now - self.cluster.started > takeover:
-                # A former holder may answer reports for cancel_s - lease_s after it last held its
-                # lease, which was before we took over; lease_s after that all is gone.
-                machine.cleared = True
+                machine.cleared = True  # nobody can have kept its session alive for so long
             else:
                 due = min(due, self.cluster.started + takeover)
         return max(soon, Instant(due))
@@ -239,8 +237,11 @@
             if len(here) >= LEAST_WORKERS and sum(here) < ZONE_PART * len(here)
         }
 
-    def lend(self, borrower: NodeName, seen: int, idle: bool, now: Instant) -> Loan:
-        """The machines of its zone that this controller may answer if the zone is cut off."""
+    def lend(self, borrower: NodeName, seen: int, idle: bool, now: Instant) -> Loan | None:
+        """The machines of its zone that this controller may answer if the zone is cut off; None:
+        we know too little ourselves."""
+        if self.cluster.known is None:
+            return None
         zone = self.lender.borrowers.get(borrower)
         serial = self.lender.asked(borrower, seen, idle, now)
         hosts = []
@@ -255,4 +256,4 @@
             ):
                 machine.lent = now
                 hosts.append(str(machine.id))
-        return Loan(self.cluster.epoch, serial, max(0.0, now - self.cluster.current), hosts)
+        return Loan(self.cluster.epoch, serial, max(0.0, now - self.cluster.known), hosts)
