A controller that gives up its term lets its lease go, and with it the leader's key

Beside it, in the same function: answers of the state service were taken for those of whatever lease was held when they came, so a campaign's key could hang on a lease that nobody renewed (tests/test_membership.py).

Change: lease and nonce are let go together; an answer counts for the lease that it was asked about.

--- a/tests/guards.py
+++ b/tests/guards.py
@@ -545,11 +545,33 @@
     patch.setattr(Bounds, "__init__", init)
 
 
+def lease_let_go(patch: pytest.MonkeyPatch) -> None:
+    """Whoever gives up its term goes on renewing the lease that carries its key."""
+
+    def _let_go(self: Membership) -> None:
+        self.nonce = ""
+
+    patch.setattr(Membership, "_let_go", _let_go)
+
+
+def longest_bound(patch: pytest.MonkeyPatch) -> None:
+    """A new leader waits as long as a session lasts that its former holder does not tend."""
+    whole = Bounds.__init__
+
+    def init(self: Bounds, workers: Any) -> None:
+        whole(self, workers)
+        self.takeover_s = self.lease_s
+
+    patch.setattr(Bounds, "__init__", init)
+
+
 def tells_others(patch: pytest.MonkeyPatch) -> None:
     patch.setattr(Peers, "announce", lambda *_: None)
 
 
 GUARDS: dict[str, Patch] = {
+    "lease-let-go": lease_let_go,
+    "longest-bound": longest_bound,
     "tells-others": tells_others,
     "knows-cancellations": knows_cancellations,
     "fresh-knows-nothing": fresh_knows_nothing,
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -75,6 +75,9 @@
     def do_state(self, mode: str) -> None:
         self.world.state.set_down(mode == "down")
 
+    def do_cloud(self, mode: str) -> None:
+        self.world.cloud.down = mode == "down"
+
     def do_trouble(self, label: str, src: str, dst: str, what: str, *words: str) -> None:
         """`trouble NAME FROM TO refuse|lost|hold|late [path=/do] [least=2] [most=12] [share=1]`"""
         given = _pairs(list(words))
--- a/umberward/control/membership.py
+++ b/umberward/control/membership.py
@@ -110,7 +110,7 @@
         if self.epoch is None:
             return
         log.warning("stepping_down", reason=why)
-        lease, self.lease = self.lease, None
+        lease = self.lease
         await self._lose()
         if lease is not None:
             with contextlib.suppress(state.Unavailable, state.Unknown):
@@ -138,28 +138,40 @@
             await curio.sleep(self.ttl / 5 * self.rng.uniform(0.9, 1.1))
 
     async def _renew(self) -> None:
+        """Whatever an answer says, it says of the lease that was asked about: while we waited, that
+        may have been let go, and another granted to a campaign, whose key hangs on that one."""
         sent = Instant(self.clock())
-        if self.lease is None:
-            self.lease = await self.store.grant(self.ttl)
-            self.good = sent
+        lease = self.lease
+        if lease is None:
+            granted = await self.store.grant(self.ttl)
+            if self.lease is None:
+                self.lease, self.good = granted, sent
             return
         try:
-            await self.store.extend(self.lease, max(0.5, self.ttl / 3))
+            await self.store.extend(lease, max(0.5, self.ttl / 3))
         except state.NoLease:
-            log.info("lease_over")
-            self.lease = None
-            if self.epoch is not None:
-                await self._lose()
+            if self.lease == lease:
+                log.info("lease_over")
+                self._let_go()
+                if self.epoch is not None:
+                    await self._lose()
             return
-        self.good = sent
+        if self.lease == lease:
+            self.good = max(self.good, sent)
 
     async def _lose(self) -> None:
         self.epoch = None
-        # What an earlier campaign wrote hangs on an earlier lease: never take it for a win.
-        self.nonce = ""
+        self._let_go()
         self.store.share(leading=False)
         await self.lost()
 
+    def _let_go(self) -> None:
+        """Renew our lease no longer, and never take for a win what hangs on it. Else our key could
+        stand there for ever, whoever does not lead by it; or be taken for ours by a late reading
+        when it is gone with the lease."""
+        self.lease = None
+        self.nonce = ""
+
     # ---- the leader's key --------------------------------------------------------------
 
     async def follow(self) -> None:
@@ -222,11 +234,11 @@
             await self._renew()
         if self.lease is None:
             return
-        self.nonce = f"{self.rng.getrandbits(64):016x}"
-        self.nonces.add(self.nonce)
+        nonce = self.nonce = f"{self.rng.getrandbits(64):016x}"
+        self.nonces.add(nonce)
         self.term = 1
-        leader = wire.LeaderRecord(self.me, self.nonce)
-        record = wire.ControllerRecord(self.me, self.nonce, self.term, (0, 65536))
+        leader = wire.LeaderRecord(self.me, nonce)
+        record = wire.ControllerRecord(self.me, nonce, self.term, (0, 65536))
         try:
             revision = await self.store.commit(
                 [(LEADER, self.leader_stamp)],
@@ -234,9 +246,11 @@
                 priority=changes.URGENT,
             )
         except state.NoLease:
-            self.lease = None
+            if self.nonce == nonce:
+                self._let_go()
             return
-        await self._won(Stamp(revision))
+        if self.nonce == nonce:  # else the key hangs on a lease that we have let go meanwhile
+            await self._won(Stamp(revision))
 
     async def _won(self, stamp: Stamp) -> None:
         self.leader, self.leader_stamp = self.me, stamp
