Elections are tested in the world of whole controllers; the copy of the state service goes

Need: no second copy of a world. Change: tests/test_returns.py plays its elections with controllers.py, on its clock, with whole controllers instead of their memberships alone.

--- a/tests/test_returns.py
+++ b/tests/test_returns.py
@@ -2,143 +2,43 @@
 
 from __future__ import annotations
 
-import random
-import time
-from collections.abc import Callable
-from typing import Any
-
-import curio
 import pytest
+from controllers import Controllers
 from test_scenarios import Play
-from world import raw_settings
 
-from umberward.clients import state
 from umberward.control import membership
-from umberward.control.membership import LEADER, Membership
-from umberward.core.settings import Operator, check
-from umberward.core.types import Epoch, LeaseId, Revision
-from umberward.local import statecore
-from umberward.local.statecore import StateCore
-from umberward.protocol import wire
-
-TTL_S = 0.9
-
-
-class Store:
-    """The state service with its leases, for several controllers in one process."""
-
-    def __init__(self) -> None:
-        self.core = StateCore()
-        self.requests = 0
-
-    def _asked(self) -> None:
-        self.requests += 1
-        self.core.tick(time.monotonic())
-
-    def share(self, leading: bool) -> None:
-        pass
-
-    async def grant(self, ttl_s: float) -> LeaseId:
-        self._asked()
-        return LeaseId(self.core.grant(ttl_s, time.monotonic()))
-
-    async def extend(self, lease: LeaseId, timeout: float) -> None:
-        self._asked()
-        if not self.core.extend(lease, time.monotonic()):
-            raise state.NoLease
-
-    async def entries(self, prefix: str) -> tuple[list[wire.Entry], Revision]:
-        self._asked()
-        return self.core.entries(prefix).entries, Revision(self.core.revision)
-
-    async def commit(self, conditions: Any, writes: Any, **_: Any) -> Revision:
-        self._asked()
-        try:
-            return Revision(self.core.commit(conditions, writes))
-        except statecore.Failed:
-            raise state.Conflict from None
-        except statecore.Refused:
-            raise state.NoLease from None
-
-    async def watch(
-        self, prefix: str, after: Revision, hold_s: float
-    ) -> tuple[list[wire.Change], Revision]:
-        self.requests += 1
-        until = time.monotonic() + hold_s
-        while True:
-            self.core.tick(time.monotonic())
-            news = self.core.news(prefix, after)
-            if news or time.monotonic() > until:
-                return news, Revision(self.core.revision)
-            await curio.sleep(0.01)
 
 
-class Controllers:
-    def __init__(self) -> None:
-        self.store = Store()
-        self.tasks: dict[str, list[Any]] = {}
-        self.terms: list[tuple[str, int]] = []  # who won, with which token
-        self.rng = random.Random(5)
-
-    async def start(self, label: str) -> None:
-        raw = raw_settings()
-        raw["label"] = label
-
-        async def elected(epoch: Epoch) -> None:
-            self.terms.append((label, epoch))
-
-        async def lost() -> None:
-            pass
-
-        settings = check(raw, Operator(lease_seconds=TTL_S))
-        made = Membership(settings, self.store, self.rng, elected, lost)  # type: ignore[arg-type]
-        self.tasks[label] = [
-            await curio.spawn(part, daemon=True) for part in (made.keep_lease, made.follow)
-        ]
-
-    async def end(self, label: str) -> None:
-        for task in self.tasks.pop(label):
-            await task.cancel()
-
-    def leader(self) -> str | None:
-        self.store.core.tick(time.monotonic())
-        found = self.store.core.keys.get(LEADER)
-        return None if found is None else str(found.data["node"])
-
-    async def until(self, true: Callable[[], bool], seconds: float) -> float:
-        """How long it took; as long as `seconds` if it has not come true."""
-        since = time.monotonic()
-        while not true() and time.monotonic() - since < seconds:
-            await curio.sleep(0.01)
-        return time.monotonic() - since
-
-
-async def _ends_again_and_again() -> tuple[int, float, int]:
+def _ends_again_and_again() -> tuple[int, float, int]:
     """The leader ends every 0.4 s for 4 s and is back after 0.05 s: how often it led in that time,
     the longest time without another leader, and the requests a second."""
     game = Controllers()
-    await game.start("k0")
-    await game.until(lambda: game.leader() == "k0", 2.0)
-    await game.start("k1")
-    await game.start("k2")
-    won = len(game.terms)
-    before, longest = game.store.requests, 0.0
-    for _ in range(9):
-        await game.end("k0")
-        await curio.sleep(0.05)
-        await game.start("k0")
-        longest = max(longest, await game.until(lambda: game.leader() in ("k1", "k2"), 0.35))
-        await curio.sleep(0.35)
-    mine = sum(1 for label, _ in game.terms[won:] if label == "k0")
-    rate = round((game.store.requests - before) / 4.0)
-    for label in list(game.tasks):
-        await game.end(label)
-    assert [epoch for _, epoch in game.terms] == sorted({epoch for _, epoch in game.terms})
+    with game.playing():
+        game.start("k0")
+        game.run(2.0)
+        assert game.leader() == "k0"
+        game.start("k1")
+        game.start("k2")
+        game.run(1.0)
+        won, before, longest = len(game.terms), game.state.requests, 0.0
+        for _ in range(9):
+            game.crash("k0")
+            game.run(0.05)
+            game.start("k0")
+            waited = 0.0
+            while game.leader() not in ("k1", "k2") and waited < 0.35:
+                game.run(0.01)
+                waited += 0.01
+            longest = max(longest, waited)
+            game.run(0.35)
+        mine = sum(1 for label, _ in game.terms[won:] if label == "k0")
+        rate = round((game.state.requests - before) / 4.0)
+        assert [epoch for _, epoch in game.terms] == sorted({epoch for _, epoch in game.terms})
     return mine, longest, rate
 
 
 def test_a_leader_that_ends_again_and_again_leaves_its_place() -> None:
-    mine, longest, rate = curio.run(_ends_again_and_again)
+    mine, longest, rate = _ends_again_and_again()
     assert mine == 0
     assert longest < 0.3
     assert rate < 100
@@ -146,23 +46,20 @@
 
 def test_without_a_rest_it_would_keep_it(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(membership, "RETURN_REST_S", -1.0)
-    mine, longest, _ = curio.run(_ends_again_and_again)
+    mine, longest, _ = _ends_again_and_again()
     assert mine > 0 or longest >= 0.3
 
 
 def test_alone_it_leads_again() -> None:
-    async def main() -> float:
-        game = Controllers()
-        await game.start("k0")
-        await game.until(lambda: game.leader() == "k0", 2.0)
-        await game.end("k0")
-        await curio.sleep(0.05)
-        await game.start("k0")
-        took = await game.until(lambda: len(game.terms) == 2, 4.0)
-        await game.end("k0")
-        return took
-
-    assert curio.run(main) < 2.5
+    game = Controllers()
+    with game.playing():
+        game.start("k0")
+        game.run(2.0)
+        game.crash("k0")
+        game.run(0.05)
+        game.start("k0")
+        game.run(2.5)
+        assert len(game.terms) == 2 and game.leader() == "k0"
 
 
 PHASES = (
