A cancellation is logged when its user is told, also if it was only read

Change: the line is written where the user is told. Also a test of messages on cancellations that cannot be read.

--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -12,6 +12,7 @@
 import pytest
 from world import FakeState, raw_settings
 
+from umberward.control import peers as peers_module
 from umberward.control.membership import Membership
 from umberward.control.node import Node
 from umberward.control.peers import Peers
@@ -135,6 +136,39 @@
     assert lost and made.epoch is None and not made.tending()
 
 
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"\xff\xff",
+        cbor2.dumps([1, 2]),
+        cbor2.dumps({"from": "k11", "cancelled": ["req-000001", "no job"]}),
+        cbor2.dumps({"from": "k11", "cancelled": "req-000001"}),
+        cbor2.dumps({"from": "nobody", "cancelled": ["req-000001"]}),
+    ],
+)
+def test_what_cannot_be_read_of_cancellations_changes_nothing(
+    body: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    heard: list[Any] = []
+    said: list[str] = []
+    monkeypatch.setattr(peers_module.log, "warning", lambda event, **_: said.append(event))
+    peers = _peers({})
+
+    async def cancelled(ids: Any) -> None:
+        heard.extend(ids)
+
+    peers.cancelled = cancelled
+
+    async def play(sent: bytes) -> int:
+        return (await peers.serve(Request("POST", "/peer/cancelled", "", sent))).status
+
+    assert curio.run(play, body) == curio.run(play, body) == 400
+    assert not heard and said == ["message_refused"]
+    good = cbor2.dumps({"from": "k11", "cancelled": ["req-000001"]})
+    assert curio.run(play, good) == 200 and heard == ["req-000001"]
+
+
 HOST = MachineId("i-000007")
 K1, K2 = NodeName("k1"), NodeName("k2")
 
--- a/umberward/control/users.py
+++ b/umberward/control/users.py
@@ -154,6 +154,7 @@
                 if response is not None:
                     final = self.mirror.finals.get(id)
                     if final is not None and final.phase == CANCELLED:
+                        log.info("cancelled_by_user", job=id)  # also if that was only read
                         self.confirmed(id)
                     return response
         except state.OverBudget as error:
@@ -183,7 +184,6 @@
             await self.store.commit([(Key(LIVE + id), live.stamp)], writes, priority=changes.URGENT)
         except (state.Conflict, state.Unknown):
             return None  # read again what became of it
-        log.info("cancelled_by_user", job=id)
         self.mirror.keep(id, past)
         return _state(id, CANCELLED, past.done)
 
