--- a/tests/test_graphs.py
+++ b/tests/test_graphs.py
@@ -17,9 +17,8 @@
 import tomli_w
 from click.testing import CliRunner
 from graph_world import FINAL, GraphWorld
-from guards import GUARDS
 from hypothesis import strategies
-from test_scenarios import Failed, Play, _guard, _pairs, play
+from test_scenarios import Play, _pairs, fails_unguarded, guarded, play
 from world import World, raw_settings
 
 from umberward.cli import main as cli
@@ -185,13 +184,9 @@
     play(path, GraphPlay)
 
 
-@pytest.mark.parametrize("path", [p for p in FILES if _guard(p)], ids=lambda path: path.stem)
+@pytest.mark.parametrize("path", guarded(FILES), ids=lambda path: path.stem)
 def test_graph_fails_without_its_guard(path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
-    name = _guard(path)
-    assert name is not None
-    GUARDS[name](monkeypatch)
-    with pytest.raises(Failed):
-        play(path, GraphPlay)
+    fails_unguarded(path, monkeypatch, lambda path: play(path, GraphPlay))
 
 
 def test_what_is_cancelled_while_graphs_are_read_is_told_as_gone() -> None:
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -12,9 +12,8 @@
 
 import pytest
 from controllers import USERS_PATIENCE_S, Controllers
-from guards import GUARDS
 from network import Trouble
-from test_scenarios import Failed, Play, _guard, _pairs, play
+from test_scenarios import Play, _pairs, fails_unguarded, guarded, play
 
 from umberward.protocol.wire import LIVE
 
@@ -161,10 +160,6 @@
     play_meeting(path)
 
 
-@pytest.mark.parametrize("path", [p for p in FILES if _guard(p)], ids=lambda path: path.stem)
+@pytest.mark.parametrize("path", guarded(FILES), ids=lambda path: path.stem)
 def test_fails_without_its_guard(path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
-    name = _guard(path)
-    assert name is not None
-    GUARDS[name](monkeypatch)
-    with pytest.raises(Failed):
-        play_meeting(path)
+    fails_unguarded(path, monkeypatch, play_meeting)
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -653,15 +653,25 @@
     return None
 
 
-@pytest.mark.parametrize("path", FILES, ids=lambda path: path.stem)
-def test_scenario(path: Path) -> None:
-    play(path)
+def guarded(files: list[Path]) -> list[Path]:
+    """Those that begin with `guard NAME`."""
+    return [path for path in files if _guard(path)]
 
 
-@pytest.mark.parametrize("path", [p for p in FILES if _guard(p)], ids=lambda path: path.stem)
-def test_fails_without_its_guard(path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+def fails_unguarded(path: Path, patch: pytest.MonkeyPatch, play: Callable[[Path], None]) -> None:
+    """With the guard that the file names taken out of the code, it must fail."""
     name = _guard(path)
     assert name is not None
-    GUARDS[name](monkeypatch)
+    GUARDS[name](patch)
     with pytest.raises(Failed):
         play(path)
+
+
+@pytest.mark.parametrize("path", FILES, ids=lambda path: path.stem)
+def test_scenario(path: Path) -> None:
+    play(path)
+
+
+@pytest.mark.parametrize("path", guarded(FILES), ids=lambda path: path.stem)
+def test_fails_without_its_guard(path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    fails_unguarded(path, monkeypatch, play)
