--- a/tests/guards.py
+++ b/tests/guards.py
@@ -569,6 +569,10 @@
     patch.setattr(Job, "done_with", lambda self, index: (index,))
 
 
+def unwanted_start(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(Scheduler, "unwanted_start", lambda *_: False)
+
+
 def tells_others(patch: pytest.MonkeyPatch) -> None:
     patch.setattr(Peers, "announce", lambda *_: None)
 
@@ -577,6 +581,7 @@
     "lease-let-go": lease_let_go,
     "longest-bound": longest_bound,
     "gang-done-together": gang_done_together,
+    "unwanted-start": unwanted_start,
     "tells-others": tells_others,
     "knows-cancellations": knows_cancellations,
     "fresh-knows-nothing": fresh_knows_nothing,
--- a/umberward/control/holder.py
+++ b/umberward/control/holder.py
@@ -296,8 +296,9 @@
         return answer
 
     def _known(self, asked: Instant) -> None:
-        """Of all that was cancelled before we asked we have been told."""
-        self.scheduler.known = max(asked, self.scheduler.known or asked)
+        """Of all that was cancelled before we asked we have been told, if we know all jobs."""
+        if self.scheduler.loaded:
+            self.scheduler.known = max(asked, self.scheduler.known or asked)
 
     def _load_jobs(self, entries: list[wire.Entry]) -> None:
         listed = set()
--- a/umberward/decisions/scheduler.py
+++ b/umberward/decisions/scheduler.py
@@ -124,6 +124,16 @@
     def probed(self, probe: Probe, report: Report | None, now: Instant) -> None:
         self.reports.probed(probe, report, now)
 
+    def unwanted_start(self, id: MachineId) -> bool:
+        """Whether a start of what is to be stopped may still be carried out there. A higher token
+        makes it void, or the session's end: without the first, the second must not be put off."""
+        machine = self.machines.get(id)
+        return machine is not None and any(
+            placement.stop is not None and not placement.seen
+            and (placement.inflight > 0 or placement.tainted > 0)
+            for placement in machine.held.values()
+        )  # fmt: skip
+
     def wake(self, now: Instant) -> None:
         self.watch.wake(now)
 
