--- a/tests/test_regress.py
+++ b/tests/test_regress.py
@@ -170,6 +170,13 @@
     assert largest.read(LOG[:5], {"gang": 1})[0] == largest.Largest("gang", 1, 1.0, 0.0)
 
 
+def test_one_that_began_and_was_cancelled_unlogged_must_still_begin_in_time() -> None:
+    gang = largest.read(LOG, {"gang": 1})[0]
+    assert gang == largest.Largest("gang", 1, 1.0, 259.0)
+    # Not one more is excused than the bench counts as cancelled.
+    assert largest.read(LOG, {"gang": 0})[0].share == 0.0
+
+
 def test_days_of_meetings_follow_from_the_deployment() -> None:
     site = {**SITE, "workers": {"lease_s": 10.0, "cancel_s": 30.0}}
     site["capacity"] = [{"count": 60, "spot": 40}]
--- a/tools/regress/largest.py
+++ b/tools/regress/largest.py
@@ -39,6 +39,7 @@
     began: dict[str, float] = {}
     done: set[str] = set()
     cancelled: set[str] = set()
+    excused: set[str] = set()  # of being done, not of beginning in time
     for line in lines:
         found = _EVENT.search(line)
         if found is None:
@@ -57,9 +58,17 @@
     for name, jobs in sizes.items():
         lost = [id for id in jobs if id not in began and id not in done and id not in cancelled]
         known = sum(1 for id in jobs if id in cancelled)
-        if len(lost) <= (users_cancelled or {}).get(name, 0) - known:
+        unlogged = (users_cancelled or {}).get(name, 0) - known
+        if len(lost) <= unlogged:
             cancelled.update(lost)
-    return [_judge(name, jobs, began, done, cancelled) for name, jobs in sorted(sizes.items())]
+        # One that began may have been cancelled later in the same way: then all that is neither
+        # done nor known to be cancelled is within what the bench counts as cancelled.
+        open_ = [id for id in jobs if id not in done and id not in cancelled]
+        if any(id in done for id in jobs) and len(open_) <= unlogged:
+            excused.update(open_)
+    return [
+        _judge(name, jobs, began, done, cancelled, excused) for name, jobs in sorted(sizes.items())
+    ]
 
 
 def _judge(
@@ -68,6 +77,7 @@
     began: dict[str, float],
     done: set[str],
     cancelled: set[str],
+    excused: set[str],
 ) -> Largest:
     order = sorted(sizes, key=lambda id: (-sizes[id], id))
     chosen = order[: max(1, round(PART * len(order)))]
@@ -75,7 +85,8 @@
     # Services never end: what began is served.
     ends = any(id in done for id in sizes)
     served = [id for id in asked if id in (done if ends else began)]
-    share = len(served) / len(asked) if asked else 1.0
+    asked_to_end = [id for id in asked if id in served or id not in excused]
+    share = len(served) / len(asked_to_end) if asked_to_end else 1.0
     longest = max((began.get(id, math.inf) for id in asked), default=0.0)
     return Largest(name, len(chosen), share, longest)
 
