A test of the cancellation that was only read; a name, and a field that nothing used

The line on such a cancellation had no test of its own (it fails without the line); Peers.doubted held reasons, not doubted peers, and is called refused; Controllers.unknown was unused.

--- a/tests/controllers.py
+++ b/tests/controllers.py
@@ -80,7 +80,6 @@
         self.tasks: dict[str, Any] = {}
         self.running_workers: dict[str, Any] = {}
         self.terms: list[tuple[str, int]] = []  # who won, with which token
-        self.unknown: dict[str, set[str]] = {}  # submitted without an answer
         self.requested: set[str] = set()  # cancellations that users have asked for
 
     # ---- the rules' view ---------------------------------------------------------------
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -15,6 +15,7 @@
 from network import Trouble
 from test_scenarios import Play, _pairs, fails_unguarded, guarded, play
 
+from umberward.control import users
 from umberward.protocol.wire import LIVE
 
 FILES = sorted((Path(__file__).parent / "scenarios/meetings").glob("*.txt"))
@@ -141,6 +142,17 @@
         play(path, make)
 
 
+def test_a_cancellation_that_was_only_read_is_logged(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Its transaction got no answer and was carried out."""
+    said: list[str] = []
+    monkeypatch.setattr(users.log, "info", lambda event, **_: said.append(event))
+    game = Play()
+    game.do_submit("req-000001")
+    game.do_state("lost")
+    game.do_cancel("req-000001")
+    assert game.see_phase() == "cancelled" and said == ["cancelled_by_user"]
+
+
 def test_a_gang_of_which_a_part_is_stored_as_done_is_done() -> None:
     """As an earlier version has stored it, which then waited for the rest for ever."""
     game = Play()
--- a/umberward/control/peers.py
+++ b/umberward/control/peers.py
@@ -83,7 +83,7 @@
         self.answer = answer  # a report that another controller has carried to us
         self.cancelled = cancelled  # hears which jobs others have told their users are cancelled
         self.to_tell: dict[JobId, None] = {}
-        self.doubted: set[str] = set()  # who has sent what could not be read
+        self.refused: set[str] = set()  # why messages were: each reason is logged once
         self.carry_again = -math.inf
         self.carrying = curio.Semaphore(CARRIED_AT_ONCE)
         platform = settings.platform
@@ -166,8 +166,8 @@
             if len(ids) < len(told.cancelled) or told.sender not in self.addresses:
                 raise ValueError("not the ids of jobs, or not from another controller")
         except (msgspec.ValidationError, cbor2.CBORDecodeError, ValueError) as error:
-            if str(error) not in self.doubted and len(self.doubted) < TOLD_AT_ONCE:
-                self.doubted.add(str(error))
+            if str(error) not in self.refused and len(self.refused) < TOLD_AT_ONCE:
+                self.refused.add(str(error))
                 log.warning("message_refused", path="/peer/cancelled", error=error)
             return Response(400)
         await self.cancelled(ids)
