--- a/tools/regress/__main__.py
+++ b/tools/regress/__main__.py
@@ -13,7 +13,7 @@
 from tools.regress.entries import Entry, Row
 
 KIT = Path("../given/kit")
-BENCH = KIT / "more/fleet/bin/fleetbench"
+BENCH = KIT / "more/hunt/bin/fleetbench"
 JOURNAL = Path("journal")
 SITES = Path("target/sites")
 MARKED_S = 300.0  # of processor time: near the 400 s after which a day counts for nothing
