--- a/tests/test_regress.py
+++ b/tests/test_regress.py
@@ -12,7 +12,7 @@
 from click.testing import CliRunner
 
 from tools.regress import __main__ as regress
-from tools.regress import entries, largest, served, sites
+from tools.regress import entries, largest, meetings, served, sites
 
 JOURNAL = Path(__file__).parent / "journal"
 
@@ -168,3 +168,35 @@
 def test_a_cancellation_that_nobody_logged_counts_all_the_same() -> None:
     assert largest.read(LOG[:4], {"gang": 1})[0].share == 0.0  # one of two is missing besides
     assert largest.read(LOG[:5], {"gang": 1})[0] == largest.Largest("gang", 1, 1.0, 0.0)
+
+
+def test_days_of_meetings_follow_from_the_deployment() -> None:
+    site = {**SITE, "workers": {"lease_s": 10.0, "cancel_s": 30.0}}
+    site["capacity"] = [{"count": 60, "spot": 40}]
+    made = meetings.days(site, seed=3, pairs=2)
+    assert [day["name"] for day in made[-2:]] == ["pair-3-0", "pair-3-1"]
+    assert len(made) == len(meetings.MEETINGS) + 2
+    gap = made[0]
+    outages = [fault for fault in gap["faults"] if fault["kind"] == "state_outage"]
+    assert all(fault["for_s"] > 30.0 for fault in outages) and len(outages) == 2
+    ends = max(fault["at_s"] + fault.get("for_s", 0.0) for fault in gap["faults"])
+    assert gap["duration_s"] == ends + meetings.LAST_S
+    assert made == meetings.days(site, seed=3, pairs=2) != meetings.days(site, seed=4, pairs=2)
+
+
+def test_an_unknown_meeting_ends_with_a_line(
+    monkeypatch: pytest.MonkeyPatch, tmp_path: Path
+) -> None:
+    kit = tmp_path / "kit"
+    for name in [*regress.HUNT, regress.LENDING]:
+        (kit / name).parent.mkdir(parents=True, exist_ok=True)
+        site = {**SITE, "workers": {"lease_s": 10.0, "cancel_s": 30.0}}
+        (kit / name).write_text(tomli_w.dumps(site))
+        (kit / name).with_name("wire.json").write_text("{}")
+    monkeypatch.setattr(regress, "KIT", kit)
+    monkeypatch.setattr(regress, "BENCH", kit)
+    monkeypatch.setattr(regress, "SITES", tmp_path / "sites")
+    for words in (["--day", "nonsense"], ["--only", "nonsense"]):
+        result = CliRunner().invoke(regress.main, ["meetings", "--why", "x", *words])
+        assert result.exit_code == 2 and result.output.count("\n") == 1
+        assert "nonsense" in result.output
--- a/tools/regress/__main__.py
+++ b/tools/regress/__main__.py
@@ -9,7 +9,7 @@
 
 import click
 
-from tools.regress import entries, largest, served, sites
+from tools.regress import entries, largest, meetings, served, sites
 from tools.regress.entries import Entry, Row
 
 KIT = Path("../given/kit")
@@ -26,6 +26,7 @@
 OPERATIONS = ["more/bayanihan-payroll-ph-ops.toml", "more/atlas-cores-ma-ops.toml"]
 FLEET = ["more/fleet/bayanihan-payroll-ph-fleet.toml", "more/fleet/atlas-cores-ma-fleet.toml"]
 HALF_AGAIN = [*FLEET, LENDING]
+HUNT = ["more/hunt/bayanihan-payroll-ph-hunt.toml", "more/hunt/atlas-cores-ma-hunt.toml"]
 FULL = [
     *FLEET,
     *QUICK,
@@ -111,12 +112,50 @@
         site = sites.write(KIT / source, folder, factor, restart_s, min(seeds, default=1))
         played += [(site, day) for day in sites.days(site, rough=not all_days)]
         played += [(site, str(path)) for path in sites.write_days(site, list(seeds))]
-    with ThreadPoolExecutor(max_workers=jobs) as pool:
-        results = list(pool.map(lambda pair: _run(pair[0], pair[1], why), played))
-    click.echo(f"{'deployment':34}{'day':14}{'now':>7}{'cpu s':>7}  least served")
-    for text, _ in results:
-        click.echo(text)
-    sys.exit(1 if any(failed for _, failed in results) else 0)
+    _play_each(played, why, jobs)
+
+
+@main.command("meetings")
+@_why
+@_jobs
+@click.option(
+    "--factor",
+    "factors",
+    multiple=True,
+    type=float,
+    default=[1.0, 1.5],
+    help="Times the machines and jobs.",
+)
+@click.option("--restart-s", default=0.2, show_default=True, help="An ended process is back.")
+@click.option("--seed", "seeds", multiple=True, type=int, default=[1], help="Other luck.")
+@click.option("--pairs", default=2, show_default=True, help="Drawn pairs of meetings, each seed.")
+@click.option("--only", default="", help="Only deployments whose names contain this.")
+@click.option("--day", default="", help="Only meetings whose names contain this.")
+def _meetings(
+    why: str, jobs: int, factors: tuple[float, ...], restart_s: float, seeds: tuple[int, ...],
+    pairs: int, only: str, day: str,
+) -> None:  # fmt: skip
+    """Days on which two troubles meet, on both hunt deployments and on lending.
+
+    Ends with 1 as `half-again` does, with 2 without the users' kit or for an unknown name.
+    """
+    _need_bench()
+    played: list[tuple[Path, str]] = []
+    for source in (name for name in [*HUNT, LENDING] if only in name):
+        for factor in factors:
+            folder = SITES / f"x{factor:g}-{restart_s:g}"
+            site = sites.write(KIT / source, folder, factor, restart_s, min(seeds, default=1))
+            for seed in seeds:
+                try:
+                    made = meetings.days(sites.read(site), seed, pairs, day)
+                except ValueError as error:
+                    click.echo(f"regress: {error}", err=True)
+                    sys.exit(2)
+                played += [(site, str(sites.write_day(site, one))) for one in made]
+    if not played:
+        click.echo(f"regress: no deployment is called {only!r}", err=True)
+        sys.exit(2)
+    _play_each(played, why, jobs)
 
 
 @main.command()
@@ -131,6 +170,17 @@
     _judge(found, chosen)
 
 
+def _play_each(played: list[tuple[Path, str]], why: str, jobs: int) -> None:
+    """Play these days one by one, print how each went, and end with 1 if one failed."""
+    click.echo(f"{'deployment':34}{'day':14}{'now':>7}{'cpu s':>7}  least served")
+    failures = 0
+    with ThreadPoolExecutor(max_workers=jobs) as pool:
+        for text, failed in pool.map(lambda pair: _run(pair[0], pair[1], why), played):
+            click.echo(text)
+            failures += failed
+    sys.exit(1 if failures else 0)
+
+
 def _play(sites: list[str], flags: list[str], why: str, jobs: int) -> None:
     _need_bench()
     before = {entry.id for entry in _read()}
--- a/tools/regress/sites.py
+++ b/tools/regress/sites.py
@@ -50,7 +50,7 @@
 
 def write(source: Path, folder: Path, factor: float, restart_s: float, seed: int) -> Path:
     """Write the grown deployment and its wire file into `folder`; the path of the first."""
-    site = tomllib.loads(source.read_text())
+    site = read(source)
     grown = grow(site, factor, restart_s, seed)
     folder.mkdir(parents=True, exist_ok=True)
     shutil.copyfile(source.parent / site["wire"], folder / site["wire"])
@@ -72,16 +72,22 @@
 
 def write_days(site: Path, seeds: list[int]) -> list[Path]:
     """Write a file for each drawn day beside the site file."""
-    read = tomllib.loads(site.read_text())
-    made = []
-    for seed in seeds:
-        path = site.with_name(f"{site.stem}-drawn-{seed}.toml")
-        path.write_text(tomli_w.dumps({"day": [draw(read, seed)]}))
-        made.append(path)
-    return made
+    found = read(site)
+    return [write_day(site, draw(found, seed)) for seed in seeds]
+
+
+def read(site: Path) -> dict[str, Any]:
+    return tomllib.loads(site.read_text())
+
+
+def write_day(site: Path, day: dict[str, Any]) -> Path:
+    """Write a file for the day beside the site file."""
+    path = site.with_name(f"{site.stem}-{day['name']}.toml")
+    path.write_text(tomli_w.dumps({"day": [day]}))
+    return path
 
 
 def days(site: Path, rough: bool) -> list[str]:
     """The names of the standard days; `rough`: of those that are marked as the two roughest."""
-    found = tomllib.loads(site.read_text())["day"]
+    found = read(site)["day"]
     return [day["name"] for day in found if day.get("light") or not rough]
