What a cancelled job's tasks use counts until they are surely gone, whoever leads

Cause: only live records counted against a team's limit. A leader that first read after a cancellation, or that held the job's tasks as not found yet, took the team to have room while they still ran on machines that could not be reached.

Change: the record of a cancelled job says what remains of it, if its team has a limit. A new term reads the ends since a revision from before the longest bound (no write more), and counts what was not found on unheard machines, as far as these have room. Tasks of cancelled jobs that are found hold their room and count for their team until they end. Teams without a limit are not looked at.

--- a/tests/controllers.py
+++ b/tests/controllers.py
@@ -58,13 +58,18 @@
 class Controllers(Rules):
     done_stays = False
 
-    def __init__(self, size: int = 3, seed: int = 1, rent: int = 0, **workers: float) -> None:
+    def __init__(
+        self, size: int = 3, seed: int = 1, rent: int = 0,
+        limits: dict[str, float] | None = None, **workers: float,
+    ) -> None:  # fmt: skip
         """`rent`: how many small machines the cloud has in each zone, beside those that are named;
-        `workers`: fields of the settings' `cluster.workers` that differ."""
+        `limits`: `cpus_max` or `gpus_max` of the team red; `workers`: fields of the settings'
+        `cluster.workers` that differ."""
         self.rent = rent
         raw = raw_settings()
         raw["cluster"]["size"] = size
         raw["cluster"]["workers"].update(workers)
+        raw["cluster"]["teams"][0].update(limits or {})
         raw["cluster"]["machine_limits"]["sockets"] = 400
         self.raw = raw
         super().__init__(check(raw, Operator()).platform.cluster)
--- a/tests/guards.py
+++ b/tests/guards.py
@@ -573,6 +573,18 @@
     patch.setattr(Scheduler, "unwanted_start", lambda *_: False)
 
 
+def cancelled_use(patch: pytest.MonkeyPatch) -> None:
+    """As it was: what is not live uses nothing, unless this leader has placed it."""
+    patch.setattr(Scheduler, "remain", lambda *_: None)
+    whole = Scheduler.job_gone
+
+    def job_gone(self: Scheduler, id: Any) -> None:
+        whole(self, id)
+        self.cancelled.clear()
+
+    patch.setattr(Scheduler, "job_gone", job_gone)
+
+
 def tells_others(patch: pytest.MonkeyPatch) -> None:
     patch.setattr(Peers, "announce", lambda *_: None)
 
@@ -583,6 +595,7 @@
     "gang-done-together": gang_done_together,
     "unwanted-start": unwanted_start,
     "tells-others": tells_others,
+    "cancelled-use": cancelled_use,
     "knows-cancellations": knows_cancellations,
     "fresh-knows-nothing": fresh_knows_nothing,
     "tending-ends": tending_ends,
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -39,10 +39,12 @@
     # ---- the world ---------------------------------------------------------------------
 
     def do_cluster(self, size: str, *words: str) -> None:
-        """So many controllers, which start one after the other; other settings of the workers."""
+        """So many controllers, which start one after the other; other settings of the workers, and
+        limits of the team red."""
         given = {name: float(value) for name, value in _pairs(list(words)).items()}
         seed = int(given.pop("seed", 1))
-        self.world = Controllers(int(size), seed, **given)
+        limits = {name: given.pop(name) for name in ("cpus_max", "gpus_max") if name in given}
+        self.world = Controllers(int(size), seed, limits=limits, **given)
         self.open.enter_context(self.world.playing())
         for name in self.world.names:
             self.world.start(name)
--- a/tests/world.py
+++ b/tests/world.py
@@ -309,6 +309,7 @@
         for key, got in list(self.store.keys.items()):
             if key.startswith(LIVE):
                 made.job_put(wire.converted(got.data, JobRecord), got.stamp)
+        records.take_ends(made, self.store.core.news(PAST, 0))
         made.load_done()
         self.seen_revision = self.store.revision
 
--- a/umberward/clients/state.py
+++ b/umberward/clients/state.py
@@ -26,6 +26,7 @@
 # so much of the second's worth that the state service allows, though their rate is lower. If they
 # do all at once, it refuses some, and they are tried again.
 OTHERS_BURST = 0.4
+SPARE_CHANGES = 2.0
 
 
 class Unavailable(Exception):
@@ -116,6 +117,8 @@
         self.address = address
         self.limits = limits
         self.lower = limits.least()  # comes into force without notice
+        later = limits.next.write_rps if limits.next is not None else None
+        self.widest_write_rps = max(limits.write_rps, later or 0.0)
         self.leading = False
         self.client = client
         self.others = max(1, size - 1)
@@ -138,6 +141,12 @@
         burst = 0.0 if leading else OTHERS_BURST * self.limits.write_rps
         self.writes.set_rate(self.limits.write_rps * writes, burst)
 
+    @property
+    def most_changes(self) -> float:
+        """How many times a second the revision may grow, with room to spare: writes, bursts of
+        them, and the keys of leases that end."""
+        return SPARE_CHANGES * self.widest_write_rps
+
     async def _call(
         self,
         method: str,
--- a/umberward/control/holder.py
+++ b/umberward/control/holder.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 import time
 from collections.abc import Awaitable, Callable
@@ -81,10 +82,12 @@
 
 
 class Listed(NamedTuple):
-    """All live jobs, as they stood in the state service at the moment `asked` or later."""
+    """All live jobs, as they stood in the state service at the moment `asked` or later; `ended`:
+    what a new term has to know of those that ended shortly before (None: that can't be told)."""
 
     entries: list[wire.Entry]
     asked: Instant
+    ended: list[wire.Change] | None
 
 
 class Changes(NamedTuple):
@@ -147,6 +150,7 @@
         rng: random.Random,
         final: Callable[[JobId], FinalRecord | None],
         others_hear: Callable[[], Awaitable[bool]],
+        revision_before: Callable[[float], Revision | None],
         hinted: tuple[Hints, float] | None = None,
     ) -> None:
         super().__init__()
@@ -156,6 +160,7 @@
         self.client = client
         self.rng = rng
         self.others_hear = others_hear  # asks them whether they hear workers
+        self.revision_before = revision_before
         self.doubting = False
         self.final = final  # ends that this controller knows of anyway
         # What the last leader knew, and how old that is.
@@ -215,7 +220,7 @@
                         await self.keeper.load()
                     asked = _now()
                     entries, after = await self.store.entries(LIVE)
-                    await self.ask(Listed(entries, asked))
+                    await self.ask(Listed(entries, asked, await self._ended_lately(after)))
                 asked = _now()
                 news, after = await self.store.watch(JOBS, after, WATCH_S)
                 await self.tell(Changes(news, asked))
@@ -225,6 +230,22 @@
                 log.debug("watch_failed", error=error)
                 await curio.sleep(self.rng.uniform(0.15, 0.3))
 
+    async def _ended_lately(self, listed: Revision) -> list[wire.Change] | None:
+        """The ends of jobs whose tasks may still be somewhere: a leader that reads live records
+        only does not know of these. They are asked for by the revision of the moment before which
+        none of them can have been, or by the most that can have been written since then."""
+        if self.scheduler.loaded or not self.scheduler.quota.any_limits:
+            return []
+        lasts = self.scheduler.lender.bounds.takeover_s
+        since = self.revision_before(_now() - lasts)
+        if since is None:
+            since = Revision(max(0, listed - math.ceil(lasts * self.store.most_changes)))
+        try:
+            return (await self.store.watch(PAST, since, 0.0))[0]
+        except state.TooOld:
+            log.warning("ends_not_read", reason="the state service no longer keeps such changes")
+            return None
+
     async def _ticker(self) -> None:
         said = _now()
         while True:
@@ -268,7 +289,7 @@
         elif isinstance(message, Ended):
             records.take_end(scheduler, message.id, message.data)
         elif isinstance(message, Listed):
-            self._load_jobs(message.entries)
+            self._load_jobs(message.entries, message.ended)
             self._known(message.asked)
         elif self.keeper is not None and self.keeper.takes(message):
             pass
@@ -300,7 +321,7 @@
         if self.scheduler.loaded:
             self.scheduler.known = max(asked, self.scheduler.known or asked)
 
-    def _load_jobs(self, entries: list[wire.Entry]) -> None:
+    def _load_jobs(self, entries: list[wire.Entry], ended: list[wire.Change] | None) -> None:
         listed = set()
         for entry in entries:
             listed.add(JobId(entry.path[len(LIVE) :]))
@@ -310,6 +331,8 @@
             if job.id not in listed and not job.conditions:
                 self.scheduler.job_gone(job.id)
         if not self.scheduler.loaded:
+            self.scheduler.cancelled_unread = ended is None
+            records.take_ends(self.scheduler, ended or ())
             for found, age in self.hinted:
                 age += _now() - self.scheduler.started
                 hints.recall(found, age, self.scheduler, self.provisioner, _now())
--- a/umberward/control/mirror.py
+++ b/umberward/control/mirror.py
@@ -8,11 +8,12 @@
 from __future__ import annotations
 
 import time
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from collections.abc import Callable
 from typing import NamedTuple
 
 import curio
+import msgspec
 
 from umberward.clients import state
 from umberward.clients.state import State
@@ -21,6 +22,7 @@
 from umberward.core.settings import Settings
 from umberward.core.types import JobId, Key, Revision
 from umberward.decisions.pipelines import Graph
+from umberward.decisions.tending import Bounds
 from umberward.protocol import wire
 from umberward.protocol.wire import CANCELLED, JOBS, LIVE, PAST, FinalRecord, JobRecord
 
@@ -33,6 +35,7 @@
 GATHER_S = 0.15
 LULL_S = 10.0  # without polls a copy is brought up to date so often, as old changes are dropped
 LISTED_S = 5.0  # a copy that was listed so lately lacks nothing that its changes do not tell
+REVISIONS_S = 1.0  # how often the revision of a moment is remembered
 NOBODYS = object()  # nobody has submitted the job
 
 
@@ -69,6 +72,9 @@
         self.after: Revision | None = None
         self.listed_at = 0.0  # when all live jobs were last read
         self.read_at = 0.0  # when the latest changes were asked for
+        # All that was committed after a moment has a higher revision than the one beside it.
+        self.revisions: deque[tuple[float, Revision]] = deque()
+        self.remembered_s = Bounds(cluster.workers).takeover_s + LULL_S
         self.mail: curio.Queue = curio.Queue()
         self.hurry = curio.Event()
 
@@ -93,6 +99,12 @@
             if now - asked > ANSWER_S:
                 raise state.Unavailable("what was read is out of date")
 
+    def revision_before(self, moment: float) -> Revision | None:
+        """A revision below all that was committed after that moment, by our clock; None: we have
+        not read so long ago."""
+        found = [revision for at, revision in self.revisions if at <= moment]
+        return found[-1] if found else None
+
     def needs(self, id: JobId) -> list[JobId]:
         """What the job still waits for, as far as it was read."""
         return sorted(self.graph.needs.get(id, ()))
@@ -178,7 +190,7 @@
         self.live.pop(id, None)
         self.absent.pop(id, None)
         self.graph.ended(id, final.phase)
-        self.finals[id] = final
+        self.finals[id] = msgspec.structs.replace(final, remains=None)  # no matter of users
         while len(self.finals) > self.most_finals:
             self.finals.popitem(last=False)
 
@@ -213,6 +225,15 @@
         sent = self.clock()
         await self._read()
         self.read_at = sent
+        self._note_revision()
+
+    def _note_revision(self) -> None:
+        now = self.clock()
+        known = self.revisions
+        if self.after is not None and (not known or now - known[-1][0] > REVISIONS_S):
+            known.append((now, self.after))
+            while len(known) > 1 and now - known[1][0] > self.remembered_s:
+                known.popleft()
 
     async def _read(self) -> None:
         if self.after is not None:
--- a/umberward/control/node.py
+++ b/umberward/control/node.py
@@ -114,7 +114,8 @@
         await self._lost()
         self.holder = Holder(
             self.settings, self.membership, self.store, self.client, self.cloud, self.skus,
-            epoch, self.rng, self.mirror.finals.get, self.peers.others_hear, self.peers.fresh(),
+            epoch, self.rng, self.mirror.finals.get, self.peers.others_hear,
+            self.mirror.revision_before, self.peers.fresh(),
         )  # fmt: skip
         self.holder_task = await curio.spawn(_forever, self.holder.serve, daemon=True)
 
--- a/umberward/control/users.py
+++ b/umberward/control/users.py
@@ -26,7 +26,16 @@
 from umberward.graphs.model import graph_of
 from umberward.protocol import changes, wire
 from umberward.protocol.http import Response
-from umberward.protocol.wire import CANCELLED, LIVE, PAST, FinalRecord, JobRecord, Sku, Spec
+from umberward.protocol.wire import (
+    CANCELLED,
+    LIVE,
+    PAST,
+    FinalRecord,
+    JobRecord,
+    Remains,
+    Sku,
+    Spec,
+)
 
 log = logger(__name__)
 
@@ -175,7 +184,8 @@
             return None
         try:
             record = wire.converted(live.data, JobRecord)
-            past = FinalRecord(CANCELLED, record.base + int(record.done, 16).bit_count())
+            done = record.base + int(record.done, 16).bit_count()
+            past = FinalRecord(CANCELLED, done, remains=self._remains(record, done))
         except (wire.Malformed, ValueError) as error:
             log.error("record_malformed", job=id, error=error)
             past = FinalRecord(CANCELLED)
@@ -220,6 +230,16 @@
             raise wire.Malformed("waits_on: too many jobs for one record")
         return record, names
 
+    def _remains(self, record: JobRecord, done: int) -> Remains | None:
+        """What a leader that never reads the live record has to count against the team's limit."""
+        spec = record.spec
+        if record.marked <= done or not self.quota.limits(TeamName(spec.owner)):
+            return None
+        return Remains(
+            spec.owner, spec.cores, spec.mem_gb, record.marked, spec.accelerators, record.base,
+            record.done,
+        )  # fmt: skip
+
     @staticmethod
     def _wait_for(
         record: JobRecord, found: dict[JobId, Live | FinalRecord | None]
@@ -256,7 +276,7 @@
                 continue
             if spec.yard is not None and spec.yard not in sku.yards:
                 continue
-            if need.fits(Amount(sku.cores, sku.accelerators, sku.mem_gb)):
+            if need.fits(sku.whole):
                 break
         else:
             raise Refused("a task fits no allowed machine type")
--- a/umberward/core/types.py
+++ b/umberward/core/types.py
@@ -94,6 +94,10 @@
     def minus(self, other: Amount, times: int = 1) -> Amount:
         return self.plus(other, -times)
 
+    def least(self, other: Amount) -> Amount:
+        """The smaller of each part."""
+        return Amount(*map(min, self, other))
+
     def fits(self, room: Amount) -> bool:
         return (
             self[0] <= room[0] + SLACK and self[1] <= room[1] + SLACK and self[2] <= room[2] + SLACK
--- a/umberward/decisions/cluster.py
+++ b/umberward/decisions/cluster.py
@@ -123,6 +123,8 @@
         self.wall = wall
         self.rng = rng
         self.jobs: dict[JobId, Job] = {}
+        # Cancelled ones with tasks that a former holder placed and nobody has found yet.
+        self.cancelled: dict[JobId, Job] = {}
         # Jobs that may have tasks to place, in the order in which they came to have some.
         self.unplaced: dict[JobId, Job] = {}
         self.claims: dict[JobId, Claim] = {}  # what the jobs after a job ask of it
@@ -182,7 +184,7 @@
                 sku = self.skus.get(offer.type)
                 if sku is None or not self.allowed(job, *offer):
                     continue
-                if job.need.fits(Amount(sku.cores, sku.accelerators, sku.mem_gb)):
+                if job.need.fits(sku.whole):
                     found.add(offer)
             job.suits = (self.fleet_kinds, found)
         return job.suits[1]
--- a/umberward/decisions/fleet.py
+++ b/umberward/decisions/fleet.py
@@ -126,7 +126,7 @@
     def free(self, sku: Sku) -> Amount:
         """The room that no task is booked on."""
         if self._free is None or self._free[0] is not sku:
-            self._free = (sku, Amount(sku.cores, sku.accelerators, sku.mem_gb).minus(self.booked))
+            self._free = (sku, sku.whole.minus(self.booked))
         return self._free[1]
 
     @property
--- a/umberward/decisions/jobs.py
+++ b/umberward/decisions/jobs.py
@@ -22,7 +22,7 @@
     ZoneName,
 )
 from umberward.protocol import wire
-from umberward.protocol.wire import LIVE, JobRecord, Spec
+from umberward.protocol.wire import LIVE, JobRecord, Remains, Spec
 
 RECORD_SPARE = 128  # bytes of a record besides the spec and the bitmap
 LEAST_WINDOW = 16
@@ -159,6 +159,20 @@
         self.prompt = False  # accelerated work that should start soon after it comes
         self.goal_at = -math.inf  # the latest start for the next of what is asked of it
 
+    @classmethod
+    def of_remains(cls, id: JobId, remains: Remains) -> Job:
+        """A job that is cancelled, as far as its tasks may still use something."""
+        spec = Spec(
+            uid=id, jobclass="-", owner=remains.owner, shape=wire.ARRAY, rank="idle",
+            shards=max(1, remains.marked), cores=remains.cores, accelerators=remains.accelerators,
+            mem_gb=remains.mem_gb, bundle="-", pull_gb=0.0, expect_s=0.0, same_place=False,
+            apart=False, reclaimable=False, snapshot_every_s=0.0, snapshot_cost_s=0.0,
+        )  # fmt: skip
+        record = JobRecord(spec, 0.0, remains.marked, remains.base, remains.done)
+        job = cls(record, Stamp(0), 0)
+        job.ended = True
+        return job
+
     @property
     def key(self) -> StopKey:
         return StopKey(self.need.accelerators > 0, self.rank, self.standing)
--- a/umberward/decisions/patience.py
+++ b/umberward/decisions/patience.py
@@ -57,7 +57,7 @@
     sku = cluster.skus.get(offer.type)
     if sku is None or not cluster.allowed(job, *offer):
         return math.inf
-    each = job.need.times_into(Amount(sku.cores, sku.accelerators, sku.mem_gb))
+    each = job.need.times_into(sku.whole)
     whole = sku.low_price if offer.spot else sku.hourly
     return math.inf if whole is None or not each else whole / each
 
@@ -126,6 +126,6 @@
     for offer, count in machines.items():
         if price(cluster, job, offer) <= cheap.bound:
             sku = cluster.skus[offer.type]
-            whole = Amount(sku.cores, sku.accelerators, sku.mem_gb)
+            whole = sku.whole
             many += count * job.need.times_into(whole)
     return many
--- a/umberward/decisions/provision.py
+++ b/umberward/decisions/provision.py
@@ -167,7 +167,7 @@
                 continue
             # A gang may wait for more machines than this one.
             if sku is None or not any(
-                job.need.fits(Amount(sku.cores, sku.accelerators, sku.mem_gb))
+                job.need.fits(sku.whole)
                 and scheduler.allowed(job, machine.type, machine.zone, machine.spot)
                 and (job.id not in self.patient or machine.offer in self.patient[job.id].offers)
                 for job in lacking
@@ -189,7 +189,7 @@
             sku = skus.get(expected.offer.type)
             if sku is None or now - expected.since > LATE_BOOT * sku.boot_s + 5.0:
                 continue
-            whole = Amount(sku.cores, sku.accelerators, sku.mem_gb)
+            whole = sku.whole
             virtual.append(Paper(expected.offer, whole))
         known = Counter(paper.offer for paper in virtual[standing:])
         known.update({offer: len(kind) for offer, kind in scheduler.ready.kinds.items()})
@@ -227,7 +227,7 @@
                 for _ in range(machines):
                     took = min(left, each)
                     left -= took
-                    whole = Amount(sku.cores, sku.accelerators, sku.mem_gb)
+                    whole = sku.whole
                     virtual.append(Paper(offer, whole.minus(need, took)))
                 if wanted[offer] >= RENT_LIMIT:
                     break
@@ -275,7 +275,7 @@
         if best is not None:
             offer, each = best
             sku = scheduler.skus[offer.type]
-            whole = Amount(sku.cores, sku.accelerators, sku.mem_gb)
+            whole = sku.whole
             machines = math.ceil(missing / each)
             wanted[offer] = wanted.get(offer, 0) + machines
             for _ in range(machines):
@@ -303,9 +303,7 @@
             for machine in scheduler.hearing.doubted.values():
                 sku = scheduler.skus.get(machine.type)
                 if sku is not None and machine.deaf and not machine.silent:
-                    found.append(
-                        Paper(machine.offer, Amount(sku.cores, sku.accelerators, sku.mem_gb))
-                    )
+                    found.append(Paper(machine.offer, sku.whole))
         return found
 
     def _cheaper_room(self, virtual: list[Paper], wanted: dict[Offer, int], now: Instant) -> None:
@@ -325,14 +323,13 @@
                 (thrift.unit_price(TypeName(sku.sku)), Offer(TypeName(sku.sku), zone, False))
                 for sku in scheduler.skus.values()
                 for zone in map(ZoneName, sku.yards)
-                if thrift.unit_price(TypeName(sku.sku)) < bound
-                and need.fits(Amount(sku.cores, sku.accelerators, sku.mem_gb))
+                if thrift.unit_price(TypeName(sku.sku)) < bound and need.fits(sku.whole)
             ]
             for _, offer in sorted(offers):
                 until = self.refused.get(offer, (Instant(0.0), 0.0))[0]
                 if until <= now and scheduler.allowed(job, *offer):
                     sku = scheduler.skus[offer.type]
-                    whole = Amount(sku.cores, sku.accelerators, sku.mem_gb)
+                    whole = sku.whole
                     wanted[offer] = wanted.get(offer, 0) + 1
                     virtual.append(Paper(offer, whole.minus(need)))
                     break
@@ -357,7 +354,7 @@
         if job.id in self.patient:
             fair = min(fair, self.patient[job.id].bound)
         for sku in scheduler.skus.values():
-            whole = Amount(sku.cores, sku.accelerators, sku.mem_gb)
+            whole = sku.whole
             each = job.need.times_into(whole)
             if each <= 0:
                 continue
@@ -381,7 +378,7 @@
         """The lowest ordinary price for which a task of the job could run."""
         fair = math.inf
         for sku in self.scheduler.skus.values():
-            each = job.need.times_into(Amount(sku.cores, sku.accelerators, sku.mem_gb))
+            each = job.need.times_into(sku.whole)
             names = job.spec.flavors
             if each > 0 and (names is None or sku.sku in names):
                 fair = min(fair, sku.hourly / each)
@@ -404,7 +401,7 @@
         )
         best: tuple[float, Offer] | None = None
         for sku in scheduler.skus.values():
-            whole = Amount(sku.cores, sku.accelerators, sku.mem_gb)
+            whole = sku.whole
             if not need.fits(whole) or sku.boot_s + spec.pull_gb / sku.fetch_gb_per_s <= wait:
                 continue
             for zone in sku.yards:
@@ -416,7 +413,7 @@
         if best is not None and lacking > 0:
             wanted[best[1]] = lacking
             sku = scheduler.skus[best[1].type]
-            whole = Amount(sku.cores, sku.accelerators, sku.mem_gb)
+            whole = sku.whole
             virtual.extend(Paper(best[1], whole) for _ in range(lacking))
 
 
--- a/umberward/decisions/quota.py
+++ b/umberward/decisions/quota.py
@@ -10,6 +10,7 @@
     def __init__(self, teams: list[Team]) -> None:
         self.teams = {TeamName(team.name): team for team in teams}
         self.used: dict[TeamName, Amount] = {}
+        self.any_limits = any(self.limits(team) for team in self.teams)
 
     def take(self, team: TeamName, need: Amount) -> None:
         self.used[team] = self.used.get(team, NOTHING).plus(need)
@@ -39,6 +40,11 @@
             0 < limits.gpus_max < need.accelerators * times - 1e-6
         )
 
+    def limits(self, team: TeamName) -> bool:
+        """Whether the team has a limit at all."""
+        limits = self.teams.get(team)
+        return limits is not None and (limits.cpus_max > 0 or limits.gpus_max > 0)
+
     def guarantees(self, team: TeamName) -> bool:
         """Whether anything is guaranteed to the team."""
         limits = self.teams.get(team)
--- a/umberward/decisions/records.py
+++ b/umberward/decisions/records.py
@@ -18,9 +18,7 @@
 def take_changes(scheduler: Scheduler, changes: Sequence[wire.Change]) -> None:
     """News of a watch. Ends come first: whether a job is done or cancelled decides what those
     after it do, and its live record goes in the same transaction."""
-    for change in changes:
-        if change.write is not None and change.write.startswith(PAST):
-            take_end(scheduler, JobId(change.write[len(PAST) :]), change.data, scheduler.wall())
+    take_ends(scheduler, changes)
     for change in changes:
         if change.delete is not None and change.delete.startswith(LIVE):
             scheduler.job_gone(JobId(change.delete[len(LIVE) :]))
@@ -28,6 +26,12 @@
             take_job(scheduler, change.write, change.data, change.stamp)
 
 
+def take_ends(scheduler: Scheduler, changes: Sequence[wire.Change]) -> None:
+    for change in changes:
+        if change.write is not None and change.write.startswith(PAST):
+            take_end(scheduler, JobId(change.write[len(PAST) :]), change.data, scheduler.wall())
+
+
 def take_job(scheduler: Scheduler, path: str, data: Any, stamp: int) -> None:
     try:
         scheduler.job_put(wire.converted(data, JobRecord), Stamp(stamp))
@@ -52,4 +56,6 @@
     except wire.Malformed as error:
         log.error("record_malformed", job=id, error=error)
         return
+    if final.remains is not None:
+        scheduler.remain(id, final.remains)
     scheduler.job_ended(id, final, final.at or otherwise)
--- a/umberward/decisions/reports.py
+++ b/umberward/decisions/reports.py
@@ -305,12 +305,9 @@
     ) -> Placement | None:
         """A task that a former holder started: ours from now on, unless it must go."""
         job = self.cluster.jobs.get(task.job)
-        if (
-            not self.cluster.loaded
-            or job is None
-            or task.number >= job.size
-            or job.is_done(task.number)
-        ):
+        if job is None:
+            return self._cancelled(machine, task, shard, now)
+        if not self.cluster.loaded or task.number >= job.size or job.is_done(task.number):
             return None
         if task in machine.held or task.number in job.placed:
             return None
@@ -323,6 +320,21 @@
         job.found(task.number)
         return placement
 
+    def _cancelled(
+        self, machine: Machine, task: TaskId, shard: wire.ShardReport, now: Instant
+    ) -> Placement | None:
+        """A task of a job that is cancelled: it takes room and counts for its team until it ends.
+        None: we don't know what it uses."""
+        job = self.cluster.cancelled.get(task.job)
+        if job is None or task.number not in job.unsure or task in machine.held:
+            return None
+        placement = Placement(task, Attempt(shard.attempt), machine.id, machine.zone, job, now)
+        placement.ready = placement.sent = placement.seen = placement.adopted = True
+        placement.stop = 0.0
+        self.cluster.hold(machine, job, placement)
+        job.found(task.number)
+        return placement
+
     @staticmethod
     def _same_attempt(job: Job, attempt: int) -> bool:
         return all(placement.attempt == attempt for placement in job.placed.values())
--- a/umberward/decisions/reserve.py
+++ b/umberward/decisions/reserve.py
@@ -81,7 +81,7 @@
             return False
         return (
             sku is not None
-            and self.need.fits(Amount(sku.cores, sku.accelerators, sku.mem_gb))
+            and self.need.fits(sku.whole)
             and (spec.flavors is None or type_ in spec.flavors)
             and (spec.yard is None or zone == spec.yard)
             and (spec.reclaimable or not spot)
--- a/umberward/decisions/scheduler.py
+++ b/umberward/decisions/scheduler.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections import Counter
 from collections.abc import Callable, Iterable
@@ -59,6 +60,7 @@
 
 
 MISSED_S = 15.0  # a live job that is not known for so long is taken up
+UNBOUNDED = Amount(math.inf, math.inf, math.inf)
 LONGEST_PAUSE_S = 30.0  # ... of a job whose placing fails, until it is tried again
 
 
@@ -110,6 +112,7 @@
         self.missed: dict[JobId, Instant] = {}  # live, and not known here: since when
         self.lately_gone: dict[JobId, Instant] = {}  # an older reading may still show them
         self.unsettled: dict[JobId, Instant] = {}  # until when tasks of theirs may be somewhere
+        self.cancelled_unread = False  # which jobs were cancelled lately could not be read
 
     # ---- what is said to it: passed on to the part that knows ----------------------------
 
@@ -250,7 +253,7 @@
         """What the books have lost is put in order; to be called once in a while."""
         for id, until in list(self.unsettled.items()):
             job = self.jobs.get(id)
-            if job is None or now > until:
+            if now > until or (job is None and id not in self.cancelled):
                 del self.unsettled[id]
                 if job is not None:
                     job.settle()
@@ -262,6 +265,8 @@
             del self.lately_gone[id]
         if not self.all_settled:
             return
+        for id in [id for id in self.cancelled if id not in self.unsettled]:
+            del self.cancelled[id]
         for job in self.jobs.values():
             if job.id in self.unsettled:
                 continue
@@ -301,12 +306,21 @@
         if job is None:
             return
         job.ended = True
+        if job.unsure:
+            # They may run on until they are found: they go on counting against the team's limit.
+            self.cancelled[id] = job
         self.blame.forget(job, self.now)
         self.want_grades = True
         for placement in list(job.placed.values()):
             self.stop(placement, 0.0)
         self.want_pass = True
 
+    def remain(self, id: JobId, remains: wire.Remains) -> None:
+        """A job was cancelled, and we may never have known it: its tasks may be on machines that
+        we have not heard yet."""
+        if not (self.all_settled or self.knows(id) or id in self.lately_gone):
+            self.cancelled.setdefault(id, Job.of_remains(id, remains))
+
     def removed(self, ids: Iterable[MachineId], now: Instant) -> None:
         """The cloud has deleted these machines, or they stopped by themselves."""
         for id in ids:
@@ -329,14 +343,33 @@
         self.want_epoch = False
 
     def _unsure_usage(self) -> dict[TeamName, Amount]:
-        """What tasks may use that a former holder placed and nobody has found yet."""
+        """What tasks may use that a former holder placed and nobody has found yet, be their jobs
+        live or cancelled. For teams with a limit: others need not know."""
         usage: dict[TeamName, Amount] = {}
-        if not self.all_settled:
-            for job in self.jobs.values():
-                if job.unsure:
-                    old = usage.get(job.team, NOTHING)
-                    usage[job.team] = old.plus(job.need, len(job.unsure))
-        return usage
+        jobs: Iterable[Job] = (*self.jobs.values(), *self.cancelled.values())
+        if self.all_settled:
+            found = (self.jobs.get(id) or self.cancelled.get(id) for id in self.unsettled)
+            jobs = [job for job in found if job is not None]
+        for job in jobs:
+            if job.unsure and self.quota.limits(job.team):
+                old = usage.get(job.team, NOTHING)
+                usage[job.team] = old.plus(job.need, len(job.unsure))
+        if self.all_settled or not (usage or self.cancelled_unread):
+            return usage
+        # They are on machines that we have not heard under our token, as far as these have room.
+        most = self._unheard_room()
+        if self.cancelled_unread:
+            return {team: most for team in self.quota.teams if self.quota.limits(team)}
+        return {team: used.least(most) for team, used in usage.items()}
+
+    def _unheard_room(self) -> Amount:
+        """All of the machines on which a former holder's tasks may be that we don't know of."""
+        room = NOTHING
+        for machine in self.machines.values():
+            if not (machine.settled or machine.cleared):
+                sku = self.skus.get(machine.type)
+                room = UNBOUNDED if sku is None else room.plus(sku.whole)
+        return room
 
     def waiting(self, now: Instant) -> list[Job]:
         """Jobs with tasks to place, in the order in which they are served."""
--- a/umberward/graphs/model.py
+++ b/umberward/graphs/model.py
@@ -307,7 +307,7 @@
     return any(
         kind.type in (None, name)
         and (kind.zone is None or kind.zone in sku.yards)
-        and kind.need.fits(Amount(sku.cores, sku.accelerators, sku.mem_gb))
+        and kind.need.fits(sku.whole)
         for name, sku in skus.items()
     )
 
--- a/umberward/local/workercore.py
+++ b/umberward/local/workercore.py
@@ -249,7 +249,7 @@
 
     def _room(self) -> Amount:
         sku = self.sku
-        return Amount(sku.cores, sku.accelerators, sku.mem_gb).minus(self.booked)
+        return sku.whole.minus(self.booked)
 
     def _kill(self, task: Task, drain_s: float) -> None:
         assert task.spec is not None
--- a/umberward/protocol/wire.py
+++ b/umberward/protocol/wire.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from umberward.core.types import JOB_PREFIX, MAX_TASKS, JobId, parse_job_id
+from umberward.core.types import JOB_PREFIX, MAX_TASKS, Amount, JobId, parse_job_id
 
 BODY_LIMIT = 64 * 1024
 RENT_LIMIT = 50
@@ -103,6 +103,11 @@
     fetch_gb_per_s: Above0 = 1.0
     low_price: From0 | None = None
 
+    @property
+    def whole(self) -> Amount:
+        """All that an empty machine has."""
+        return Amount(self.cores, self.accelerators, self.mem_gb)
+
 
 class Flavors(msgspec.Struct):
     flavors: list[Sku]
@@ -187,13 +192,31 @@
     ready: float | None = None
 
 
+class Remains(msgspec.Struct, omit_defaults=True):
+    """Tasks of a cancelled job that may be on machines until they are told, or their sessions end.
+
+    `marked`, `base` and `done` as its JobRecord had them; the rest is what each of them uses.
+    """
+
+    owner: str
+    cores: float
+    mem_gb: float
+    marked: int
+    accelerators: float = 0.0
+    base: int = 0
+    done: str = "0"
+
+
 class FinalRecord(msgspec.Struct, omit_defaults=True):
-    """`at`: when it ended, if others waited for it; `because`: the cancelled job before it."""
+    """`at`: when it ended, if others waited for it; `because`: the cancelled job before it;
+    `remains`: of a cancelled job whose team has a limit, if any of its tasks may have been placed.
+    """
 
     phase: str
     done: int = 0
     at: float | None = None
     because: str = ""
+    remains: Remains | None = None
 
 
 class LeaderRecord(msgspec.Struct):
