--- a/tests/test_regress.py
+++ b/tests/test_regress.py
@@ -181,9 +181,10 @@
     site = {**SITE, "workers": {"lease_s": 10.0, "cancel_s": 30.0}}
     site["capacity"] = [{"count": 60, "spot": 40}]
     made = meetings.days(site, seed=3, pairs=2)
-    assert [day["name"] for day in made[-2:]] == ["pair-3-0", "pair-3-1"]
+    assert [drawn.day["name"] for drawn in made[-2:]] == ["pair-3-0", "pair-3-1"]
     assert len(made) == len(meetings.MEETINGS) + 2
-    gap = made[0]
+    gap = made[0].day
+    assert made[0].variant == ""
     outages = [fault for fault in gap["faults"] if fault["kind"] == "state_outage"]
     assert all(fault["for_s"] > 30.0 for fault in outages) and len(outages) == 2
     ends = max(fault["at_s"] + fault.get("for_s", 0.0) for fault in gap["faults"])
@@ -191,6 +192,19 @@
     assert made == meetings.days(site, seed=3, pairs=2) != meetings.days(site, seed=4, pairs=2)
 
 
+@pytest.mark.parametrize("variant", sites.VARIANTS)
+def test_a_variant_changes_nothing_else(variant: str) -> None:
+    array = {**SITE["jobs"][0], "kind": "array"}
+    types = [{"name": "t", "cpus": 8.0, "boot_s": 30.0}]
+    site = {**SITE, "jobs": [array], "machine_types": types, "teams": [{"name": "r", "count": 2}]}
+    changed = sites.VARIANTS[variant](site)
+    assert changed != site
+    field = {"limited": "teams", "quick-boots": "machine_types", "small-jobs": "jobs"}[variant]
+    assert {**changed, field: None} == {**site, field: None}
+    if variant == "limited":  # half of what all teams have together
+        assert changed["teams"][0]["cpus_max"] == sites.LIMIT * 7 * 8.0 / 2
+
+
 def test_an_unknown_meeting_ends_with_a_line(
     monkeypatch: pytest.MonkeyPatch, tmp_path: Path
 ) -> None:
--- a/tools/regress/__main__.py
+++ b/tools/regress/__main__.py
@@ -164,14 +164,17 @@
     for source in (name for name in [*HUNT, LENDING] if only in name):
         for factor in factors:
             folder = SITES / f"x{factor:g}-{restart_s:g}"
-            site = sites.write(KIT / source, folder, factor, restart_s, min(seeds, default=1))
+            least = min(seeds, default=1)
+            site = sites.write(KIT / source, folder, factor, restart_s, least)
             for seed in seeds:
                 try:
                     made = meetings.days(sites.read(site), seed, pairs, day)
                 except ValueError as error:
                     click.echo(f"regress: {error}", err=True)
                     sys.exit(2)
-                played += [(site, str(sites.write_day(site, one))) for one in made]
+                for one, variant in made:
+                    where = sites.write(KIT / source, folder, factor, restart_s, least, variant)
+                    played.append((where, str(sites.write_day(where, one))))
     if not played:
         click.echo(f"regress: no deployment is called {only!r}", err=True)
         sys.exit(2)
--- a/tools/regress/meetings.py
+++ b/tools/regress/meetings.py
@@ -27,11 +27,20 @@
 
 
 class Meeting(NamedTuple):
-    """`make` gives its troubles, the first at 0 s; `cancelled`: the share of the jobs that is."""
+    """`make` gives its troubles, the first at 0 s; `cancelled`: the share of the jobs that is;
+    `variant`: of the deployment (sites.VARIANTS), on which it is played."""
 
     make: Callable[[Times], list[Fault]]
     cancelled: float = 0.3
     slow_state: bool = False
+    variant: str = ""
+
+
+class Drawn(NamedTuple):
+    """A day, and the variant of the deployment on which it is played."""
+
+    day: dict[str, Any]
+    variant: str
 
 
 def _at(at_s: float, kind: str, **more: Any) -> Fault:
@@ -89,6 +98,104 @@
         ],
         0.5,
     ),
+    "close-looks": Meeting(
+        lambda t: [_at(0.0, "close_looks", for_s=70.0), _ends(20.0), _ends(45.0)], 0.6
+    ),
+    "answer-lost": Meeting(
+        lambda t: [
+            _at(0.0, "late_writes", share=0.4, for_s=60.0, at_once=True),
+            _at(0.0, "close_looks", for_s=60.0),
+            _ends(18.0),
+            _ends(40.0),
+        ],
+        0.5,
+    ),
+    "limit-cut": Meeting(
+        lambda t: [
+            _at(0.0, "machine_cut", count=4 * t.tenth, for_s=0.9 * t.cancel_s, mode="hold"),
+            _at(0.5, "cancel_now", count=40),
+            _ends(1.0),
+            _at(7.0, "cancel_now", count=40),
+        ],
+        variant="limited",
+    ),
+    "limit-hang": Meeting(
+        lambda t: [
+            _at(0.0, "cancel_now", count=20, hang_s=0.8 * t.lease_s),
+            _ends(0.6),
+            _at(8.0, "cancel_now", count=20, hang_s=1.5 * t.lease_s),
+            _ends(9.0),
+        ],
+        variant="limited",
+    ),
+    "hung-cancelled": Meeting(
+        lambda t: [
+            _at(0.0, "cancel_now", count=8, hang_s=0.5 * t.lease_s),
+            _at(12.0, "cancel_now", count=8, hang_s=0.9 * t.lease_s),
+            _ends(14.0),
+            _at(40.0, "cancel_now", count=8, hang_s=1.2 * t.lease_s),
+        ]
+    ),
+    "handing-over": Meeting(
+        lambda t: [
+            _ends(0.0),
+            *(_at(round(0.7 * n, 1), "cancel_now", count=6) for n in range(8)),
+            _at(20.0, "cancel_now", count=10),
+            _alone(20.1, 9.0),
+            *(_at(20.5 + round(0.9 * n, 1), "cancel_now", count=6) for n in range(6)),
+        ]
+    ),
+    "quick-machines": Meeting(
+        lambda t: [
+            _at(0.0, "late_writes", share=0.3, for_s=40.0),
+            _at(2.0, "machine_die", count=2 * t.tenth),
+            _ends(6.0),
+            _at(20.0, "machine_die", count=t.tenth),
+            _ends(23.5),
+        ],
+        variant="quick-boots",
+    ),
+    "report-for-next": Meeting(
+        lambda t: [
+            _at(0.0, "late_reports", share=0.5, for_s=60.0, for_next=True),
+            _at(8.0, "machine_cut", count=t.tenth, for_s=0.8 * t.lease_s, mode="hold"),
+            _ends(10.0),
+            _ends(30.0),
+            _ends(50.0, 5),
+        ]
+    ),
+    "small-jobs": Meeting(
+        lambda t: [_ends(30.0), _at(60.0, "late_writes", share=0.2, for_s=20.0)],
+        0.25,
+        variant="small-jobs",
+    ),
+    "cancelled-at-end": Meeting(
+        lambda t: [_at(0.0, "cancel_at_end", share=0.5, for_s=60.0), _ends(30.0)], 0.0
+    ),
+    "odd-requests": Meeting(
+        lambda t: [
+            _at(0.0, "odd_requests", for_s=70.0),
+            _ends(15.0),
+            _at(30.0, "late_writes", share=0.3, for_s=20.0),
+            _at(55.0, "state_outage", for_s=8.0),
+        ]
+    ),
+    "mute": Meeting(
+        lambda t: [
+            _at(0.0, "machine_mute", count=2 * t.tenth, for_s=0.8 * t.lease_s),
+            _ends(3.0),
+            _at(40.0, "machine_mute", count=4 * t.tenth, for_s=2.0 * t.lease_s),
+            _at(44.0, "cancel_now", count=10),
+            _ends(52.0),
+        ]
+    ),
+    "ten-leaders": Meeting(
+        lambda t: [
+            *(_ends(12.0 * n) for n in range(10)),
+            _at(50.0, "state_outage", for_s=20.0),
+            _at(30.0, "cancel_now", count=10),
+        ]
+    ),
 }
 
 
@@ -121,16 +228,19 @@
     }  # fmt: skip
 
 
-def days(site: dict[str, Any], seed: int, pairs: int, only: str = "") -> list[dict[str, Any]]:
+def days(site: dict[str, Any], seed: int, pairs: int, only: str = "") -> list[Drawn]:
     """One day for each meeting whose name contains `only`, and so many for drawn pairs of them.
     Raises ValueError if no meeting is called so."""
     names = [name for name in MEETINGS if only in name]
     if not names:
         raise ValueError(f"no meeting is called {only!r}; there are {', '.join(MEETINGS)}")
-    made = [_day(site, f"{name}-{seed}", seed, [MEETINGS[name]]) for name in names]
+    made = [
+        Drawn(_day(site, f"{name}-{seed}", seed, [MEETINGS[name]]), MEETINGS[name].variant)
+        for name in names
+    ]
     rng = random.Random(f"pairs {seed}")
     for number in range(pairs):
-        first, second = rng.sample(sorted(MEETINGS), 2)
-        name = f"pair-{seed}-{number}"
-        made.append(_day(site, name, seed, [MEETINGS[first], MEETINGS[second]]))
+        met = [MEETINGS[name] for name in rng.sample(sorted(MEETINGS), 2)]
+        variant = max(meeting.variant for meeting in met)  # one of them, if both have one
+        made.append(Drawn(_day(site, f"pair-{seed}-{number}", seed, met), variant))
     return made
--- a/tools/regress/sites.py
+++ b/tools/regress/sites.py
@@ -5,6 +5,7 @@
 import random
 import shutil
 import tomllib
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -48,10 +49,47 @@
     return _times(fault, ("count",), factor) if machines else fault
 
 
-def write(source: Path, folder: Path, factor: float, restart_s: float, seed: int) -> Path:
+def _limited(site: dict[str, Any]) -> dict[str, Any]:
+    """Each team may use so little that it is mostly at its limit."""
+    cores = {row["name"]: row["cpus"] for row in site["machine_types"]}
+    all_ = sum(row["count"] * cores[row["type"]] for row in site["capacity"])
+    teams = [{**team, "cpus_max": LIMIT * all_ / team["count"]} for team in site["teams"]]
+    return {**site, "teams": teams}
+
+
+def _quick_boots(site: dict[str, Any]) -> dict[str, Any]:
+    """New machines are up within two seconds."""
+    return {**site, "machine_types": [{**row, "boot_s": 1.3} for row in site["machine_types"]]}
+
+
+def _small_jobs(site: dict[str, Any]) -> dict[str, Any]:
+    """Jobs of one short task come four a second, besides all others."""
+    like = next(job for job in site["jobs"] if job["kind"] == "array")
+    more = {
+        **like, "name": "small-jobs", "cpus": 1.0, "memory_gb": 1.0, "checkpoint_s": 0.0,
+        "initial": 0, "tasks": {"sizes": [1], "weights": [1.0]}, "arrivals": {"rate": 4.0},
+        "run_s": {"median": 8.0, "p95": 20.0, "max": 30.0},
+        "images": {"count": 3, "gb": {"median": 0.3, "p95": 0.4, "max": 0.5}, "zipf": 1.0},
+    }  # fmt: skip
+    return {**site, "jobs": [*site["jobs"], more]}
+
+
+LIMIT = 0.15  # of all cores, for all teams together
+VARIANTS: dict[str, Callable[[dict[str, Any]], dict[str, Any]]] = {
+    "limited": _limited,
+    "quick-boots": _quick_boots,
+    "small-jobs": _small_jobs,
+}
+
+
+def write(
+    source: Path, folder: Path, factor: float, restart_s: float, seed: int, variant: str = ""
+) -> Path:
     """Write the grown deployment and its wire file into `folder`; the path of the first."""
     site = read(source)
     grown = grow(site, factor, restart_s, seed)
+    if variant:
+        grown = {**VARIANTS[variant](grown), "name": f"{grown['name']}-{variant}"}
     folder.mkdir(parents=True, exist_ok=True)
     shutil.copyfile(source.parent / site["wire"], folder / site["wire"])
     path = folder / f"{grown['name']}.toml"
