--- a/tests/guards.py
+++ b/tests/guards.py
@@ -585,6 +585,34 @@
     patch.setattr(Scheduler, "job_gone", job_gone)
 
 
+def asked_anew(patch: pytest.MonkeyPatch) -> None:
+    """Who asks shortly after somebody else gets what was read for that one."""
+    whole = Mirror.state
+
+    async def state(self: Mirror, id: Any, urgent: bool = False) -> Any:
+        known = self.finals.get(id) or self.live.get(id)
+        if known is not None and self.clock() - self.read_at <= mirror.STALE_S:
+            return known
+        return await whole(self, id, urgent)
+
+    patch.setattr(Mirror, "state", state)
+
+
+def block_first(patch: pytest.MonkeyPatch) -> None:
+    """A machine is given work before its name stands in a block."""
+    whole = Reports.report
+
+    def report(self: Reports, report: Any, now: Any, hello: bool) -> Any:
+        orders = whole(self, report, now, hello)
+        machine = self.cluster.machines.get(report.host)
+        if machine is not None and machine.settled and machine.block is None:
+            machine.block = -1
+            machine.touched()
+        return orders
+
+    patch.setattr(Reports, "report", report)
+
+
 def tells_others(patch: pytest.MonkeyPatch) -> None:
     patch.setattr(Peers, "announce", lambda *_: None)
 
@@ -595,6 +623,8 @@
     "gang-done-together": gang_done_together,
     "unwanted-start": unwanted_start,
     "tells-others": tells_others,
+    "asked-anew": asked_anew,
+    "block-first": block_first,
     "cancelled-use": cancelled_use,
     "knows-cancellations": knows_cancellations,
     "fresh-knows-nothing": fresh_knows_nothing,
--- a/tests/network.py
+++ b/tests/network.py
@@ -10,7 +10,8 @@
 import math
 import random
 import selectors
-from collections.abc import Callable, Iterator
+from collections import deque
+from collections.abc import Callable, Iterable, Iterator
 from contextlib import contextmanager
 from typing import Any, NamedTuple
 from unittest import mock
@@ -21,6 +22,7 @@
 from umberward.protocol.http import Handler, NoAnswer, NotSent, Request, Response
 
 TRIP_S = 0.001
+MOST_KEPT = 60
 LOOK_S = 0.05  # how often a held message looks whether its link is whole
 
 
@@ -87,6 +89,9 @@
         self.troubles: dict[str, Trouble] = {}
         self.copied: dict[str, tuple[float, float, float]] = {}  # owner -> share, from, to
         self.building = ""  # whose clients are made now
+        self.sent: dict[str, float] = {}  # to whom a message is handed now -> when it was sent
+        self.kept_share = 0.0  # of the reports a copy is kept for the next leader
+        self.kept: deque[Request] = deque(maxlen=MOST_KEPT)
 
     def client(self, _: Any = None) -> Client:
         return Client(self, self.building)
@@ -102,6 +107,14 @@
     def _met(self, src: str, dst: str, target: str) -> Iterator[Trouble]:
         return (one for one in self.troubles.values() if one.meets(src, dst, target))
 
+    async def bring_kept(self, addresses: Iterable[Address]) -> None:
+        """The copies that were kept come to all of these at once."""
+        kept, self.kept = self.kept, deque(maxlen=MOST_KEPT)
+        for request in kept:
+            for address in addresses:
+                if address in self.serving:
+                    await curio.spawn(self.serving[address].handler, request, daemon=True)
+
     def refuses(self, src: str, dst: str, target: str) -> bool:
         return any(one.what == "refuse" for one in self._met(src, dst, target))
 
@@ -155,6 +168,7 @@
             raise NotSent(f"{address}: refused")
         if self.ended or still is not None and not still():
             raise NotSent(f"{method} {address}: no longer ours to say")
+        sent = network.clock()
         answered = curio.Event()
         answers: list[Response] = []
 
@@ -163,7 +177,9 @@
                 server = network.serving.get(address)
                 if server is None:
                     return
+                network.sent[there] = sent
                 response = await server.handler(Request(method, path, query, body))
+                network.sent.pop(there, None)
                 # A process that has ended since says nothing.
                 if network.serving.get(address) is server and await network.pass_on(
                     there, self.owner, target
@@ -172,6 +188,8 @@
                     await answered.set()
 
         await curio.spawn(carry, daemon=True)
+        if path == "/hello" and network.rng.random() < network.kept_share:
+            network.kept.append(Request(method, path, query, body))
         if path == "/hello" and self.owner in network.copied:
             await curio.spawn(self._copy, address, Request(method, path, query, body), daemon=True)
         await curio.ignore_after(timeout, answered.wait)
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -28,6 +28,7 @@
         self.world = Controllers()
         self.called: dict[str, str] = {}
         self.last: Any = None
+        self.answered: list[Any] = []
         self.open = contextlib.ExitStack()
 
     def __enter__(self) -> MeetingPlay:
@@ -118,6 +119,71 @@
     def do_cancel_once(self, id: str, name: str) -> None:
         self.last = self.world.cancel(id, self._name(name))
 
+    def do_together(self, gap_ms: str, *words: str) -> None:
+        """`together GAP poll:JOB:WHERE cancel:JOB:WHERE submit:JOB:WHERE`: each question so many
+        milliseconds after the one before, without waiting for answers; a submission is a repeat."""
+        questions = []
+        for word in words:
+            what, id, name = word.split(":")
+            about: Any = id
+            if what == "submit":
+                about = self.world.specs.get(id) or self._spec(id, ("runs=200",))
+            questions.append((what, about, self._name(name)))
+        self.answered = self.world.together(questions, float(gap_ms) / 1000)
+
+    def do_look(self, id: str, *times: str) -> None:
+        """Its user asks all controllers, and submits it again everywhere, within milliseconds."""
+        words = [f"{what}:{id}:{name}" for name in self.world.names for what in ("poll", "submit")]
+        for _ in range(int(times[0]) if times else 1):
+            self.do_together("2", *words)
+
+    def do_stream(self, first: str, count: str, *words: str) -> None:
+        """One-task jobs, four a second, at all controllers in turn; every fourth is cancelled."""
+        ids = [f"req-{int(first) + number:06d}" for number in range(int(count))]
+        questions: list[Any] = []
+        for number, id in enumerate(ids):
+            name = self.world.names[number % len(self.world.names)]
+            questions.append(("submit", self._spec(id, words), name))
+            if number >= 8 and number % 4 == 0:
+                questions.append(("cancel", ids[number - 8], name))
+        self.world.together(questions, 0.25 * len(ids) / len(questions))
+
+    # ---- machines and leaders ----------------------------------------------------------
+
+    def do_remove(self, name: str) -> None:
+        """The machine stops with all that is on it."""
+        self.world.remove(name)
+
+    def do_hang(self, name: str) -> None:
+        self.world.hang(name)
+
+    def do_goes_on(self, name: str) -> None:
+        self.world.goes_on(name)
+
+    def do_boots(self, times: str) -> None:
+        """New machines are up so many times sooner than their nominal ten seconds."""
+        self.world.cloud_core.speed = float(times)
+
+    def do_rentable(self, many: str) -> None:
+        """So many small machines in each zone, those that are there included."""
+        for kind in self.world.cloud_core.capacity:
+            if kind.sku == "small" and not kind.spot:
+                self.world.cloud_core.capacity[kind] = int(many)
+
+    def do_keep_copies(self, share: str) -> None:
+        """Of that share of the reports a copy is kept until a leader is new, and comes to all."""
+        self.world.network.kept_share = float(share)
+
+    def do_leaders(self, count: str, every: str, away: str) -> None:
+        """Whoever leads ends, again and again, and is back after `away` seconds."""
+        for _ in range(int(count)):
+            leader = self.world.leader()
+            if leader in self.world.nodes:
+                self.world.crash(leader)
+                self.world.run(float(away))
+                self.world.start(leader)
+            self.world.run(float(every) - float(away))
+
     def do_known(self) -> None:
         """Troubles are over: each controller answers about each job in time."""
         self.world.known_by_all()
@@ -131,6 +197,20 @@
         leader = self.world.leader()
         return next((n for n, known in self.called.items() if known == leader), str(leader))
 
+    def see_live(self) -> int:
+        return sum(key.startswith(LIVE) for key in self.world.kept())
+
+    def see_answered(self, status: str) -> int:
+        """How many of the questions put together were answered so."""
+        return sum(one is not None and one.status == int(status) for one in self.answered)
+
+    def see_late_starts(self, what: str) -> int:
+        """Of jobs called cancelled: `in-flight` or `sent-after`."""
+        return self.world.late_starts[what.replace("-", " ")]
+
+    def see_phases(self, phase: str) -> int:
+        return sum(self.world.phase(one) == phase for one in self.answered)
+
     def see_terms(self) -> int:
         return len(self.world.terms)
 
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -112,6 +112,8 @@
         for path, data in msgspec.json.decode(text).items():
             # They may be larger than what may be written by now.
             self.world.store.keep(path, data)
+            if path.startswith(JOBS):
+                self.world.stood_there.add(path.rpartition("/")[2])
             if path.startswith("jobs/live/"):
                 self.world.accepted_before(data)
             elif path.startswith("blocks/"):
