--- a/umberward/control/holder.py
+++ b/umberward/control/holder.py
@@ -219,8 +219,9 @@
                     if self.keeper is not None and not self.scheduler.loaded:
                         await self.keeper.load()
                     asked = _now()
-                    entries, after = await self.store.entries(LIVE)
-                    await self.ask(Listed(entries, asked, await self._ended_lately(after)))
+                    entries, listed = await self.store.entries(LIVE)
+                    await self.ask(Listed(entries, asked, await self._ended_lately(listed)))
+                    after = listed  # not before: what fails in between is done anew
                 asked = _now()
                 news, after = await self.store.watch(JOBS, after, WATCH_S)
                 await self.tell(Changes(news, asked))
