A machine whose reports reach nobody gets no new work, and is returned in the end

Cause: a machine that answers questions and whose reports get lost was taken for usable.

Change: what has not reported for 0.6 of its lease (at least the silence) is mute until it reports: no new work, returned like a machine that does not hear, and one that is one of many is kept three times as long and its room counts. The tests' 'mute' lost the answers to questions too and is 'silent' now; the new 'mute' loses reports alone.

--- a/tests/guards.py
+++ b/tests/guards.py
@@ -613,6 +613,10 @@
     patch.setattr(Reports, "report", report)
 
 
+def mute_unnoticed(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(Hearing, "reports_not", lambda *_: None)
+
+
 def tells_others(patch: pytest.MonkeyPatch) -> None:
     patch.setattr(Peers, "announce", lambda *_: None)
 
@@ -623,6 +627,7 @@
     "gang-done-together": gang_done_together,
     "unwanted-start": unwanted_start,
     "tells-others": tells_others,
+    "mute-unnoticed": mute_unnoticed,
     "asked-anew": asked_anew,
     "block-first": block_first,
     "cancelled-use": cancelled_use,
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -71,7 +71,8 @@
     ),
     "no cloud": (("k*", "cloud", "refuse"),),
     "deaf": (("k*", "{machine}", "lost"),),
-    "mute": (("{machine}", "k*", "lost"),),
+    "silent": (("{machine}", "k*", "lost"),),
+    "mute": (("{machine}", "k*", "lost", "/hello"),),
     "cut from one": _cut(("{node}",), ("{machine}",)),
     "machine cut": _cut(("k*",), ("{machine}",)),
     "reports to one lost": (("{machine}", "{node}", "lost"),),
@@ -102,7 +103,7 @@
     @initialize(limit=limits, speed=speeds)
     def begins(self, limit: float = 0.0, speed: float = 1.0) -> None:
         self.limit = limit
-        self.world = Controllers(3, rent=2, limits={"cpus_max": limit})
+        self.world = Controllers(3, rent=4, limits={"cpus_max": limit})
         self.open.enter_context(self.world.playing())
         self.world.cloud_core.speed = speed
         for name in NAMES:
@@ -297,7 +298,9 @@
             self.open.close()
 
     def _all_go_on(self) -> None:
-        lasts = GOES_ON_S if not self.limit else GOES_ON_S + MOST_LIVE * max(RUNS)
+        # Where they may not run side by side, one may have to wait for another.
+        bound = any(self.world.specs[id].get("yard") for id in self._live())
+        lasts = GOES_ON_S + (MOST_LIVE * max(RUNS) if self.limit or bound else 0.0)
         until = self.world.now + lasts
         while self.world.now < until:
             self.world.run(5.0)
--- a/umberward/control/renting.py
+++ b/umberward/control/renting.py
@@ -65,7 +65,8 @@
         lost = self.provisioner.unreachable(now)
         self.pondered += _now() - now
         for machine in idle + lost:
-            log.info("returning", machine=machine.id, type=machine.type, hears=not machine.deaf)
+            log.info("returning", machine=machine.id, type=machine.type, hears=not machine.deaf,
+                     reports=machine.mute_since is None)  # fmt: skip
             machine.returning = True
             machine.touched()
         ids = self.provisioner.deletions(now)[: wire.DELETE_LIMIT]
--- a/umberward/decisions/fleet.py
+++ b/umberward/decisions/fleet.py
@@ -54,6 +54,8 @@
         self.unanswered = 0  # questions since then that had no answer
         self.asked_at = now  # when it was last asked about that, and may be asked again
         self.ask_at = now
+        self.reported = now  # when its latest report came, answers to questions apart
+        self.mute_since: Instant | None = None  # since when it only answers questions
         self.confirmed = True  # more than one report that may be a late copy tells of it
         self.min_tenure = Tenure(0)  # reports of earlier sessions are late ones
         self.epoch = Epoch(0)
@@ -115,7 +117,7 @@
             and self.block is not None
             and self.notice_at is None
             and not (self.sick or self.returning or self.silent or self.lapsed or self.strays)
-            and not self.deaf
+            and not self.one_way
         )
 
     @property
@@ -123,6 +125,11 @@
         """Whether what we say does not seem to reach it, whatever we hear of it."""
         return self.doubted is not None and self.unanswered >= DEAF_AFTER
 
+    @property
+    def one_way(self) -> bool:
+        """Whether only what it says reaches us, or only what we say reaches it."""
+        return self.deaf or self.mute_since is not None
+
     def free(self, sku: Sku) -> Amount:
         """The room that no task is booked on."""
         if self._free is None or self._free[0] is not sku:
--- a/umberward/decisions/hearing.py
+++ b/umberward/decisions/hearing.py
@@ -7,6 +7,10 @@
 question settles within milliseconds where nothing is wrong. A machine that does not answer gets no
 new work, is asked again sparingly, and is returned once keeping it has cost as much as another one
 would; what was on it starts elsewhere by the same proofs as ever (docs/design.md, "Safety").
+
+The other way round, a machine may carry out what it is told and answer questions while its reports
+reach nobody: it is mute. Its session ends with its lease whatever it answers, and what is started
+there is lost with it. So it gets no new work until it reports, and is returned in the same way.
 """
 
 from __future__ import annotations
@@ -25,6 +29,7 @@
 ANSWER_S = 4.0  # a worker waits so long for the answer to a report (PROTOCOL)
 FEW = 3  # so many machines, or ...
 FEW_PART = 0.1  # ... this part of them may not hear us at once for reasons of their own
+MUTE_PART = 0.6  # of its lease without a report: what would be started there is lost
 MANY_WAIT = 3.0  # if there are more, each is kept so many times as long
 
 
@@ -33,6 +38,10 @@
         self.cluster = cluster
         self.lease_s = Bounds(cluster.workers).lease_s
         self.doubted: dict[MachineId, Machine] = {}
+        self.mute: dict[MachineId, Machine] = {}
+        # A worker whose controller is gone has found the next one by then; and most of a session
+        # that nobody keeps alive is over.
+        self.mute_s = max(cluster.silence(), MUTE_PART * cluster.workers.lease_s)
 
     # ---- what raises a doubt, and what ends it -------------------------------------------
 
@@ -96,9 +105,29 @@
             log.info("machine_does_not_hear", machine=machine.id, tasks=len(machine.held))
             self._free_gangs(machine)
 
+    def reports(self, machine: Machine, now: Instant) -> None:
+        """A report of its own has come, late copies apart."""
+        machine.reported = now
+        if machine.mute_since is not None:
+            log.info("machine_reports_again", machine=machine.id,
+                     after_s=round(now - machine.mute_since, 1))  # fmt: skip
+            machine.mute_since = None
+            del self.mute[machine.id]
+            machine.touched()
+            self.cluster.want_pass = True
+
+    def reports_not(self, machine: Machine, now: Instant) -> None:
+        """No report has come for so long; that it answers questions keeps no session alive."""
+        log.info("machine_does_not_report", machine=machine.id, tasks=len(machine.held))
+        machine.mute_since = now
+        self.mute[machine.id] = machine
+        machine.touched()
+
     # ---- what time tells -----------------------------------------------------------------
 
     def tick(self, now: Instant) -> None:
+        for machine in [m for m in self.mute.values() if m.id not in self.cluster.machines]:
+            del self.mute[machine.id]
         for machine in list(self.doubted.values()):
             if machine.id not in self.cluster.machines:
                 del self.doubted[machine.id]
@@ -108,7 +137,7 @@
     def many(self) -> bool:
         """Whether so many do not hear us that it is hardly their own doing: they are expected back,
         and nothing is rented in their place."""
-        return self._deaf() > max(FEW, FEW_PART * len(self.cluster.machines))
+        return len(self.one_way()) > max(FEW, FEW_PART * len(self.cluster.machines))
 
     def given_up(self, now: Instant) -> list[Machine]:
         """Machines to return. Keeping one is worth what another one costs until it is up; if many
@@ -116,14 +145,15 @@
         found = []
         many = self.many()
         most = max(FEW, FEW_PART * len(self.cluster.machines))
-        for machine in self.doubted.values():
-            if machine.returning or machine.silent or not machine.deaf:
+        for machine in self.one_way():
+            if machine.returning:
                 continue
             sku = self.cluster.skus.get(machine.type)
             patience = max(self.lease_s, sku.boot_s if sku is not None else 0.0)
             if many:
                 patience *= MANY_WAIT
-            if machine.doubted is not None and now - machine.doubted > patience:
+            since = machine.doubted if machine.deaf else machine.mute_since
+            if since is not None and now - since > patience:
                 found.append(machine)
             if len(found) >= most:
                 break
@@ -131,8 +161,10 @@
 
     # ---- parts ---------------------------------------------------------------------------
 
-    def _deaf(self) -> int:
-        return sum(1 for m in self.doubted.values() if m.deaf and not m.silent)
+    def one_way(self) -> list[Machine]:
+        """The machines that do not hear us, or that nobody hears, but that are there."""
+        found = {**self.doubted, **self.mute}
+        return [m for m in found.values() if m.one_way and not m.silent]
 
     def _ask(self, machine: Machine, now: Instant) -> None:
         if machine.probing or machine.returning or now < machine.ask_at:
--- a/umberward/decisions/provision.py
+++ b/umberward/decisions/provision.py
@@ -300,9 +300,9 @@
             if least is not None and least.fits(free.plus(yielding)):
                 found.append(Paper(machine.offer, free, yielding))
         if scheduler.hearing.many():
-            for machine in scheduler.hearing.doubted.values():
+            for machine in scheduler.hearing.one_way():
                 sku = scheduler.skus.get(machine.type)
-                if sku is not None and machine.deaf and not machine.silent:
+                if sku is not None:
                     found.append(Paper(machine.offer, sku.whole))
         return found
 
--- a/umberward/decisions/reports.py
+++ b/umberward/decisions/reports.py
@@ -75,10 +75,11 @@
             or machine.lapsed
             or not machine.met
             or machine.doubted is not None
+            or machine.mute_since is not None
             or machine.calm != bytes(head.shards)
         ):
             return False
-        machine.heard = machine.answered = self.cluster.heard = now
+        machine.heard = machine.reported = machine.answered = self.cluster.heard = now
         machine.serial = machine.told = Serial(head.serial)
         return True
 
@@ -128,6 +129,7 @@
             if report.serial > machine.told:
                 machine.told = Serial(report.serial)
                 machine.answered = now
+                self.hearing.reports(machine, now)
             else:
                 self._copy(machine, report, now)
         if (report.tenure, report.serial) <= (machine.tenure, machine.serial):
@@ -147,6 +149,8 @@
             # A new session: the worker has killed and forgotten all it had.
             if machine.tenure:
                 self.cluster.lose_tasks(machine, "session over")
+            if hello:
+                self.hearing.reports(machine, now)
             if hello and machine.tenure:
                 self.hearing.session_began(machine, now)
             else:
--- a/umberward/decisions/scheduler.py
+++ b/umberward/decisions/scheduler.py
@@ -105,8 +105,8 @@
         self.blame = Blame(self, now)
         self.pipelines = Pipelines(self)
         self.writer = Writer(self, self.pipelines, platform.cluster.state.least(), now)
-        self.watch = Watch(self, self.lender)
         self.hearing = Hearing(self)
+        self.watch = Watch(self, self.lender, self.hearing)
         self.reports = Reports(self, self.hearing, self.blame, self.writer)
         self.attempts = 0
         self.missed: dict[JobId, Instant] = {}  # live, and not known here: since when
--- a/umberward/decisions/watch.py
+++ b/umberward/decisions/watch.py
@@ -17,6 +17,7 @@
 )
 from umberward.decisions.cluster import Cluster, Probe
 from umberward.decisions.fleet import Machine
+from umberward.decisions.hearing import Hearing
 from umberward.decisions.tending import Lender, Loan
 
 log = logger(__name__)
@@ -34,8 +35,9 @@
 
 
 class Watch:
-    def __init__(self, cluster: Cluster, lender: Lender) -> None:
+    def __init__(self, cluster: Cluster, lender: Lender, ears: Hearing) -> None:
         self.cluster = cluster
+        self.ears = ears
         self.lender = lender
         self.apart: set[ZoneName] = set()  # zones that may be cut off
         self.due: list[tuple[Instant, MachineId]] = []  # a heap: when to look at which machine
@@ -59,6 +61,7 @@
         self.doubted = None
         for machine in self.cluster.machines.values():
             machine.heard = min(now, Instant(machine.heard + gap))
+            machine.reported = min(now, Instant(machine.reported + gap))
 
     def tick(self, now: Instant) -> None:
         """Sessions that are over, machines to ask, and whether all is settled."""
@@ -96,6 +99,11 @@
         due = now + silence
         if not machine.returning:
             due = soon if machine.probing else min(due, machine.heard + silence)
+        if machine.mute_since is None and not (machine.silent or machine.returning):
+            if now - machine.reported > self.ears.mute_s:
+                self.ears.reports_not(machine, now)
+            else:
+                due = min(due, machine.reported + self.ears.mute_s)
         if machine.settled:
             if machine.answered is not None:
                 if self.lender.session_over(machine.zone, machine.answered, machine.lent, now):
