--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,6 +2,8 @@
 
 import pytest
 
+pytest_plugins = ["known_red", "pytester"]
+
 
 def pytest_addoption(parser: pytest.Parser) -> None:
     parser.addoption(
--- /dev/null
+++ b/tests/test_known_red.py
@@ -0,0 +1,36 @@
+"""KNOWN-RED.txt excuses what it lists, and nothing else."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import known_red
+import pytest
+
+RED, GREEN, NONE = (
+    f"test_it.py::test_{name} | it leaks | issue 7\n" for name in ("red", "green", "blue")
+)
+TESTS = "def test_red():\n    assert False\n\ndef test_green():\n    pass\n"
+
+
+@pytest.mark.parametrize(
+    ("listed", "ends", "said"),
+    [
+        ("", 1, "1 failed, 1 passed"),
+        (RED, 0, "test_it.py::test_red: it leaks (issue 7)"),
+        (RED + GREEN, 1, "1 failed, 1 xfailed"),
+        (RED + NONE, 4, "there is no test"),
+        ("test_it.py::test_red\n", 4, "not TEST"),
+        (RED * 4, 4, "4 lines"),
+    ],
+)  # fmt: skip
+def test_what_is_listed_alone_may_fail(
+    pytester: pytest.Pytester, listed: str, ends: int, said: str
+) -> None:
+    (pytester.path / "conftest.py").write_text(Path(known_red.__file__).read_text())
+    (pytester.path / "test_it.py").write_text(TESTS)
+    if listed:
+        (pytester.path / known_red.FILE).write_text(listed)
+    result = pytester.runpytest()
+    assert result.ret == ends
+    assert said in "\n".join([*result.outlines, *result.errlines])
