--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -86,6 +86,10 @@
         amounts = {name: float(value) for name, value in _pairs(list(words)).items()}
         self.world = self.make(raw_settings(**amounts))
 
+    def do_silence(self, seconds: str) -> None:
+        """The operators' `silence.seconds`; to be said before anything else."""
+        self.world = self.make(None, Operator(silence_seconds=float(seconds)))
+
     def do_peer(self, label: str, zone: str) -> None:
         """Another controller; to be said before anything else."""
         raw = raw_settings()
