What remains of a cancelled job may be unreadable: met as any such record

Need: a bitmap that is none would have ended the reading of the ends at a term's beginning. Change: caught beside what is malformed. Result: a test with such records; the others' remains are counted.

--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -16,7 +16,9 @@
 from test_scenarios import Play, _pairs, fails_unguarded, guarded, play
 
 from umberward.control import users
-from umberward.protocol.wire import LIVE
+from umberward.core.types import Key
+from umberward.protocol import changes
+from umberward.protocol.wire import LIVE, PAST
 
 FILES = sorted((Path(__file__).parent / "scenarios/meetings").glob("*.txt"))
 
@@ -250,6 +252,23 @@
     assert game.see_phase() == "done" and not game.world.starts
 
 
+def test_what_remains_of_a_job_may_be_unreadable() -> None:
+    """It is met as any record that can't be read, and ends no term."""
+    game = Play()
+    game.do_team("cpus_max=8")
+    remains = {"owner": "red", "cores": 1.0, "mem_gb": 1.0, "marked": 4}
+    for number, more in enumerate(({"done": "zz"}, {"cores": "many"}, {"marked": None}, {})):
+        record = {"phase": "cancelled", "remains": {**remains, **more}}
+        game.world.store.apply([], [changes.put(Key(f"{PAST}req-{number:06}"), record)])
+    game.do_machine("m1", "small", "a")
+    game.do_lead()
+    assert game.world.scheduler is not None
+    assert list(game.world.scheduler.cancelled) == ["req-000003"]
+    game.do_submit("req-000009", "shards=4", "cores=1")
+    game.do_run("3")
+    assert game.see_running("req-000009") == 4
+
+
 @pytest.mark.parametrize("path", FILES, ids=lambda path: path.stem)
 def test_meeting(path: Path) -> None:
     play_meeting(path)
--- a/umberward/decisions/records.py
+++ b/umberward/decisions/records.py
@@ -53,9 +53,9 @@
     it was written; 0: before those that wait for it were submitted."""
     try:
         final = wire.converted(data, FinalRecord)
-    except wire.Malformed as error:
+        if final.remains is not None:
+            scheduler.remain(id, final.remains)
+    except (wire.Malformed, ValueError) as error:
         log.error("record_malformed", job=id, error=error)
         return
-    if final.remains is not None:
-        scheduler.remain(id, final.remains)
     scheduler.job_ended(id, final, final.at or otherwise)
