Starts need a reading of the jobs that was asked at most three seconds ago

A start needed our lease alone; with readings that come seconds late a leader started what had been called cancelled five seconds before (marked tasks only: a first start's mark fails by its condition).

Change: Bounds.may_start, asked with the lease before a pass, before a command is queued, at the moment it is sent, and for starts in answers to reports. A start of what was cancelled is sent less than 3 s after its confirmation, however slowly we are told.

--- a/tests/guards.py
+++ b/tests/guards.py
@@ -617,6 +617,11 @@
     patch.setattr(Hearing, "reports_not", lambda *_: None)
 
 
+def starts_known(patch: pytest.MonkeyPatch) -> None:
+    """As if the lease alone were enough to start something."""
+    patch.setattr(Bounds, "may_start", lambda *_: True)
+
+
 def tells_others(patch: pytest.MonkeyPatch) -> None:
     patch.setattr(Peers, "announce", lambda *_: None)
 
@@ -627,6 +632,7 @@
     "gang-done-together": gang_done_together,
     "unwanted-start": unwanted_start,
     "tells-others": tells_others,
+    "starts-known": starts_known,
     "mute-unnoticed": mute_unnoticed,
     "asked-anew": asked_anew,
     "block-first": block_first,
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -157,6 +157,11 @@
         """The machine stops with all that is on it."""
         self.world.remove(name)
 
+    def do_remove_under(self, id: str) -> None:
+        """The machines stop on which the job runs."""
+        for _, host in self.world.running(id):
+            self.world.remove(host)
+
     def do_hang(self, name: str) -> None:
         self.world.hang(name)
 
--- a/umberward/control/holder.py
+++ b/umberward/control/holder.py
@@ -311,12 +311,15 @@
             seen, scheduler.higher = scheduler.higher, Epoch(0)
             await curio.spawn(self.membership.deposed, seen, daemon=True)
         due = scheduler.want_pass and now >= self.next_pass
-        if (due or now >= self.next_pass + IDLE_PASS_S) and self.membership.leading():
+        if (due or now >= self.next_pass + IDLE_PASS_S) and self._may_start():
             scheduler.place(now)
             self.next_pass = now + pass_pause(_now() - now)
         await self._flush()
         return answer
 
+    def _may_start(self) -> bool:
+        return self.membership.may_start(self.scheduler.known)
+
     def _known(self, asked: Instant) -> None:
         """Of all that was cancelled before we asked we have been told, if we know all jobs."""
         if self.scheduler.loaded:
@@ -399,11 +402,7 @@
             placement = held.held.get(task) if task is not None else None
             if placement is None or placement.attempt != order["try"]:
                 continue
-            if (
-                placement.stop is None
-                and held.tenure == command.tenure
-                and self.membership.leading()
-            ):
+            if placement.stop is None and held.tenure == command.tenure and self._may_start():
                 orders.append(order)
             else:
                 placement.inflight -= 1
@@ -418,9 +417,10 @@
         report = None
         unknown = False
         body = {"epoch": command.epoch, "tenure": command.tenure, "orders": command.orders}
-        # Without our lease nothing may be started; what is there may still be tended.
+        # Without our lease, or long after our last reading, nothing may be started; what is there
+        # may still be tended.
         starts = any(order["verb"] == wire.START for order in command.orders)
-        still = self.membership.leading if starts else self.membership.tending
+        still = self._may_start if starts else self.membership.tending
         try:
             response = await self.client.request(
                 parse_address(command.address), "POST", "/do", wire.encode(body), DO_TIMEOUT_S,
--- a/umberward/control/membership.py
+++ b/umberward/control/membership.py
@@ -69,13 +69,18 @@
     # ---- what others ask ---------------------------------------------------------------
 
     def leading(self) -> bool:
-        """Whether our lease surely holds: only then may anything be started or written."""
+        """Whether our lease surely holds: only then may anything be written, or started as far as
+        `may_start` says."""
         return (
             self.epoch is not None
             and self.lease is not None
             and self.clock() < self.good + self.ttl * DRIFT - MARGIN_S
         )
 
+    def may_start(self, known: Instant | None) -> bool:
+        """Whether something may be started by one that knows all that was cancelled until then."""
+        return self.leading() and self.bounds.may_start(known, Instant(self.clock()))
+
     def tending(self) -> bool:
         """Whether our term may go on without the state service: commands that start nothing may
         still be given, and reports be answered as far as `may_answer` says."""
--- a/umberward/control/node.py
+++ b/umberward/control/node.py
@@ -244,6 +244,8 @@
                         return None
                     # Without our lease nothing may be started; what is there goes on.
                     orders = [order for order in orders if order["verb"] == wire.KILL]
+                elif not self.membership.may_start(holder.scheduler.known):
+                    orders = [order for order in orders if order["verb"] != wire.START]
                 epoch = holder.scheduler.epoch
                 return Response(200, wire.encode({"epoch": epoch, "orders": orders}))
         return None
--- a/umberward/decisions/tending.py
+++ b/umberward/decisions/tending.py
@@ -26,6 +26,7 @@
 
 DRIFT = 1.001  # twice as much as two steady clocks drift apart
 MARGIN_S = 0.5
+STARTS_S = 3.0  # several times as long as a reading takes, and a common lease's length
 REACHED_S = 2.5  # a leader that answered so lately is within reach: its workers are sent to it
 
 
@@ -58,6 +59,14 @@
         of sending, by whoever answers: a term that has read nothing knows nothing (None)."""
         return known is not None and now < min(known, held) + self.tend_s
 
+    def may_start(self, known: Instant | None, now: Instant) -> bool:
+        """Whether something may be started by one who leads. To be asked at the moment of sending.
+
+        A cancellation that we don't know was confirmed after `known`, so a start of what it was
+        about is sent less than STARTS_S after it, however slowly we are told.
+        """
+        return known is not None and now < known + STARTS_S
+
 
 class Loan(msgspec.Struct):
     """What the leader answers to a controller that asks for the machines of its zone.
