--- a/tools/regress/sites.py
+++ b/tools/regress/sites.py
@@ -74,7 +74,7 @@
     return {**site, "jobs": [*site["jobs"], more]}
 
 
-LIMIT = 0.5  # of all cores, for all teams together
+LIMIT = 0.7  # of all cores, for all teams together
 VARIANTS: dict[str, Callable[[dict[str, Any]], dict[str, Any]]] = {
     "limited": _limited,
     "quick-boots": _quick_boots,
