--- a/tests/rules.py
+++ b/tests/rules.py
@@ -49,7 +49,8 @@
         self.submitted: dict[str, float] = {}
         self.began: dict[str, float] = {}  # from a job's submission to its first start
         self.stood_there: set[str] = set()  # jobs of records that the test wrote itself
-        # Starts of jobs that were called cancelled by then: sent before that, or after.
+        # Starts of jobs that were called cancelled by then: in commands sent before that (or in
+        # answers to reports, of which the sending is not known), or sent after it.
         self.late_starts = {"in flight": 0, "sent after": 0}
         self.overtaken = 0  # older answers, to older questions, that came after a newer one
         self.calm_since: float | None = None  # since when there is no trouble any more
--- a/tools/regress/sites.py
+++ b/tools/regress/sites.py
@@ -50,7 +50,7 @@
 
 
 def _limited(site: dict[str, Any]) -> dict[str, Any]:
-    """Each team may use so little that it is mostly at its limit."""
+    """Each team may use so little that it is at its limit in bursts."""
     cores = {row["name"]: row["cpus"] for row in site["machine_types"]}
     all_ = sum(row["count"] * cores[row["type"]] for row in site["capacity"])
     teams = [{**team, "cpus_max": LIMIT * all_ / team["count"]} for team in site["teams"]]
