--- a/tests/rules.py
+++ b/tests/rules.py
@@ -46,6 +46,7 @@
         self.ended: dict[str, str] = {}
         self.broken: list[str] = []
         self.starts: dict[str, int] = {}
+        self.attempts: set[tuple[str, int, str, int]] = set()  # host, session, task, attempt
         self.submitted: dict[str, float] = {}
         self.began: dict[str, float] = {}  # from a job's submission to its first start
         self.stood_there: set[str] = set()  # jobs of records that the test wrote itself
@@ -163,6 +164,11 @@
         if self.done_stays and name in spec.get("_done", ()):
             self.broken.append(f"{name} started again after it was done")
         self.starts[name] = self.starts.get(name, 0) + 1
+        started = (worker.host, worker.tenure, name, attempt)
+        if started in self.attempts:
+            # The worker was told to forget this attempt while a start of it was still under way.
+            self.broken.append(f"restarted: attempt {attempt} of {name} on {worker.host}")
+        self.attempts.add(started)
         self.began.setdefault(id, self.now - self.submitted.get(id, self.now))
         for need in spec.get("waits_on") or ():
             past = self.kept().get(Key(PAST + need))
