Direct commands wait in a queue of their own, without I/O

Change: decisions/commands.py has the queue; the holder only sends. A failing handler of an answer no longer leaves the machine's queue stuck.

--- a/umberward/control/holder.py
+++ b/umberward/control/holder.py
@@ -25,17 +25,16 @@
     Instant,
     JobId,
     Key,
-    MachineId,
     NodeName,
     Revision,
     Stamp,
     TypeName,
     WallTime,
     parse_address,
-    parse_task_id,
 )
 from umberward.decisions import records
 from umberward.decisions.cluster import Command, Probe
+from umberward.decisions.commands import CommandQueue
 from umberward.decisions.provision import Provisioner
 from umberward.decisions.scheduler import Scheduler
 from umberward.decisions.writer import Batch
@@ -168,8 +167,7 @@
         self.scheduler = Scheduler(settings, skus, epoch, now, _wall, rng)
         prefix = f"{settings.platform.label}-{epoch}"
         self.provisioner = Provisioner(self.scheduler, prefix, now)
-        self.busy: set[MachineId] = set()
-        self.queued: dict[MachineId, list[Command]] = {}
+        self.commands = CommandQueue(self.scheduler, self._may_start)
         self.to_write = curio.Event()
         self.next_pass = 0.0
         self.renting = Renting(membership, cloud, self.scheduler, self.provisioner)
@@ -267,8 +265,10 @@
         if isinstance(message, Hello):
             answer = scheduler.hello(message.head, message.body, now)
         elif isinstance(message, Commanded):
-            scheduler.commanded(message.command, message.report, message.unknown, now)
-            await self._next_command(message.command.machine)
+            try:
+                scheduler.commanded(message.command, message.report, message.unknown, now)
+            finally:
+                await self._send(self.commands.ended(message.command.machine))
         elif isinstance(message, Probed):
             scheduler.probed(message.probe, message.report, now)
         elif isinstance(message, Changes):
@@ -366,52 +366,14 @@
         for item in out:
             if isinstance(item, Probe):
                 await self.tasks.spawn(self._probe, item)
-            elif item.machine in self.busy:
-                self.queued.setdefault(item.machine, []).append(item)
             else:
-                await self._start_command(item)
+                await self._send(self.commands.submit(item))
         if self.scheduler.writer.due(_now()):
             await self.to_write.set()
 
-    async def _next_command(self, machine: MachineId) -> None:
-        self.busy.discard(machine)
-        waiting = self.queued.pop(machine, [])
-        while waiting:
-            command = waiting.pop(0)
-            # What waited for the same session goes together.
-            while waiting and waiting[0].tenure == command.tenure:
-                command.orders.extend(waiting.pop(0).orders)
-            if await self._start_command(command):
-                break
-        if waiting:
-            self.queued[machine] = waiting
-
-    async def _start_command(self, command: Command) -> bool:
-        """Send what still holds of the command; False if nothing was left."""
-        held = self.scheduler.machines.get(command.machine)
-        if held is None:
-            return False
-        orders = []
-        for order in command.orders:
-            if order["verb"] != wire.START:
-                orders.append(order)
-                continue
-            # The decision may be old by now: the worker's session may have changed, the task
-            # may have been given up or placed elsewhere, our lease may have run out.
-            task = parse_task_id(order["shard"])
-            placement = held.held.get(task) if task is not None else None
-            if placement is None or placement.attempt != order["try"]:
-                continue
-            if placement.stop is None and held.tenure == command.tenure and self._may_start():
-                orders.append(order)
-            else:
-                placement.inflight -= 1
-        if (command.orders and not orders) or held.tenure != command.tenure:
-            return False
-        made = command._replace(orders=orders, epoch=self.scheduler.epoch, address=held.address)
-        self.busy.add(command.machine)
-        await self.tasks.spawn(self._command, made)
-        return True
+    async def _send(self, command: Command | None) -> None:
+        if command is not None:
+            await self.tasks.spawn(self._command, command)
 
     async def _command(self, command: Command) -> None:
         report = None
--- /dev/null
+++ b/umberward/decisions/commands.py
@@ -0,0 +1,70 @@
+"""Direct commands that wait for their turn: one at a time is under way to each machine. No I/O.
+
+What waits is decided upon again when its turn comes: the worker's session may have changed since, a
+task may have been given up, and the leader may no longer start anything.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from umberward.core.types import MachineId, parse_task_id
+from umberward.decisions.cluster import Cluster, Command
+from umberward.decisions.fleet import Machine
+from umberward.protocol import wire
+
+
+class CommandQueue:
+    def __init__(self, cluster: Cluster, may_start: Callable[[], bool]) -> None:
+        """`may_start`: whether a start may be sent at this moment."""
+        self.cluster = cluster
+        self.may_start = may_start
+        self._under_way: set[MachineId] = set()
+        self._waiting: dict[MachineId, list[Command]] = {}
+
+    def submit(self, command: Command) -> Command | None:
+        """The command as it is to be sent now; None: it has to wait, or nothing of it holds."""
+        if command.machine in self._under_way:
+            self._waiting.setdefault(command.machine, []).append(command)
+            return None
+        return self._to_send(command)
+
+    def ended(self, machine: MachineId) -> Command | None:
+        """The command under way to the machine was answered or given up; what is to be sent next."""
+        self._under_way.discard(machine)
+        waiting = self._waiting.pop(machine, [])
+        while waiting:
+            command = waiting.pop(0)
+            # What waited for the same session goes together.
+            while waiting and waiting[0].tenure == command.tenure:
+                command.orders.extend(waiting.pop(0).orders)
+            to_send = self._to_send(command)
+            if to_send is not None:
+                if waiting:
+                    self._waiting[machine] = waiting
+                return to_send
+        return None
+
+    def _to_send(self, command: Command) -> Command | None:
+        """What still holds of the command, which counts as under way from now on."""
+        machine = self.cluster.machines.get(command.machine)
+        if machine is None:
+            return None
+        orders = [order for order in command.orders if self._holds(order, command, machine)]
+        if (command.orders and not orders) or machine.tenure != command.tenure:
+            return None
+        self._under_way.add(command.machine)
+        return command._replace(orders=orders, epoch=self.cluster.epoch, address=machine.address)
+
+    def _holds(self, order: dict[str, Any], command: Command, machine: Machine) -> bool:
+        if order["verb"] != wire.START:
+            return True
+        task = parse_task_id(order["shard"])
+        placement = machine.held.get(task) if task is not None else None
+        if placement is None or placement.attempt != order["try"]:
+            return False
+        if placement.stop is None and machine.tenure == command.tenure and self.may_start():
+            return True
+        placement.inflight -= 1
+        return False
