One record of the starts that may still arrive decides what is gone for good

Cause: a right was concluded from 'not known to be unanswered' instead of 'known to be answered'. An exited attempt was remembered only if a start of it had already been given up; one that was still under way was not, and when it was given up, the placement that would have noted it was gone. Why no test saw it: the stand-in of the tests gave a held command up at the moment of sending, so that the two seconds in between did not exist.

Change: decisions/direct_starts.py records each machine's direct starts from the moment they are handed to the sender; an entry ends by an answer, a higher token seen, or the session's end. Forgetting, releasing what is not listed, keeping a session alive, lending, returning a machine and raising the token ask it; Placement.inflight, Placement.tainted and Cluster.tainted_exits are gone. An attempt that can't be forgotten makes the token be raised after 15 s, once a minute at most; before it was never forgotten. For a start that nobody wants it is raised once, and not again at each report until the worker has seen it. In the tests' world commands take their turn and time out as with the daemon.

--- a/tests/guards.py
+++ b/tests/guards.py
@@ -26,6 +26,7 @@
     watch,
 )
 from umberward.decisions.blame import Blame
+from umberward.decisions.direct_starts import DirectStarts
 from umberward.decisions.fleet import Machine
 from umberward.decisions.gathering import Gathering
 from umberward.decisions.hearing import Hearing
@@ -37,6 +38,7 @@
 from umberward.decisions.scheduler import Scheduler
 from umberward.decisions.tending import Borrower, Bounds, Lender
 from umberward.decisions.thrift import Thrift
+from umberward.decisions.token_raises import TokenRaises
 from umberward.decisions.watch import Watch
 from umberward.decisions.writer import Writer
 from umberward.graphs import live
@@ -569,6 +571,20 @@
     patch.setattr(Job, "done_with", lambda self, index: (index,))
 
 
+def late_start(patch: pytest.MonkeyPatch) -> None:
+    """A start counts as over until its answer is given up."""
+
+    def may_arrive(self: DirectStarts, task: Any, attempt: Any) -> bool:
+        starts = self._starts.get((task, attempt))
+        return starts is not None and starts.given_up_under is not None
+
+    patch.setattr(DirectStarts, "may_arrive", may_arrive)
+
+
+def exited_raise(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(TokenRaises, "exited_unforgotten", lambda *_: None)
+
+
 def unwanted_start(patch: pytest.MonkeyPatch) -> None:
     patch.setattr(Scheduler, "unwanted_start", lambda *_: False)
 
@@ -630,6 +646,8 @@
     "lease-let-go": lease_let_go,
     "longest-bound": longest_bound,
     "gang-done-together": gang_done_together,
+    "late-start": late_start,
+    "exited-raise": exited_raise,
     "unwanted-start": unwanted_start,
     "tells-others": tells_others,
     "starts-known": starts_known,
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -521,6 +521,14 @@
     def see_where(self, id: str) -> str:
         return ",".join(sorted(host for _, host in self.world.running(id)))
 
+    def see_listed(self, name: str) -> int:
+        """How many tasks its reports list, those that have exited included."""
+        return len(self.world.workers[name].tasks)
+
+    def see_token_raises(self) -> int:
+        assert self.world.scheduler is not None
+        return self.world.scheduler.token_raises.count
+
     def see_starts(self, task: str) -> int:
         return self.world.starts.get(task, 0)
 
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -12,7 +12,7 @@
 from umberward.control.node import Node
 from umberward.control.peers import Told
 from umberward.core.settings import Operator, check
-from umberward.core.types import Instant, JobId, MachineId, TaskId
+from umberward.core.types import Instant, JobId, MachineId
 from umberward.decisions.lateness import Wait, put_off
 from umberward.decisions.relays import MOST, News
 from umberward.protocol.http import Request
@@ -136,13 +136,12 @@
     game.do_run("0.3")
     world, scheduler = game.world, game.world.scheduler
     assert scheduler is not None
-    command = world.workers["m1"].held[0][0]
+    command = world.workers["m1"].held.pop().command  # its answer comes below
     game.do_set("m1", "dead")
     game.do_machine("m2", "small", "a")
     game.do_run("2")
     other = world.workers["m2"]
     assert other.direct(command.epoch, command.tenure, command.orders)
-    scheduler.machines[MachineId("m1")].held[TaskId(JobId("req-000001"), 0)].tainted = 0
     scheduler.commanded(command, other.report(), False, Instant(world.now))
     game.do_run("15")
     assert not world.broken
--- a/tests/world.py
+++ b/tests/world.py
@@ -33,6 +33,7 @@
 )
 from umberward.decisions import records
 from umberward.decisions.cluster import Command, Probe
+from umberward.decisions.commands import CommandQueue
 from umberward.decisions.provision import Provisioner
 from umberward.decisions.scheduler import Scheduler
 from umberward.decisions.tending import Borrower, Bounds
@@ -177,6 +178,15 @@
         self.pending.clear()
 
 
+class HeldCommand:
+    """A direct command on its way. Its sender waits until `gives_up_at`, None: it has given up."""
+
+    def __init__(self, command: Command, sender: Scheduler, gives_up_at: float) -> None:
+        self.command = command
+        self.sender = sender
+        self.gives_up_at: float | None = gives_up_at
+
+
 class Worker(WorkerCore):
     """A worker's semantics, and what may befall it and its messages."""
 
@@ -200,7 +210,7 @@
         self.said: deque[tuple[float, bytes]] = deque(maxlen=200)  # its reports, for late copies
         self.under_way: tuple[float, int, bytes] | None = None  # sent when, in which session
         self.holding = False  # direct commands are held back and delivered later
-        self.held: list[tuple[Command, Any]] = []
+        self.held: list[HeldCommand] = []
 
     def _fate(self, name: str, spec: Spec) -> Fate:
         return Fate(0.3) if self.sick else self.world.fate(name, spec)
@@ -244,6 +254,7 @@
         self.sweep_at = 0.0
         self.rng = random.Random(7)
         self.former: list[Scheduler] = []
+        self.lost_commands: list[HeldCommand] = []  # that never arrive, and are not given up yet
         times = self.settings.platform.cluster.workers
         self.led_since = self.now
         self.tend_s = Bounds(times).tend_s  # for so long the former one answers
@@ -299,6 +310,8 @@
             self.rng,
         )
         self.scheduler = made
+        self.commands = CommandQueue(made, lambda: True)
+        self.lost_commands = []
         self.provisioner = Provisioner(made, f"n-{self.epoch}", Instant(self.now))
         for key, got in list(self.store.keys.items()):
             if key.startswith(BLOCKS):
@@ -468,8 +481,9 @@
                 scheduler.known = now
             if self.store.mode != "down":
                 self._lend(scheduler, now)
+            self._give_up(scheduler, now)
             scheduler.tick(now)
-            if scheduler.want_epoch and self.store.mode == "ok":
+            if scheduler.token_raises.wanted and self.store.mode == "ok":
                 self.store.apply([], [changes.put(Key("term"), 1)])
                 scheduler.next_epoch(Epoch(self.store.revision))
                 self.epoch = self.store.revision
@@ -537,25 +551,46 @@
                     self.probes += 1
                     scheduler.probed(item, None if silent else worker.report(), now)
                     continue
-                if worker is not None and worker.holding:
-                    worker.held.append((item, scheduler))
-                    scheduler.commanded(item, None, True, now)
-                elif silent:
-                    # Packets that only one way passes: what was sent may have arrived.
-                    lost = worker is not None and worker.oneway
-                    scheduler.commanded(item, None, lost, now)
-                else:
-                    assert worker is not None
-                    item = item._replace(epoch=max(item.epoch, scheduler.epoch))
-                    scheduler.commanded(item, self._do(worker, item), False, now)
+                self._send(scheduler, self.commands.submit(item), now)
+
+    def _send(self, scheduler: Scheduler, command: Command | None, now: Instant) -> None:
+        """One command at a time is under way to each machine, as with the daemon."""
+        while command is not None:
+            worker = self.workers.get(command.machine)
+            gives_up_at = now + holder.DO_TIMEOUT_S
+            if worker is not None and worker.holding:
+                worker.held.append(HeldCommand(command, scheduler, gives_up_at))
+                return
+            if worker is not None and worker.oneway and not worker.dead:
+                # Packets that only one way passes: what was sent may have arrived.
+                self.lost_commands.append(HeldCommand(command, scheduler, gives_up_at))
+                return
+            unreachable = worker is None or worker.dead or worker.cut
+            report = None if unreachable else self._do(worker, command)  # type: ignore[arg-type]
+            scheduler.commanded(command, report, False, now)
+            command = self.commands.ended(command.machine)
+
+    def _give_up(self, scheduler: Scheduler, now: Instant) -> None:
+        """Commands that had no answer within the daemon's time-out."""
+        held = [one for worker in self.workers.values() for one in worker.held]
+        for one in [*held, *self.lost_commands]:
+            if one.sender is scheduler and one.gives_up_at is not None and now >= one.gives_up_at:
+                one.gives_up_at = None
+                scheduler.commanded(one.command, None, True, now)
+                self._send(scheduler, self.commands.ended(one.command.machine), now)
+        self.lost_commands = [one for one in self.lost_commands if one.gives_up_at is not None]
 
     def release(self, name: str) -> None:
         """Deliver what was held back, however old."""
         worker = self.workers[name]
         worker.holding = False
         held, worker.held = worker.held, []
-        for command, _ in held:
-            self._do(worker, command)
+        for one in held:
+            report = self._do(worker, one.command)
+            if one.gives_up_at is not None and one.sender is self.scheduler:
+                now = Instant(self.now)
+                one.sender.commanded(one.command, report, False, now)
+                self._send(one.sender, self.commands.ended(worker.host), now)  # type: ignore[arg-type]
 
     def delete(self, name: str) -> None:
         del self.workers[name]
--- a/umberward/control/holder.py
+++ b/umberward/control/holder.py
@@ -304,8 +304,8 @@
             elif scheduler.unheard(now) and self.membership.leading() and not self.doubting:
                 self.doubting = True
                 await curio.spawn(self._doubt, daemon=True)
-            if scheduler.want_epoch and self.membership.leading():
-                scheduler.want_epoch = False
+            if scheduler.token_raises.wanted and self.membership.leading():
+                scheduler.token_raises.begun()
                 await curio.spawn(self._raise_epoch, daemon=True)
         if scheduler.higher:
             seen, scheduler.higher = scheduler.higher, Epoch(0)
@@ -355,6 +355,7 @@
             epoch = await self.membership.raise_epoch()
         except (state.Unavailable, state.Unknown, state.Conflict) as error:
             log.info("token_not_raised", error=error)
+            self.scheduler.token_raises.failed()
             return
         log.info("token_raised", epoch=epoch)
         self.scheduler.next_epoch(epoch)
--- a/umberward/control/node.py
+++ b/umberward/control/node.py
@@ -240,7 +240,7 @@
             orders = await holder.ask(Hello(head, body))
             if orders is not None and self.membership.may_answer(holder.scheduler.known):
                 if not self.membership.leading():
-                    if holder.scheduler.unwanted_start(MachineId(head.host)):
+                    if not holder.scheduler.may_keep_session(MachineId(head.host)):
                         return None
                     # Without our lease nothing may be started; what is there goes on.
                     orders = [order for order in orders if order["verb"] == wire.KILL]
--- a/umberward/decisions/cluster.py
+++ b/umberward/decisions/cluster.py
@@ -23,7 +23,6 @@
     JobId,
     MachineId,
     Offer,
-    TaskId,
     Tenure,
     TypeName,
     WallTime,
@@ -33,6 +32,7 @@
 from umberward.decisions.jobs import NO_CLAIM, Claim, Job, Placement, StopKey
 from umberward.decisions.quota import Quota
 from umberward.decisions.reserve import Reserve
+from umberward.decisions.token_raises import TokenRaises
 from umberward.protocol import wire
 from umberward.protocol.wire import KILL, START, Sku
 
@@ -134,8 +134,6 @@
         self.unwatched: list[Machine] = []  # new ones
         self.hushed: set[MachineId] = set()  # those that did not answer a question of late
         self.gone: dict[MachineId, None] = {}  # deleted machines: late reports are ignored
-        # Exited attempts whose start may still be under way, with the token it carries.
-        self.tainted_exits: dict[tuple[TaskId, int], int] = {}
         self.reserve = Reserve(skus, now)
         self.offers: set[Offer] = set()  # the kinds of machines there are
         self.fleet_kinds = 0  # how often these, or the machine types, have changed
@@ -150,7 +148,7 @@
         self.running: Counter[StopKey] = Counter()
         self.all_settled = False
         self.want_pass = True
-        self.want_epoch = False
+        self.token_raises = TokenRaises()
         self.out: list[Command | Probe] = []
         self.doomed: set[MachineId] = set()  # to be deleted as soon as the cloud answers
         self.runtime: dict[str, float] = {}  # class -> seen run time by what was estimated
@@ -300,8 +298,6 @@
         if not machine.held:
             machine.idle_since = self.now
         self.quota.give_back(placement.team, placement.need)
-        if placement.tainted >= machine.epoch and placement.tainted:
-            self.tainted_exits[(placement.task, placement.attempt)] = placement.tainted
         self.want_pass = True
         job = self.jobs.get(placement.task.job)
         if job is None or job.ended:
@@ -323,10 +319,11 @@
     def lose_tasks(self, machine: Machine, why: str) -> None:
         if machine.held:
             log.info("tasks_lost", machine=machine.id, tasks=len(machine.held), reason=why)
+        machine.direct_starts.session_over()
         for placement in list(machine.held.values()):
-            placement.tainted = 0
             self.release(machine, placement)
         machine.lingering.clear()
+        machine.unforgotten_since = None
         machine.strays = 0
 
     def stop(self, placement: Placement, grace: float) -> None:
@@ -356,10 +353,25 @@
     def send(self, placement: Placement) -> None:
         machine = self.machines[placement.machine]
         placement.sent = True
-        placement.inflight += 1
+        machine.direct_starts.handed(placement.task, placement.attempt)
         order = wire.order(START, str(placement.task), placement.attempt)
         self.command(machine, [order])
 
+    def unwanted_start(self, machine: Machine) -> bool:
+        """Whether a start of what is to be stopped may still be carried out there. A higher token
+        makes it void, or the session's end: without the first, the second must not be put off.
+
+        An attempt that its worker has, exited or not, is not started by it.
+        """
+        for task, attempt in machine.direct_starts:
+            placement = machine.held.get(task)
+            if placement is None or placement.attempt != attempt:
+                if task not in machine.lingering:
+                    return True
+            elif placement.stop is not None and not placement.seen:
+                return True
+        return False
+
     def machine(
         self,
         id: MachineId,
--- a/umberward/decisions/commands.py
+++ b/umberward/decisions/commands.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from umberward.core.types import MachineId, parse_task_id
+from umberward.core.types import Attempt, MachineId, parse_task_id
 from umberward.decisions.cluster import Cluster, Command
 from umberward.decisions.fleet import Machine
 from umberward.protocol import wire
@@ -31,7 +31,7 @@
         return self._to_send(command)
 
     def ended(self, machine: MachineId) -> Command | None:
-        """The command under way to the machine was answered or given up; what is to be sent next."""
+        """What is to be sent next, as the command under way was answered or given up."""
         self._under_way.discard(machine)
         waiting = self._waiting.pop(machine, [])
         while waiting:
@@ -51,12 +51,23 @@
         machine = self.cluster.machines.get(command.machine)
         if machine is None:
             return None
-        orders = [order for order in command.orders if self._holds(order, command, machine)]
+        orders = []
+        for order in command.orders:
+            if self._holds(order, command, machine):
+                orders.append(order)
+            elif machine.tenure == command.tenure:
+                self._not_sent(order, machine)
         if (command.orders and not orders) or machine.tenure != command.tenure:
             return None
         self._under_way.add(command.machine)
         return command._replace(orders=orders, epoch=self.cluster.epoch, address=machine.address)
 
+    @staticmethod
+    def _not_sent(order: dict[str, Any], machine: Machine) -> None:
+        task = parse_task_id(order["shard"])
+        if task is not None:
+            machine.direct_starts.answered(task, Attempt(order["try"]))
+
     def _holds(self, order: dict[str, Any], command: Command, machine: Machine) -> bool:
         if order["verb"] != wire.START:
             return True
@@ -64,7 +75,4 @@
         placement = machine.held.get(task) if task is not None else None
         if placement is None or placement.attempt != order["try"]:
             return False
-        if placement.stop is None and machine.tenure == command.tenure and self.may_start():
-            return True
-        placement.inflight -= 1
-        return False
+        return placement.stop is None and machine.tenure == command.tenure and self.may_start()
--- a/umberward/decisions/fleet.py
+++ b/umberward/decisions/fleet.py
@@ -21,6 +21,7 @@
     TypeName,
     ZoneName,
 )
+from umberward.decisions.direct_starts import DirectStarts
 from umberward.decisions.jobs import Job, Placement, StopKey
 from umberward.protocol.wire import Sku
 
@@ -68,7 +69,9 @@
         self.since = now
         self.idle_since = now
         self.held: dict[TaskId, Placement] = {}
+        self.direct_starts = DirectStarts()  # those that may still be carried out
         self.lingering: set[TaskId] = set()  # exited and still listed
+        self.unforgotten_since: Instant | None = None  # an exited attempt waits to be forgotten
         self.strays = 0  # tasks of unknown size still listed as alive
         self.booked: Amount = NOTHING
         self.images: dict[ImageName, float] = {}
--- a/umberward/decisions/jobs.py
+++ b/umberward/decisions/jobs.py
@@ -60,7 +60,7 @@
 
     __slots__ = (
         "task", "attempt", "machine", "zone", "need", "team", "key", "at", "sent", "seen",
-        "inflight", "tainted", "hello_serial", "phase", "running_at", "saves_every", "stop",
+        "hello_serial", "phase", "running_at", "saves_every", "stop",
         "stop_at", "ready", "adopted", "fetched", "prompt",
     )  # fmt: skip
 
@@ -86,8 +86,6 @@
         self.fetched = False  # its worker had to fetch the image
         self.sent = False
         self.seen = False  # listed by its worker
-        self.inflight = 0  # direct commands that start it and are not answered yet
-        self.tainted = 0  # highest token of an unanswered direct start; 0: none
         self.hello_serial = -1  # the report whose response last carried the start
         self.phase = ""
         self.running_at: Instant | None = None
--- a/umberward/decisions/provision.py
+++ b/umberward/decisions/provision.py
@@ -151,6 +151,8 @@
         for machine in scheduler.machines.values():
             if machine.held or machine.strays or not machine.settled or machine.returning:
                 continue
+            if scheduler.unwanted_start(machine):
+                continue
             if machine.sick:
                 # Others may still speak for it: a mistaken job fails in the same way.
                 if scheduler.blame.given_up(machine, now):
--- a/umberward/decisions/reports.py
+++ b/umberward/decisions/reports.py
@@ -166,7 +166,9 @@
         else:
             self.hearing.reported(machine, now)
         machine.serial = Serial(report.serial)
-        machine.epoch = Epoch(report.epoch)
+        if report.epoch > machine.epoch:
+            machine.epoch = Epoch(report.epoch)
+            machine.direct_starts.token_seen(machine.epoch)
         if report.reclaim_in_s is not None:
             if machine.notice_at is None:
                 log.info("machine_will_be_taken", machine=id, in_s=report.reclaim_in_s)
@@ -208,6 +210,7 @@
     ) -> list[dict[str, Any]]:
         orders: list[dict[str, Any]] = []
         listed: set[TaskId] = set()
+        kept = False
         machine.lingering.clear()
         machine.strays = 0
         for shard in report.shards:
@@ -221,6 +224,9 @@
             if shard.phase == wire.EXITED:
                 machine.lingering.add(task)
                 self._exited(machine, task, shard, placement, now)
+                kept |= machine.direct_starts.valid_under(
+                    task, Attempt(shard.attempt), self.cluster.epoch
+                )
                 if hello and self.cluster.loaded and self._may_forget(machine, task, shard):
                     orders.append(wire.order(FORGET, shard.shard, shard.attempt))
                 continue
@@ -240,26 +246,34 @@
         for task, placement in list(machine.held.items()):
             if task in listed or not placement.sent:
                 continue
-            if placement.tainted and placement.tainted < machine.epoch:
-                placement.tainted = 0  # late starts carry a token that is too low now
-            if placement.seen:
+            may_arrive = machine.direct_starts.may_arrive(task, placement.attempt)
+            if placement.seen and not may_arrive:
                 self.cluster.release(machine, placement)
-                continue
-            if placement.stop is None:
+            elif placement.stop is None:
                 # The start may be lost; repeating it has no effect where it was executed.
                 if hello:
                     if 0 <= placement.hello_serial < report.serial:
                         self.hearing.doubt(machine, now)  # our last answer had it as well
                     placement.hello_serial = report.serial
                     orders.append(wire.order(START, str(task), placement.attempt))
-            elif not placement.inflight and not placement.tainted:
+            elif not may_arrive:
                 if hello and report.serial > placement.hello_serial:
                     self.cluster.release(machine, placement)
-            elif not placement.inflight and now - placement.stop_at > 2.0:
+            elif machine.direct_starts.valid_under(task, placement.attempt, self.cluster.epoch):
                 # An unanswered start may be executed at any time: only a higher token ends that.
-                self.cluster.want_epoch = True
+                self.cluster.token_raises.unwanted_start(placement.stop_at, now)
+        self._ask_to_forget_later(machine, kept, now)
         return orders
 
+    def _ask_to_forget_later(self, machine: Machine, kept: bool, now: Instant) -> None:
+        """`kept`: whether an exited attempt stays on its worker as a start may still arrive."""
+        if not kept:
+            machine.unforgotten_since = None
+            return
+        if machine.unforgotten_since is None:
+            machine.unforgotten_since = now
+        self.cluster.token_raises.exited_unforgotten(machine.unforgotten_since, now)
+
     def _exited(
         self,
         machine: Machine,
@@ -298,9 +312,8 @@
         placement = machine.held.get(task)
         if placement is not None and placement.attempt == shard.attempt:
             return False
-        if self.cluster.tainted_exits.get((task, shard.attempt), -1) >= machine.epoch:
+        if machine.direct_starts.may_arrive(task, Attempt(shard.attempt)):
             return False
-        self.cluster.tainted_exits.pop((task, shard.attempt), None)
         job = self.cluster.jobs.get(task.job)
         return job is None or shard.cause != wire.DONE or job.is_saved(task.number)
 
@@ -395,13 +408,8 @@
         machine = self.cluster.machines.get(command.machine)
         if machine is None:
             return
-        for made in command.orders:
-            task = parse_task_id(made["shard"])
-            placement = machine.held.get(task) if task is not None else None
-            if made["verb"] == START and placement is not None and placement.attempt == made["try"]:
-                placement.inflight -= 1
-                if unknown:
-                    placement.tainted = max(placement.tainted, command.epoch)
+        if command.tenure == machine.tenure:
+            self._note_starts(machine, command, unknown)
         if report is None:
             self.hearing.doubt(machine, now)
             return
@@ -409,6 +417,19 @@
             self._took_its_place(machine, command, report, now)
         self.report(report, now, hello=False)
 
+    @staticmethod
+    def _note_starts(machine: Machine, command: Command, unknown: bool) -> None:
+        """What has become of the starts in a direct command of the session of now."""
+        for order in command.orders:
+            task = parse_task_id(order["shard"])
+            if order["verb"] != START or task is None:
+                continue
+            attempt = Attempt(order["try"])
+            if unknown:
+                machine.direct_starts.given_up(task, attempt, command.epoch, machine.epoch)
+            else:
+                machine.direct_starts.answered(task, attempt)
+
     def _took_its_place(
         self, machine: Machine, command: Command, report: Report, now: Instant
     ) -> None:
--- a/umberward/decisions/scheduler.py
+++ b/umberward/decisions/scheduler.py
@@ -127,15 +127,11 @@
     def probed(self, probe: Probe, report: Report | None, now: Instant) -> None:
         self.reports.probed(probe, report, now)
 
-    def unwanted_start(self, id: MachineId) -> bool:
-        """Whether a start of what is to be stopped may still be carried out there. A higher token
-        makes it void, or the session's end: without the first, the second must not be put off."""
+    def may_keep_session(self, id: MachineId) -> bool:
+        """Whether a leader without its lease may keep the worker's session alive, as far as the
+        starts that were sent there go."""
         machine = self.machines.get(id)
-        return machine is not None and any(
-            placement.stop is not None and not placement.seen
-            and (placement.inflight > 0 or placement.tainted > 0)
-            for placement in machine.held.values()
-        )  # fmt: skip
+        return machine is None or not self.unwanted_start(machine)
 
     def wake(self, now: Instant) -> None:
         self.watch.wake(now)
@@ -340,7 +336,7 @@
 
     def next_epoch(self, epoch: Epoch) -> None:
         self.epoch = epoch
-        self.want_epoch = False
+        self.token_raises.raised(self.now)
 
     def _unsure_usage(self) -> dict[TeamName, Amount]:
         """What tasks may use that a former holder placed and nobody has found yet, be their jobs
--- a/umberward/decisions/watch.py
+++ b/umberward/decisions/watch.py
@@ -260,7 +260,7 @@
                 and machine.epoch == self.cluster.epoch
                 and now - machine.heard < self.cluster.silence()
                 and not (machine.strays or machine.returning or machine.lapsed)
-                and not machine.stopping
+                and not (machine.stopping or self.cluster.unwanted_start(machine))
             ):
                 machine.lent = now
                 hosts.append(str(machine.id))
