Invariants at run time; what runs without a placement does not start elsewhere

And nothing checked what every decision rests on.

Change: decisions/invariants.py checks four things where they would break: one attempt held for each task, started alone, started while its job is live, forgotten for good. In tests a violation raises and the worlds call it a broken rule; in service the action is refused, one ERROR line has the evidence, and it is counted. Tasks listed without a placement are kept by machine and for the fleet, and don't start until they are gone.

Tests: each invariant has one that makes it fire. The guard settle-again takes out both protections now, since either one keeps the rule (test_what_runs_without_a_placement_does_not_start_elsewhere shows the second alone); a guard's twin may fail by a violation as well as by a broken expectation: both are failures.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,6 +2,10 @@
 
 import pytest
 
+from umberward.decisions.invariants import Invariants
+
+Invariants.raises = True  # in tests a violation is a failure, and nothing is refused silently
+
 pytest_plugins = ["known_red", "pytester"]
 
 
--- a/tests/controllers.py
+++ b/tests/controllers.py
@@ -173,8 +173,16 @@
             for worker in self.workers.values():
                 worker.tick(self.now)
             self.check_now()
+            self._check_invariants()
             await curio.sleep(STEP_S)
 
+    def _check_invariants(self) -> None:
+        """A violation ends the handling of a message, and the controller goes on."""
+        for name, node in self.nodes.items():
+            if node.holder is not None and node.holder.scheduler.invariants.violations:
+                found = node.holder.scheduler.invariants.violations
+                self.broken.append(f"invariants of {name}: {', '.join(found)}")
+
     def run(self, seconds: float) -> None:
         self.kernel.run(curio.sleep, seconds)
 
--- /dev/null
+++ b/tests/test_invariants.py
@@ -0,0 +1,124 @@
+"""Each invariant fires when what it rests on is broken; in service it refuses and goes on."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import guards
+import pytest
+from test_scenarios import FILES, Play, play
+
+from umberward.core.types import Attempt, Instant, JobId, MachineId, TaskId
+from umberward.decisions import invariants
+from umberward.decisions.invariants import Invariant, Invariants, Violation
+from umberward.decisions.jobs import Job, Placement
+from umberward.decisions.reports import Reports
+from umberward.decisions.scheduler import Scheduler
+
+JOB = JobId("req-000001")
+TASK = TaskId(JOB, 0)
+
+
+class Scene:
+    """A job whose first task runs on m1, and m2, which is empty."""
+
+    def __init__(self) -> None:
+        self.game = Play()
+        for name in ("m1", "m2"):
+            self.game.do_machine(name, "small", "a")
+        self.game.do_lead()
+        self.game.do_run("2")
+        self.game.do_submit(JOB, "runs=50", "cores=4")
+        self.game.do_run("2")
+        assert self.game.world.scheduler is not None
+        self.scheduler: Scheduler = self.game.world.scheduler
+        self.job: Job = self.scheduler.jobs[JOB]
+        self.placement = self.job.placed[0]
+        self.other = next(
+            m for m in self.scheduler.machines.values() if m.id != self.placement.machine
+        )
+
+    def second(self) -> Placement:
+        """Another attempt of the same task."""
+        now = Instant(self.game.world.now)
+        return Placement(TASK, Attempt(99), self.other.id, self.other.zone, self.job, now)
+
+
+def _hold_twice(scene: Scene) -> None:
+    assert not scene.scheduler.invariants.may_hold(scene.other, scene.job, scene.second())
+
+
+def _start_beside_a_placement(scene: Scene) -> None:
+    scene.scheduler.hold(scene.other, scene.job, scene.second())
+    scene.scheduler.send(scene.placement)
+
+
+def _start_beside_a_stray(scene: Scene) -> None:
+    scene.scheduler.add_stray(scene.other, TASK)
+    scene.scheduler.send(scene.placement)
+
+
+def _start_of_the_ended(scene: Scene) -> None:
+    scene.job.ended = True
+    scene.scheduler.send(scene.placement)
+
+
+def _forget_while_a_start_may_arrive(scene: Scene) -> None:
+    machine = scene.scheduler.machines[scene.placement.machine]
+    machine.direct_starts.handed(TASK, scene.placement.attempt)
+    assert not scene.scheduler.invariants.may_forget(machine, TASK, scene.placement.attempt)
+
+
+BROKEN = {
+    "hold twice": (_hold_twice, Invariant.ONE_ATTEMPT_HELD),
+    "start beside a placement": (_start_beside_a_placement, Invariant.STARTED_ALONE),
+    "start beside a stray": (_start_beside_a_stray, Invariant.STARTED_ALONE),
+    "start of the ended": (_start_of_the_ended, Invariant.STARTED_WHILE_LIVE),
+    "forget": (_forget_while_a_start_may_arrive, Invariant.FORGOTTEN_FOR_GOOD),
+}
+
+
+@pytest.mark.parametrize("what", BROKEN)
+def test_in_tests_a_violation_raises(what: str) -> None:
+    breaks, invariant = BROKEN[what]
+    with pytest.raises(Violation, match=invariant.value):
+        breaks(Scene())
+
+
+@pytest.mark.parametrize("what", BROKEN)
+def test_in_service_the_action_is_refused(what: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    breaks, invariant = BROKEN[what]
+    said: list[dict[str, Any]] = []
+    monkeypatch.setattr(Invariants, "raises", False)
+    monkeypatch.setattr(invariants.log, "error", lambda event, **fields: said.append(fields))
+    scene = Scene()
+    breaks(scene)
+    assert scene.scheduler.invariants.violations == {invariant: 1}
+    assert [fields["invariant"] for fields in said] == [invariant.value]
+    assert said[0]["task"] == TASK and "machine" in said[0]
+    sent = [order for item in scene.scheduler.out for order in getattr(item, "orders", ())]
+    assert all(order["verb"] != "start" for order in sent)
+
+
+def test_a_forget_that_was_decided_wrongly_does_not_leave(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Reports, "_may_forget", lambda *_: True)
+    path = next(path for path in FILES if path.stem == "forget_not_while_start_unanswered")
+    with pytest.raises(Violation, match=Invariant.FORGOTTEN_FOR_GOOD.value):
+        play(path)
+
+
+def test_what_runs_without_a_placement_does_not_start_elsewhere(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Also where the machine was not settled anew: guards.settle_again takes out both."""
+    guards.settle_once(monkeypatch)
+    play(next(path for path in FILES if path.stem == "takeover_report_before_jobs"))
+
+
+def test_a_stray_is_no_more_when_its_machine_is_gone() -> None:
+    scene = Scene()
+    scene.scheduler.add_stray(scene.other, TASK)
+    scene.scheduler.add_stray(scene.other, TASK)
+    assert scene.scheduler.strays == {TASK: 1}
+    scene.scheduler.removed([MachineId(scene.other.id)], Instant(scene.game.world.now))
+    assert not scene.scheduler.strays
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -30,6 +30,7 @@
 from umberward.control.node import Node
 from umberward.core.settings import NextLimits, Operator, SettingsError, StateLimits, check
 from umberward.core.types import Address, Instant, JobId, Key, MachineId
+from umberward.decisions.invariants import Violation
 from umberward.decisions.jobs import Job
 from umberward.protocol import changes, wire
 from umberward.protocol.changes import delete
@@ -677,7 +678,7 @@
     name = _guard(path)
     assert name is not None
     GUARDS[name](patch)
-    with pytest.raises(Failed):
+    with pytest.raises((Failed, Violation)):
         play(path)
 
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -678,7 +678,14 @@
             if worker is not None and not worker.dead and worker.tenure < machine.min_tenure:
                 self.broken.append(f"session of {machine.id} taken for over")
 
+    def _check_invariants(self) -> None:
+        """A violation while a job is placed is met there, and the others are served."""
+        found = {} if self.scheduler is None else self.scheduler.invariants.violations
+        if found:
+            self.broken.append(f"invariants: {', '.join(found)}")
+
     def _check(self) -> None:
+        self._check_invariants()
         self._check_sessions()
         self._check_ready()
         self.check_now()
--- a/umberward/decisions/cluster.py
+++ b/umberward/decisions/cluster.py
@@ -23,12 +23,14 @@
     JobId,
     MachineId,
     Offer,
+    TaskId,
     Tenure,
     TypeName,
     WallTime,
     ZoneName,
 )
 from umberward.decisions.fleet import Machine, Ready
+from umberward.decisions.invariants import Invariants
 from umberward.decisions.jobs import NO_CLAIM, Claim, Job, Placement, StopKey
 from umberward.decisions.quota import Quota
 from umberward.decisions.reserve import Reserve
@@ -149,6 +151,8 @@
         self.all_settled = False
         self.want_pass = True
         self.token_raises = TokenRaises()
+        self.invariants = Invariants()
+        self.strays: Counter[TaskId] = Counter()  # those of all machines
         self.out: list[Command | Probe] = []
         self.doomed: set[MachineId] = set()  # to be deleted as soon as the cloud answers
         self.runtime: dict[str, float] = {}  # class -> seen run time by what was estimated
@@ -324,7 +328,21 @@
             self.release(machine, placement)
         machine.lingering.clear()
         machine.unforgotten_since = None
-        machine.strays = 0
+        self.clear_strays(machine)
+
+    def add_stray(self, machine: Machine, task: TaskId) -> None:
+        """The machine runs a task that is not held there; it must not start elsewhere before that
+        has ended."""
+        if task not in machine.strays:
+            machine.strays.add(task)
+            self.strays[task] += 1
+
+    def clear_strays(self, machine: Machine) -> None:
+        for task in machine.strays:
+            self.strays[task] -= 1
+            if not self.strays[task]:
+                del self.strays[task]
+        machine.strays.clear()
 
     def stop(self, placement: Placement, grace: float) -> None:
         if placement.stop is not None and placement.stop <= grace:
@@ -352,6 +370,10 @@
 
     def send(self, placement: Placement) -> None:
         machine = self.machines[placement.machine]
+        job = self.jobs.get(placement.task.job)
+        if not self.invariants.may_start(job, placement, self.strays):
+            self.release(machine, placement)
+            return
         placement.sent = True
         machine.direct_starts.handed(placement.task, placement.attempt)
         order = wire.order(START, str(placement.task), placement.attempt)
--- a/umberward/decisions/commands.py
+++ b/umberward/decisions/commands.py
@@ -75,4 +75,7 @@
         placement = machine.held.get(task) if task is not None else None
         if placement is None or placement.attempt != order["try"]:
             return False
-        return placement.stop is None and machine.tenure == command.tenure and self.may_start()
+        if placement.stop is not None or machine.tenure != command.tenure or not self.may_start():
+            return False
+        job = self.cluster.jobs.get(placement.task.job)
+        return self.cluster.invariants.may_start(job, placement, self.cluster.strays)
--- a/umberward/decisions/fleet.py
+++ b/umberward/decisions/fleet.py
@@ -72,7 +72,7 @@
         self.direct_starts = DirectStarts()  # those that may still be carried out
         self.lingering: set[TaskId] = set()  # exited and still listed
         self.unforgotten_since: Instant | None = None  # an exited attempt waits to be forgotten
-        self.strays = 0  # tasks of unknown size still listed as alive
+        self.strays: set[TaskId] = set()  # listed as alive and not held here: to be stopped
         self.booked: Amount = NOTHING
         self.images: dict[ImageName, float] = {}
         self.notice_at: Instant | None = None  # when the cloud takes it
--- a/umberward/decisions/reports.py
+++ b/umberward/decisions/reports.py
@@ -212,7 +212,7 @@
         listed: set[TaskId] = set()
         kept = False
         machine.lingering.clear()
-        machine.strays = 0
+        self.cluster.clear_strays(machine)
         for shard in report.shards:
             task = parse_task_id(shard.shard)
             if task is None:
@@ -227,13 +227,16 @@
                 kept |= machine.direct_starts.valid_under(
                     task, Attempt(shard.attempt), self.cluster.epoch
                 )
-                if hello and self.cluster.loaded and self._may_forget(machine, task, shard):
+                if (
+                    hello and self.cluster.loaded and self._may_forget(machine, task, shard)
+                    and self.cluster.invariants.may_forget(machine, task, Attempt(shard.attempt))
+                ):  # fmt: skip
                     orders.append(wire.order(FORGET, shard.shard, shard.attempt))
                 continue
             if placement is None:
                 placement = self._stray(machine, task, shard, now)
                 if placement is None:
-                    machine.strays += 1
+                    self.cluster.add_stray(machine, task)
                     if self.cluster.loaded:
                         orders.append(wire.order(KILL, shard.shard, shard.attempt, 0.0))
                     continue
@@ -254,8 +257,7 @@
                 if hello:
                     if 0 <= placement.hello_serial < report.serial:
                         self.hearing.doubt(machine, now)  # our last answer had it as well
-                    placement.hello_serial = report.serial
-                    orders.append(wire.order(START, str(task), placement.attempt))
+                    self._start_again(machine, placement, report, orders)
             elif not may_arrive:
                 if hello and report.serial > placement.hello_serial:
                     self.cluster.release(machine, placement)
@@ -265,6 +267,14 @@
         self._ask_to_forget_later(machine, kept, now)
         return orders
 
+    def _start_again(
+        self, machine: Machine, placement: Placement, report: Report, orders: list[dict[str, Any]]
+    ) -> None:
+        job = self.cluster.jobs.get(placement.task.job)
+        if self.cluster.invariants.may_start(job, placement, self.cluster.strays):
+            placement.hello_serial = report.serial
+            orders.append(wire.order(START, str(placement.task), placement.attempt))
+
     def _ask_to_forget_later(self, machine: Machine, kept: bool, now: Instant) -> None:
         """`kept`: whether an exited attempt stays on its worker as a start may still arrive."""
         if not kept:
@@ -331,6 +341,8 @@
         if task.number >= job.marked or job.gang and not self._same_attempt(job, shard.attempt):
             return None
         placement = Placement(task, Attempt(shard.attempt), machine.id, machine.zone, job, now)
+        if not self.cluster.invariants.may_hold(machine, job, placement):
+            return None
         job.ran.add(task.number)
         placement.ready = placement.sent = placement.seen = placement.adopted = True
         self.cluster.hold(machine, job, placement)
@@ -346,6 +358,8 @@
         if job is None or task.number not in job.unsure or task in machine.held:
             return None
         placement = Placement(task, Attempt(shard.attempt), machine.id, machine.zone, job, now)
+        if not self.cluster.invariants.may_hold(machine, job, placement):
+            return None
         placement.ready = placement.sent = placement.seen = placement.adopted = True
         placement.stop = 0.0
         self.cluster.hold(machine, job, placement)
