Log: direct commands given up, forgets put off, what may still arrive; of bounded rate

Cause: the incident's log could not tell when a direct command had left and with which orders, what was concluded when it was given up, nor why a forget was allowed.

Change: command_sent and forgetting (debug), command_given_up and forget_put_off (info, 20 lines of each a second at most; those left out are counted with the next line), and a direct_starts line every 10 s: starts that may arrive, machines, token raises, violations, and how old the latest reading of the jobs is.

--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import logging
+from typing import Any
 
 import msgspec
 import pytest
 
 from umberward.core import log
+from umberward.core.bounded_log import BoundedLog
 from umberward.core.types import JobId, TaskId
 
 
@@ -49,3 +51,26 @@
     assert found == {
         "level": "error", "logger": "umberward.x", "event": "failed", "task": "req-1/2", "tries": 3
     }  # fmt: skip
+
+
+def test_repeated_events_are_counted_and_not_written() -> None:
+    said: list[dict[str, Any]] = []
+    now = 10.0
+
+    class Log:
+        def info(self, event: str, **fields: Any) -> None:
+            said.append({"event": event, **fields})
+
+    bounded = BoundedLog(Log(), 2, lambda: now)
+    for number in range(5):
+        bounded.info("given_up", number=number)
+    bounded.info("other")
+    assert said == [
+        {"event": "given_up", "number": 0}, {"event": "given_up", "number": 1}, {"event": "other"},
+    ]  # fmt: skip
+    now += 1.0
+    bounded.info("given_up", number=5)
+    bounded.info("given_up", number=6)
+    assert said[3:] == [
+        {"event": "given_up", "number": 5, "left_out": 3}, {"event": "given_up", "number": 6},
+    ]  # fmt: skip
--- a/umberward/control/holder.py
+++ b/umberward/control/holder.py
@@ -18,6 +18,7 @@
 from umberward.control.membership import Membership
 from umberward.control.renting import Renting
 from umberward.core.actor import Actor
+from umberward.core.bounded_log import BoundedLog
 from umberward.core.log import logger
 from umberward.core.settings import Settings
 from umberward.core.types import (
@@ -43,6 +44,7 @@
 from umberward.protocol.wire import BLOCKS, HINTS, JOBS, LIVE, PAST, FinalRecord, Report, Sku
 
 log = logger(__name__)
+bounded_log = BoundedLog(log)
 
 TICK_S = 0.2
 PASS_S = 0.06  # the least time between two placing passes
@@ -61,6 +63,7 @@
 LOOKUP_S = 0.2  # how often ends that were not seen are looked up
 SWEEP_S = 2.0  # how often a page of the live jobs is compared with what is known
 SWEPT = 50  # ... of so many
+ORDERS_SAID = 4  # of a direct command, in a line of the log
 SUMMARY_S = 10.0  # how often the state of the fleet is logged
 
 
@@ -254,6 +257,8 @@
                 said = _now()
                 for fields in self.scheduler.fleet_summary():
                     log.info("fleet", **fields)
+                log.info("direct_starts", **self.scheduler.direct_starts_summary(),
+                         jobs_read_s=self._jobs_read_s(said))  # fmt: skip
 
     # ---- messages ----------------------------------------------------------------------
 
@@ -384,6 +389,10 @@
         # may still be tended.
         starts = any(order["verb"] == wire.START for order in command.orders)
         still = self._may_start if starts else self.membership.tending
+        sent = _now()
+        log.debug("command_sent", machine=command.machine, epoch=command.epoch,
+                  session=command.tenure, orders=_orders_said(command.orders),
+                  jobs_read_s=self._jobs_read_s(sent))  # fmt: skip
         try:
             response = await self.client.request(
                 parse_address(command.address), "POST", "/do", wire.encode(body), DO_TIMEOUT_S,
@@ -394,10 +403,19 @@
         except NotSent:
             pass
         except (NoAnswer, wire.Malformed, ValueError) as error:
-            log.debug("command_not_answered", machine=command.machine, error=error)
+            bounded_log.info(
+                "command_given_up", machine=command.machine, epoch=command.epoch,
+                session=command.tenure, after_s=round(_now() - sent, 1),
+                orders=_orders_said(command.orders), error=type(error).__name__,
+            )  # fmt: skip
             unknown = True
         await self.tell(Commanded(command, report, unknown))
 
+    def _jobs_read_s(self, now: Instant) -> float | None:
+        """How long ago the latest answered reading of the jobs was asked; None: there was none."""
+        known = self.scheduler.known
+        return None if known is None else round(now - known, 2)
+
     async def _probe(self, probe: Probe) -> None:
         report = None
         try:
@@ -538,6 +556,14 @@
     return max(PASS_S, (PASS_PART + SLOW_PART * min(1.0, took / SLOW_PASS_S)) * took)
 
 
+def _orders_said(orders: list[dict[str, Any]]) -> str:
+    """The first few orders for a line of the log: what, which task, which attempt."""
+    said = [f"{order['verb']}:{order['shard']}#{order['try']}" for order in orders[:ORDERS_SAID]]
+    if len(orders) > ORDERS_SAID:
+        said.append(f"+{len(orders) - ORDERS_SAID}")
+    return ",".join(said)
+
+
 def _now() -> Instant:
     return Instant(time.monotonic())
 
--- a/umberward/decisions/reports.py
+++ b/umberward/decisions/reports.py
@@ -4,6 +4,7 @@
 
 from typing import Any
 
+from umberward.core.bounded_log import BoundedLog
 from umberward.core.log import logger
 from umberward.core.types import (
     Attempt,
@@ -28,6 +29,7 @@
 from umberward.protocol.wire import FORGET, KILL, START, Report
 
 log = logger(__name__)
+bounded_log = BoundedLog(log)
 
 COPIES_SAID_S = 1.0  # how often copies are logged
 
@@ -40,6 +42,7 @@
         self.writer = writer
         self.copies = 0  # late copies of reports, since they were last logged
         self.copies_at = cluster.started
+        self.forgets_put_off = 0  # machines that kept exited attempts as a start may arrive
 
     def hello(self, head: wire.Head, body: bytes, now: Instant) -> list[dict[str, Any]] | None:
         """A periodic report; the orders for its response, or None: it is not ours to answer."""
@@ -231,6 +234,7 @@
                     hello and self.cluster.loaded and self._may_forget(machine, task, shard)
                     and self.cluster.invariants.may_forget(machine, task, Attempt(shard.attempt))
                 ):  # fmt: skip
+                    log.debug("forgetting", task=task, attempt=shard.attempt, machine=machine.id)
                     orders.append(wire.order(FORGET, shard.shard, shard.attempt))
                 continue
             if placement is None:
@@ -282,6 +286,9 @@
             return
         if machine.unforgotten_since is None:
             machine.unforgotten_since = now
+            self.forgets_put_off += 1
+            bounded_log.info("forget_put_off", machine=machine.id, token_seen=machine.epoch,
+                             starts_may_arrive=len(machine.direct_starts))  # fmt: skip
         self.cluster.token_raises.exited_unforgotten(machine.unforgotten_since, now)
 
     def _exited(
--- a/umberward/decisions/scheduler.py
+++ b/umberward/decisions/scheduler.py
@@ -589,6 +589,17 @@
             found.append({"waiting": name, "tasks": total, "jobs": jobs, "oldest_s": oldest})
         return found
 
+    def direct_starts_summary(self) -> dict[str, int]:
+        """How many starts may still arrive, and what that has led to in this term."""
+        open_ = [len(machine.direct_starts) for machine in self.machines.values()]
+        return {
+            "may_arrive": sum(open_),
+            "machines": sum(1 for starts in open_ if starts),
+            "forgets_put_off": self.reports.forgets_put_off,
+            "token_raises": self.token_raises.count,
+            "violations": sum(self.invariants.violations.values()),
+        }
+
     def lacking(self, now: Instant) -> list[tuple[Job, int]]:
         """Jobs with tasks for which there is no room, in the order of service."""
         found = []
