--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -84,6 +84,7 @@
 }  # fmt: skip
 
 
+COMMAND_LINKS = ("commands held", "commands late", "answers to commands held")
 HANGS = "machine hangs"
 KEPT = "reports kept for the next leader"
 
@@ -100,10 +101,10 @@
         self.number = 0
         self.steps = 0
 
-    @initialize(limit=limits, speed=speeds)
-    def begins(self, limit: float = 0.0, speed: float = 1.0) -> None:
+    @initialize(limit=limits, speed=speeds, report_s=st.sampled_from((1.0, 0.3)))
+    def begins(self, limit: float = 0.0, speed: float = 1.0, report_s: float = 1.0) -> None:
         self.limit = limit
-        self.world = Controllers(3, rent=4, limits={"cpus_max": limit})
+        self.world = Controllers(3, rent=4, limits={"cpus_max": limit}, report_s=report_s)
         self.open.enter_context(self.world.playing())
         self.world.cloud_core.speed = speed
         for name in NAMES:
@@ -238,6 +239,32 @@
         for _ in range(2):
             self.world.together(questions, gap_ms / 1000)
 
+    @rule(
+        tasks=st.sampled_from((1, 3)), gap=st.sampled_from((0.3, 0.8, 1.2)),
+        shape=st.sampled_from(("batch", "ensemble")), link=st.sampled_from(COMMAND_LINKS),
+        who=roles, lasts=st.sampled_from((1.0, 2.2, 5.0)), after=pauses,
+    )  # fmt: skip
+    def preempted(
+        self, tasks: int, gap: float, shape: str, link: str, who: str, lasts: float, after: float
+    ) -> None:
+        """Work is stopped for work of a higher rank within two seconds of its start, while direct
+        commands are held up; the stopped work goes on when the other is cancelled."""
+        if len(self._live()) >= MOST_LIVE - 1:
+            return
+        self._begin(link, "leader", "m*")
+        leader = self._node("leader")
+        spec = self._spec(tasks, 40.0, f"shape={shape}", "rank=idle", "cores=3")
+        self.world.submit(spec, leader)
+        self.world.run(gap)
+        higher = self._spec(3, ENDLESS_S, "shape=service", "rank=production", "cores=3")
+        self.world.submit(higher, leader)
+        self.world.run(lasts)
+        self.world.cancel(higher["uid"], self._node(who))
+        self.world.run(after)
+        for name in [name for name in self.world.network.troubles if name.startswith(link)]:
+            del self.world.network.troubles[name]
+        self.world.run(1.0)
+
     @rule(count=st.sampled_from((6, 24)))
     def stream(self, count: int) -> None:
         """One-task jobs, four a second; every fourth is cancelled two seconds later."""
