--- a/tests/controllers.py
+++ b/tests/controllers.py
@@ -15,7 +15,7 @@
 
 import curio
 import msgspec
-from network import Clock, Jumping, Network, Trouble
+from network import Clock, Jumping, Network
 from rules import Rules, Told
 from world import SKUS, raw_settings
 
@@ -25,6 +25,7 @@
 from umberward.core.types import Key, TypeName
 from umberward.local import servers
 from umberward.local.cloudcore import Capacity, CloudCore, Machine
+from umberward.local.links import LinkFault
 from umberward.local.servers import CloudServer, StateServer, WorkerServer
 from umberward.local.statecore import StateCore
 from umberward.local.workercore import Fate, WorkerCore
@@ -112,7 +113,7 @@
         return worker.host not in self.workers or (over and self.stands_still(worker))
 
     def stands_still(self, worker: WorkerCore) -> bool:
-        return f"hang {worker.host}" in self.network.troubles
+        return f"hang {worker.host}" in self.network.links.faults
 
     def sent_at(self, worker: WorkerCore) -> float | None:
         return self.network.sent.get(worker.host)
@@ -265,15 +266,15 @@
 
     def hang(self, name: str) -> None:
         """Nothing is done there and nothing passes, either way, until it goes on."""
-        self.network.troubles[f"hang {name}"] = Trouble("*", name, "hold")
-        self.network.troubles[f"hang {name} back"] = Trouble(name, "*", "hold")
+        self.network.links.faults[f"hang {name}"] = LinkFault("*", name, "hold")
+        self.network.links.faults[f"hang {name} back"] = LinkFault(name, "*", "hold")
 
     def hanging(self) -> list[str]:
-        return [name for name in self.workers if f"hang {name}" in self.network.troubles]
+        return [name for name in self.workers if f"hang {name}" in self.network.links.faults]
 
     def goes_on(self, name: str) -> None:
         for label in (f"hang {name}", f"hang {name} back"):
-            self.network.troubles.pop(label, None)
+            self.network.links.faults.pop(label, None)
         worker = self.workers.get(name)
         if worker is not None:
             worker.tick(self.now)  # its lease may be over, before it hears anything
@@ -286,7 +287,7 @@
             worker = self.workers.pop(machine.id, None)
             if worker is not None:
                 worker.end_session()
-                self.network.troubles[f"gone {machine.id}"] = Trouble(machine.id, "*", "lost")
+                self.network.links.faults[f"gone {machine.id}"] = LinkFault(machine.id, "*", "lost")
 
     def fate(self, name: str, _: Spec) -> Fate:
         return Fate(self.specs[name.split("/")[0]]["_runs"])
--- a/tests/network.py
+++ b/tests/network.py
@@ -13,17 +13,17 @@
 from collections import deque
 from collections.abc import Callable, Iterable, Iterator
 from contextlib import contextmanager
-from typing import Any, NamedTuple
+from typing import Any
 from unittest import mock
 
 import curio
 
 from umberward.core.types import Address
+from umberward.local.links import Links
 from umberward.protocol.http import Handler, NoAnswer, NotSent, Request, Response
 
 TRIP_S = 0.001
 MOST_KEPT = 60
-LOOK_S = 0.05  # how often a held message looks whether its link is whole
 
 
 class Clock:
@@ -55,38 +55,13 @@
         return []
 
 
-class Trouble(NamedTuple):
-    """What befalls messages from `src` to `dst` whose target begins with `path`, and their answers
-    if it is the other way round.
-
-    `what`: "refuse", "lost" or "hold"; or they come late by a time between `least` and `most`
-    seconds, those of a share `share` of them. A name that ends with `*` stands for all that begin
-    so.
-    """
-
-    src: str
-    dst: str
-    what: str
-    path: str = ""
-    least: float = 0.0
-    most: float = 0.0
-    share: float = 1.0
-
-    def meets(self, src: str, dst: str, target: str) -> bool:
-        return _matches(self.src, src) and _matches(self.dst, dst) and target.startswith(self.path)
-
-
-def _matches(pattern: str, name: str) -> bool:
-    return name.startswith(pattern[:-1]) if pattern.endswith("*") else name == pattern
-
-
 class Network:
     def __init__(self, clock: Clock, rng: random.Random) -> None:
         self.clock = clock
         self.rng = rng
         self.owners: dict[Address, str] = {}
         self.serving: dict[Address, Server] = {}
-        self.troubles: dict[str, Trouble] = {}
+        self.links = Links(rng, TRIP_S)
         self.copied: dict[str, tuple[float, float, float]] = {}  # owner -> share, from, to
         self.building = ""  # whose clients are made now
         self.sent: dict[str, float] = {}  # to whom a message is handed now -> when it was sent
@@ -104,9 +79,6 @@
         self.owners[made] = owner
         return made
 
-    def _met(self, src: str, dst: str, target: str) -> Iterator[Trouble]:
-        return (one for one in self.troubles.values() if one.meets(src, dst, target))
-
     async def bring_kept(self, addresses: Iterable[Address]) -> None:
         """The copies that were kept come to all of these at once."""
         kept, self.kept = self.kept, deque(maxlen=MOST_KEPT)
@@ -115,22 +87,6 @@
                 if address in self.serving:
                     await curio.spawn(self.serving[address].handler, request, daemon=True)
 
-    def refuses(self, src: str, dst: str, target: str) -> bool:
-        return any(one.what == "refuse" for one in self._met(src, dst, target))
-
-    async def pass_on(self, src: str, dst: str, target: str) -> bool:
-        """Wait as long as the message is under way; False: it is lost."""
-        late = TRIP_S
-        for one in self._met(src, dst, target):
-            if one.what == "lost":
-                return False
-            if one.what == "late" and self.rng.random() < one.share:
-                late = max(late, self.rng.uniform(one.least, one.most))
-        await curio.sleep(late)
-        while any(one.what == "hold" for one in self._met(src, dst, target)):
-            await curio.sleep(LOOK_S)
-        return True
-
 
 class Server:
     def __init__(self, network: Network, address: Address, handler: Handler) -> None:
@@ -163,7 +119,7 @@
         network = self.network
         there = network.owners.get(address, "nobody")
         path, _, query = target.partition("?")
-        if address not in network.serving or network.refuses(self.owner, there, target):
+        if address not in network.serving or network.links.refuses(self.owner, there, target):
             await curio.sleep(TRIP_S)
             raise NotSent(f"{address}: refused")
         if self.ended or still is not None and not still():
@@ -173,7 +129,7 @@
         answers: list[Response] = []
 
         async def carry() -> None:
-            if await network.pass_on(self.owner, there, target):
+            if await network.links.passes(self.owner, there, target):
                 server = network.serving.get(address)
                 if server is None:
                     return
@@ -181,7 +137,7 @@
                 response = await server.handler(Request(method, path, query, body))
                 network.sent.pop(there, None)
                 # A process that has ended since says nothing.
-                if network.serving.get(address) is server and await network.pass_on(
+                if network.serving.get(address) is server and await network.links.passes(
                     there, self.owner, target
                 ):
                     answers.append(response)
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -12,11 +12,11 @@
 
 import pytest
 from controllers import USERS_PATIENCE_S, Controllers
-from network import Trouble
 from test_scenarios import Play, _pairs, fails_unguarded, guarded, play
 
 from umberward.control import users
 from umberward.core.types import Key
+from umberward.local.links import LinkFault
 from umberward.protocol import changes
 from umberward.protocol.wire import LIVE, PAST
 
@@ -91,12 +91,12 @@
         given = _pairs(list(words))
         path = given.pop("path", "")
         times = {name: float(value) for name, value in given.items()}
-        self.world.network.troubles[label] = Trouble(
+        self.world.network.links.faults[label] = LinkFault(
             self._name(src), self._name(dst), what, path, **times
         )
 
     def do_clear(self, label: str) -> None:
-        del self.world.network.troubles[label]
+        del self.world.network.links.faults[label]
 
     def do_copies(self, name: str, share: str, least: str, most: str) -> None:  # type: ignore[override]
         """Of that share of the machine's reports a copy comes again, so many seconds later."""
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -19,9 +19,9 @@
     rule,
     run_state_machine_as_test,
 )
-from network import Trouble
 from test_scenarios import Play
 
+from umberward.local.links import LinkFault
 from umberward.protocol.wire import LIVE
 
 NAMES = ("k0", "k1", "k2")
@@ -181,8 +181,8 @@
         ends = {"node": self._node(who), "machine": self._machine(which)}
         for src, dst, *rest in TROUBLES[what]:
             src, dst = src.format(**ends), dst.format(**ends)
-            trouble = Trouble(src, dst, *rest)
-            self.world.network.troubles[f"{what} {src} {dst}"] = trouble
+            trouble = LinkFault(src, dst, *rest)
+            self.world.network.links.faults[f"{what} {src} {dst}"] = trouble
 
     @rule(
         tasks=st.sampled_from((1, 2, 3, 6)), runs=st.sampled_from(RUNS), first=troubles,
@@ -261,8 +261,8 @@
         self.world.run(lasts)
         self.world.cancel(higher["uid"], self._node(who))
         self.world.run(after)
-        for name in [name for name in self.world.network.troubles if name.startswith(link)]:
-            del self.world.network.troubles[name]
+        for name in [name for name in self.world.network.links.faults if name.startswith(link)]:
+            del self.world.network.links.faults[name]
         self.world.run(1.0)
 
     @rule(count=st.sampled_from((6, 24)))
@@ -297,8 +297,8 @@
     def _whole(self) -> None:
         for name in self.world.hanging():
             self.world.goes_on(name)
-        for name in [n for n in self.world.network.troubles if not n.startswith("gone ")]:
-            del self.world.network.troubles[name]
+        for name in [n for n in self.world.network.links.faults if not n.startswith("gone ")]:
+            del self.world.network.links.faults[name]
         self.world.network.copied.clear()
         self.world.network.kept_share = 0.0
         self.world.state.refused.clear()
