umberward soak: drawn faults on the loopback under load, judged from outside

Results as JSON; at a break the timeline and the command that plays it again. Exit codes 1 for a break, 2 for bad input, 3 if the soak itself fails.

--- a/umberward/cli/main.py
+++ b/umberward/cli/main.py
@@ -16,6 +16,7 @@
 from umberward.cli.graph import graph
 from umberward.cli.load import load as load_command
 from umberward.cli.local import local
+from umberward.cli.soak import soak
 from umberward.core.settings import Settings, SettingsError, load
 from umberward.core.types import Address
 from umberward.protocol import wire
@@ -41,6 +42,7 @@
 main.add_command(graph)
 main.add_command(load_command)
 main.add_command(local)
+main.add_command(soak)
 
 
 @main.command()
--- /dev/null
+++ b/umberward/cli/soak.py
@@ -0,0 +1,137 @@
+"""The command line's `soak`: a cluster on the loopback under load and drawn faults, judged."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+import tempfile
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import click
+import msgspec
+
+BROKEN, BAD_INPUT, HARNESS_FAILED = 1, 2, 3  # exit codes; 0: no rule was broken
+
+
+class Seeds(click.ParamType):
+    """`7` or `1-50`."""
+
+    name = "seeds"
+
+    def convert(self, value: Any, param: Any, ctx: Any) -> range:
+        if isinstance(value, range):
+            return value
+        first, _, last = str(value).partition("-")
+        last = last or first
+        if not first.isdecimal() or not last.isdecimal() or int(last) < int(first):
+            self.fail(f"{value!r} is neither a number nor a range such as 1-50", param, ctx)
+        return range(int(first), int(last) + 1)
+
+
+class Played(NamedTuple):
+    """One seed as a process of its own has played it."""
+
+    seed: int
+    code: int
+    said: str
+    result: Any
+
+
+@click.command()
+@click.option("--seeds", default="1", show_default=True, type=Seeds(), help="N, or N-M.")
+@click.option("--size", default="small", show_default=True,
+              help="short, small, medium or large: workers, load and length.")  # fmt: skip
+@click.option("--fault", "faults", multiple=True,
+              help="Only this kind of fault; may be given several times.")  # fmt: skip
+@click.option("--jobs", default=1, show_default=True, type=click.IntRange(1, 16),
+              help="Seeds played at once.")  # fmt: skip
+@click.option("--report", type=click.Path(path_type=Path), help="Write the results as JSON.")
+def soak(seeds: range, size: str, faults: tuple[str, ...], jobs: int, report: Path | None) -> None:
+    """Play drawn faults against a cluster on this machine, and judge it from outside.
+
+    Ends with 0 if no rule was broken, 1 if one was, 2 for bad input, 3 if the soak itself failed.
+    """
+    from umberward.soak import plan
+
+    try:
+        plan.size(size)
+        plan.kinds(list(faults))
+    except plan.PlanError as error:
+        click.echo(f"soak: {error}", err=True)
+        sys.exit(BAD_INPUT)
+    if len(seeds) == 1:
+        sys.exit(_play_here(seeds[0], size, faults, report))
+    sys.exit(_play_apart(seeds, size, faults, jobs, report))
+
+
+def _play_here(seed: int, size: str, faults: tuple[str, ...], report: Path | None) -> int:
+    from umberward.core import log, loop
+    from umberward.soak import plan
+    from umberward.soak.runner import Run
+
+    log.configure("error", "lines")
+    run = Run(plan.draw(seed, plan.size(size), plan.kinds(list(faults))))
+    try:
+        result = loop.run(run.play)
+    except (RuntimeError, OSError) as error:
+        click.echo(f"soak: seed {seed}: the soak failed: {error}", err=True)
+        return HARNESS_FAILED
+    if report is not None:
+        report.write_bytes(msgspec.json.format(msgspec.json.encode([result])) + b"\n")
+    click.echo(_line(msgspec.to_builtins(result)))
+    for line in result.timeline:
+        click.echo(f"    {line}")
+    if result.broken:
+        chosen = "".join(f" --fault {name}" for name in faults)
+        click.echo(f"again: umberward soak --seeds {seed} --size {size}{chosen}")
+    return BROKEN if result.broken else 0
+
+
+def _play_apart(
+    seeds: range, size: str, faults: tuple[str, ...], jobs: int, report: Path | None
+) -> int:
+    """Each seed in a process of its own."""
+    with tempfile.TemporaryDirectory(prefix="umberward-soak-") as folder:
+
+        def play(seed: int) -> Played:
+            path = Path(folder) / f"{seed}.json"
+            words = [sys.executable, "-m", "umberward", "soak", "--seeds", str(seed)]
+            words += ["--size", size, "--report", str(path)]
+            for name in faults:
+                words += ["--fault", name]
+            done = subprocess.run(words, check=False, capture_output=True, text=True)
+            result = msgspec.json.decode(path.read_bytes())[0] if path.exists() else None
+            return Played(seed, done.returncode, (done.stdout + done.stderr).strip(), result)
+
+        played = []
+        with ThreadPoolExecutor(max_workers=jobs) as pool:
+            for one in pool.map(play, seeds):
+                click.echo(one.said)
+                played.append(one)
+    results = [one.result for one in played if one.result is not None]
+    if report is not None:
+        report.write_bytes(msgspec.json.format(msgspec.json.encode(results)) + b"\n")
+    failed = [one.seed for one in played if one.result is None]
+    broken = [one["seed"] for one in results if one["broken"]]
+    click.echo(
+        f"{len(played)} seeds: {len(broken)} broke a rule {broken}, {len(failed)} failed {failed};"
+        f" {sum(one['starts'] for one in results)} starts,"
+        f" {sum(one['cancellations'] for one in results)} cancellations,"
+        f" {sum(one['kills'] for one in results)} kills,"
+        f" {sum(one['takeovers'] for one in results)} takeovers"
+    )
+    return HARNESS_FAILED if failed else BROKEN if broken else 0
+
+
+def _line(result: dict[str, Any]) -> str:
+    rules = sorted({broken["rule"] if isinstance(broken, dict) else broken[1]
+                    for broken in result["broken"]})  # fmt: skip
+    return (
+        f"seed {result['seed']}: {', '.join(rules) if rules else 'no rule broken'};"
+        f" {result['workers']} workers, {result['jobs']} jobs, {result['starts']} starts,"
+        f" {result['cancellations']} cancellations, {result['kills']} kills,"
+        f" {result['takeovers']} takeovers, {result['processor_s']} s of processor time,"
+        f" {result['memory_mb']} MB, {result['seconds']} s"
+    )
--- a/umberward/local/cluster.py
+++ b/umberward/local/cluster.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import os
 import random
 import shutil
 import socket
@@ -52,6 +53,9 @@
 ]
 
 
+WORKERS = Workers(report_s=1.0, lease_s=8.0, gang_wait_s=20.0, gang_peer_s=4.0, cancel_s=20.0)
+
+
 class Trouble(msgspec.Struct, forbid_unknown_fields=True):
     """Something that happens `at` so many seconds after the cluster is ready, `for` so many more.
 
@@ -83,6 +87,9 @@
     speed: float = 1.0
     seed: int = 1
     graphs: bool = True
+    workers: Workers = WORKERS
+    properties: dict[str, str] = {}  # of the controllers, besides those for graphs
+    log_level: str = ""  # of the controllers; empty: as in this process
 
 
 class LocalCluster:
@@ -92,11 +99,9 @@
         self.processes: dict[str, subprocess.Popen[bytes]] = {}  # functions of graphs' tasks
         self.rng = random.Random(plan.seed)
         self.zones = sorted({zone for sku in plan.machines for zone in sku.yards})
-        self.workers_said = Workers(
-            report_s=1.0, lease_s=8.0, gang_wait_s=20.0, gang_peer_s=4.0, cancel_s=20.0
-        )
+        self.workers_said = plan.workers
         self.limits = StateLimits(rps=600.0, write_rps=60.0, value_kb=4.0, txn_ops=8)
-        free = free_ports(3 * plan.controllers + 2)
+        free = self._addresses(3 * plan.controllers + 2)
         self.listen = [free.pop() for _ in range(plan.controllers)]
         self.peers = [free.pop() for _ in range(plan.controllers)]
         states = [free.pop() for _ in range(plan.controllers)]
@@ -110,6 +115,7 @@
         self.nodes = dict(zip(self.names, self.listen, strict=True))
         self.children: list[subprocess.Popen[bytes] | None] = [None] * plan.controllers
         self.start_at = [0.0] * plan.controllers
+        self.come_back_s = [COME_BACK_S] * plan.controllers
         self.mates = Mates()
         self.workers: dict[str, tuple[WorkerServer, Any]] = {}
         self.client = Client(CLIENT_SOCKETS)
@@ -124,6 +130,10 @@
         self.ends: dict[str, list[str]] = {}  # task -> how its attempts ended
         self.group: Any = None
 
+    def _addresses(self, count: int) -> list[Address]:
+        """Addresses on which nobody listens."""
+        return free_ports(count)
+
     # ---- as a whole --------------------------------------------------------------------
 
     @classmethod
@@ -144,7 +154,8 @@
         for number in range(self.plan.controllers):
             path = self.folder / f"{self.names[number]}.toml"
             path.write_text(tomli_w.dumps(self._settings(number)))
-        properties = {"graphs.enabled": str(self.plan.graphs).lower()}
+        graphs = {"graphs.enabled": str(self.plan.graphs).lower()}
+        properties = {**graphs, **self.plan.properties}
         (self.folder / "own.properties").write_text(javaproperties.dumps(properties))
         for server in [*self.state.servers, self.cloud.server, self.store.server]:
             await self.group.spawn(server.run)
@@ -236,10 +247,14 @@
         for number, child in enumerate(self.children):
             if child is not None and child.poll() is not None:
                 self.children[number] = None
-                self.start_at[number] = now + COME_BACK_S
+                self.start_at[number] = now + self.come_back_s[number]
+                self._child_ended(number, child.returncode)
             if self.children[number] is None and now >= self.start_at[number]:
                 self.children[number] = self._child(number)
 
+    def _child_ended(self, number: int, code: int) -> None:
+        """A controller's process has ended, and is started again in a while."""
+
     def _child(self, number: int) -> subprocess.Popen[bytes]:
         name = self.names[number]
         with open(self.folder / f"{name}.log", "ab") as out:
@@ -249,12 +264,14 @@
                     "--config", str(self.folder / f"{name}.toml"),
                     "--properties", str(self.folder / "own.properties"),
                 ],
-                stdin=subprocess.PIPE, stdout=out, stderr=out,
+                stdin=subprocess.PIPE, stdout=out, stderr=out, env=self._environment(),
             )  # fmt: skip
 
-    async def _up(self, machine: Machine, now: float) -> None:
-        address = free_ports(1)[0]
-        machine.address = str(address)
+    def _environment(self) -> dict[str, str]:
+        level = {"LOG_LEVEL": self.plan.log_level} if self.plan.log_level else {}
+        return {**os.environ, **level}
+
+    def _worker(self, machine: Machine, now: float) -> WorkerServer:
         times = self.workers_said
         core = WorkerCore(
             machine.id, machine.address, machine.sku, machine.zone, machine.spot,
@@ -262,7 +279,11 @@
             lambda name, spec: self._fate(machine.id, name, spec), now, self.plan.speed,
         )  # fmt: skip
         core.exited = self._exited
-        worker = WorkerServer(core, self.nodes, times.report_s, self.client, self.rng)
+        return WorkerServer(core, self.nodes, times.report_s, self.client, self.rng)
+
+    async def _up(self, machine: Machine, now: float) -> None:
+        machine.address = str(self._addresses(1)[0])
+        worker = self._worker(machine, now)
         self.workers[machine.id] = (worker, await curio.spawn(worker.run, daemon=True))
 
     def _gone(self, machines: list[Machine]) -> None:
--- a/umberward/local/links.py
+++ b/umberward/local/links.py
@@ -18,14 +18,15 @@
 
 LOOK_S = 0.05  # how often a held message looks whether its link is whole
 
-REFUSED, LOST, HELD, LATE = "refuse", "lost", "hold", "late"
+REFUSED, LOST, HELD, LATE, COPIED = "refuse", "lost", "hold", "late", "copied"
 
 
 class LinkFault(NamedTuple):
     """What befalls messages from `src` to `dst` whose target begins with `path`.
 
     Names may have wildcards (`*`). `what`: REFUSED (for who can refuse a connection), LOST, HELD,
-    or LATE by `least` to `most` seconds; of a share `share` of them.
+    LATE by `least` to `most` seconds, or COPIED: it arrives, and so much later once more; of a
+    share `share` of them.
     """
 
     src: str
@@ -68,6 +69,13 @@
             await curio.sleep(LOOK_S)
         return True
 
+    def copied_after(self, src: str, dst: str, target: str) -> float | None:
+        """In how many seconds the message arrives once more; None: it does not."""
+        for fault in self._met(src, dst, target):
+            if fault.what == COPIED and self.rng.random() < fault.share:
+                return self.rng.uniform(fault.least, fault.most)
+        return None
+
     async def carry(
         self, src: str, dst: str, target: str, deliver: Callable[[], Awaitable[Response | None]]
     ) -> Response | None:
--- /dev/null
+++ b/umberward/soak/checker.py
@@ -0,0 +1,277 @@
+"""The rules of PROTOCOL, judged from a history by somebody outside of the controllers. No I/O."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from umberward.core.settings import Team
+from umberward.protocol import wire
+from umberward.soak import history
+from umberward.soak.history import Answered, Event, MachineUp, Submitted, TaskEnded, TaskStarted
+
+SLACK = 1e-6  # sums of decimal numbers are not exact
+LOOKS_LATE_S = 0.5  # by so much a worker of the soak may notice the end of a task too late
+# A leader that cannot be told of a cancellation starts nothing for longer than this after it.
+UNTOLD_S = 3.5
+LEFT_WAITING_S = 90.0  # troubles over, nobody waits so long beside a machine with room
+FINAL = (wire.DONE, wire.CANCELLED)
+
+
+class Broken(NamedTuple):
+    at: float
+    rule: str
+    job: str
+    what: str
+
+
+class Running(NamedTuple):
+    host: str
+    attempt: int
+
+
+class Checker:
+    """Takes in events in the order of time."""
+
+    def __init__(self, teams: list[Team], cancel_s: float) -> None:
+        self.teams = {team.name: team for team in teams}
+        self.cancel_s = cancel_s
+        self.broken: list[Broken] = []
+        self.jobs: dict[str, Submitted] = {}
+        self.machines: dict[str, MachineUp] = {}
+        self.still: set[str] = set()
+        self.running: dict[str, list[Running]] = {}  # task -> its attempts that are alive
+        self.on: dict[str, set[str]] = {}  # machine -> tasks
+        self.done: dict[str, set[str]] = {}  # job -> tasks that have completed
+        self.attempts: set[tuple[str, int, str, int]] = set()
+        self.accepted: dict[str, float] = {}  # job -> when its user was told
+        self.ended: dict[str, tuple[str, float]] = {}  # job -> phase, when its user was told
+        self.cancel_asked: set[str] = set()
+        self.overdue_said: set[str] = set()
+        self.calm_since: float | None = None  # since when there has been no trouble
+        self.last_start: dict[str, float] = {}  # by team
+        self.waits_since: dict[str, float] = {}  # jobs that wait beside a machine with room
+        self.waiting_said: set[str] = set()
+        self.starts = 0
+        # Starts after a confirmed cancellation: sent before it, and sent after it.
+        self.late_in_flight = 0
+        self.late_sent_after = 0
+
+    def observe(self, event: Event) -> None:
+        if isinstance(event, TaskStarted):
+            self._started(event)
+        elif isinstance(event, TaskEnded):
+            self._ended(event)
+        elif isinstance(event, history.SessionOver):
+            self._all_gone(event.host)
+        elif isinstance(event, history.MachineGone):
+            self.machines.pop(event.host, None)
+        elif isinstance(event, history.MachineStill):
+            (self.still.add if event.still else self.still.discard)(event.host)
+        elif isinstance(event, MachineUp):
+            self.machines[event.host] = event
+        elif isinstance(event, Submitted):
+            self.jobs[event.job] = event
+        elif isinstance(event, history.CancelAsked):
+            self.cancel_asked.add(event.job)
+        elif isinstance(event, Answered):
+            self._answered(event)
+        elif isinstance(event, history.ProcessEnded) and not event.by_us:
+            self._break(event.at, "ended_by_itself", "", f"{event.controller}: {event.code}")
+
+    def tick(self, now: float) -> None:
+        """What holds at every moment."""
+        for job, (phase, told_at) in self.ended.items():
+            if phase != wire.CANCELLED or now - told_at <= self.cancel_s + LOOKS_LATE_S:
+                continue
+            for task, host in self._tasks_of(job):
+                if host not in self.still and task not in self.overdue_said:
+                    self.overdue_said.add(task)
+                    self._break(now, "ran_cancelled", job, f"{task} on {host}")
+
+    def unfinished(self) -> list[str]:
+        """Jobs that were accepted and have ended for no user so far."""
+        return [job for job in self.accepted if job not in self.ended]
+
+    def forgotten(self, now: float, job: str, controller: str) -> None:
+        """No question about the job was answered in time, troubles over."""
+        self._break(now, "forgotten", job, f"by {controller}, troubles over")
+
+    def look_for_waiting(self, now: float) -> None:
+        """To be called while there is no trouble: nobody waits long beside a machine with room."""
+        self.calm_since = now if self.calm_since is None else self.calm_since
+        used = self._used_on()
+        for job in self.unfinished():
+            if self._stands_still(self.jobs[job], now) and job not in self.waiting_said:
+                self.waiting_said.add(job)
+                self._break(now, "left_waiting", job, "its team's work stands still")
+            if self._waits_beside_room(self.jobs[job], used):
+                since = self.waits_since.setdefault(job, now)
+                if now - since > LEFT_WAITING_S and job not in self.waiting_said:
+                    self.waiting_said.add(job)
+                    self._break(now, "left_waiting", job, f"for {now - since:.0f} s beside room")
+            else:
+                self.waits_since.pop(job, None)
+
+    def _stands_still(self, spec: Submitted, now: float) -> bool:
+        """Whether nothing of the job runs, and nothing else of its team has begun for long."""
+        since = max(self.calm_since or now, self.last_start.get(spec.owner, 0.0))
+        return not self._tasks_of(spec.job) and now - since > LEFT_WAITING_S
+
+    def _used_on(self) -> dict[str, float]:
+        used: dict[str, float] = {}
+        for task, alive in self.running.items():
+            for one in alive:
+                used[one.host] = used.get(one.host, 0.0) + self.jobs[_job(task)].cores
+        return used
+
+    def _waits_beside_room(self, spec: Submitted, used: dict[str, float]) -> bool:
+        """Of gangs, and of jobs bound to others of theirs, it can't be told as simply."""
+        if spec.shape == wire.GANG or spec.same_place or spec.apart:
+            return False
+        under_way = len(self._tasks_of(spec.job)) + len(self.done.get(spec.job, ()))
+        if under_way >= spec.shards or not self._within_quota(spec):
+            return False
+        return any(
+            machine.cores - used.get(host, 0.0) >= spec.cores
+            and spec.yard in (None, machine.zone)
+            and (spec.reclaimable or not machine.spot)
+            for host, machine in self.machines.items()
+        )
+
+    def _within_quota(self, spec: Submitted) -> bool:
+        limit = self.teams[spec.owner].cpus_max
+        return limit <= 0 or self._used_by(spec.owner) + spec.cores <= limit
+
+    def _used_by(self, owner: str) -> float:
+        return sum(
+            self.jobs[_job(task)].cores * len(alive)
+            for task, alive in self.running.items()
+            if alive and self.jobs[_job(task)].owner == owner
+        )
+
+    # ---- what workers do -----------------------------------------------------------------
+
+    def _started(self, event: TaskStarted) -> None:
+        self.starts += 1
+        job = _job(event.task)
+        started = (event.host, event.session, event.task, event.attempt)
+        if started in self.attempts:
+            self._break(event.at, "restarted", job, f"{event.task} attempt {event.attempt}"
+                        f" on {event.host}")  # fmt: skip
+        self.attempts.add(started)
+        alive = self.running.setdefault(event.task, [])
+        for other in alive:
+            there = f"{other.host} (attempt {other.attempt})"
+            here = f"{event.host} (attempt {event.attempt})"
+            self._break(event.at, "ran_twice", job, f"{event.task} on {there}, started on {here}")
+        alive.append(Running(event.host, event.attempt))
+        self.on.setdefault(event.host, set()).add(event.task)
+        self._check_cancelled(event, job)
+        spec = self.jobs.get(job)
+        if spec is None or spec.why_unfit:
+            self._break(event.at, "invented", job, f"{event.task} starts")
+            return
+        self.last_start[spec.owner] = event.at
+        self._check_place(event, spec)
+        self._check_quota(event, spec)
+
+    def _check_cancelled(self, event: TaskStarted, job: str) -> None:
+        phase, told_at = self.ended.get(job, ("", 0.0))
+        if phase != wire.CANCELLED:
+            return
+        if event.sent_at <= told_at:
+            self.late_in_flight += 1
+            return
+        self.late_sent_after += 1
+        if event.sent_at > told_at + UNTOLD_S:
+            self._break(event.at, "ran_cancelled", job, f"{event.task}, sent after cancellation")
+
+    def _check_place(self, event: TaskStarted, spec: Submitted) -> None:
+        machine = self.machines[event.host]
+        zones = [self.machines[host].zone for _, host in self._tasks_of(spec.job)]
+        wrong = ""
+        if spec.yard is not None and machine.zone != spec.yard:
+            wrong = f"in {machine.zone}"
+        elif machine.spot and not spec.reclaimable:
+            wrong = "on a spot machine"
+        elif spec.same_place and any(zone != machine.zone for zone in zones):
+            wrong = "not with the others"
+        elif spec.apart and zones.count(machine.zone) > (spec.shards + 1) // 2:
+            wrong = "too many in one zone"
+        if wrong:
+            self._break(event.at, "wrong_place", spec.job, f"{event.task} {wrong}")
+
+    def _check_quota(self, event: TaskStarted, spec: Submitted) -> None:
+        limit = self.teams[spec.owner].cpus_max if spec.owner in self.teams else 0.0
+        if limit <= 0:
+            return
+        used = self._used_by(spec.owner)
+        if used > limit + SLACK:
+            self._break(event.at, "quota", spec.job, f"{spec.owner} uses {used:g} cores")
+
+    def _ended(self, event: TaskEnded) -> None:
+        alive = self.running.get(event.task, [])
+        ended = Running(event.host, event.attempt)
+        if ended in alive:
+            alive.remove(ended)
+        if not any(one.host == event.host for one in alive):
+            self.on.get(event.host, set()).discard(event.task)
+        if event.cause == wire.DONE:
+            self.done.setdefault(_job(event.task), set()).add(event.task)
+
+    def _all_gone(self, host: str) -> None:
+        for task in self.on.pop(host, set()):
+            self.running[task] = [one for one in self.running[task] if one.host != host]
+
+    def _tasks_of(self, job: str) -> list[tuple[str, str]]:
+        return [
+            (task, one.host)
+            for task, alive in self.running.items()
+            if alive and _job(task) == job
+            for one in alive
+        ]
+
+    # ---- what users are told -------------------------------------------------------------
+
+    def _answered(self, event: Answered) -> None:
+        if event.status == 0:
+            return
+        known_before = self.accepted.get(event.job, event.at) < event.asked_at
+        spec = self.jobs.get(event.job)
+        if event.status == 404 and known_before:
+            self._break(event.at, "forgotten", event.job, f"404 by {event.controller}")
+        if event.status in (400, 422) and event.kind == "submit" and known_before:
+            self._break(event.at, "forgotten", event.job, f"{event.status} for a repeat")
+        if event.status not in (200, 201):
+            return
+        if spec is None:
+            self._break(event.at, "invented", event.job, f"{event.phase} by {event.controller}")
+            return
+        if event.kind == "submit":
+            self.accepted.setdefault(event.job, event.at)
+            if spec.why_unfit:
+                self._break(event.at, "accepted", event.job, spec.why_unfit)
+        self._check_phase(event, spec)
+
+    def _check_phase(self, event: Answered, spec: Submitted) -> None:
+        final, told_at = self.ended.get(event.job, ("", 0.0))
+        asked_after = bool(final) and told_at < event.asked_at
+        other_end = bool(final) and event.phase in FINAL and event.phase != final
+        if other_end or (asked_after and (event.phase != final or event.status == 201)):
+            self._break(event.at, "went_back", event.job, f"was {final}, is {event.phase}"
+                        f" by {event.controller}")  # fmt: skip
+        if event.phase == wire.CANCELLED and event.job not in self.cancel_asked:
+            self._break(event.at, "went_back", event.job, "cancelled by nobody")
+        # Of a gang all are done if one is.
+        needed = 1 if spec.shape == wire.GANG else spec.shards
+        if event.phase == wire.DONE and len(self.done.get(event.job, ())) < needed:
+            self._break(event.at, "not_done", event.job, f"done by {event.controller}")
+        if event.phase in FINAL and not final:
+            self.ended[event.job] = (event.phase, event.at)
+
+    def _break(self, at: float, rule: str, job: str, what: str) -> None:
+        self.broken.append(Broken(round(at, 3), rule, job, what))
+
+
+def _job(task: str) -> str:
+    return task.rpartition("/")[0]
--- /dev/null
+++ b/umberward/soak/cluster.py
@@ -0,0 +1,350 @@
+"""The loopback's cluster for a soak: every link may fail, and what workers do is recorded."""
+
+from __future__ import annotations
+
+import contextlib
+import os
+import signal
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import curio
+
+from umberward.core.settings import Team
+from umberward.core.types import Address
+from umberward.local.cloudcore import Capacity, Machine
+from umberward.local.cluster import LocalCluster
+from umberward.local.cluster import Plan as LocalPlan
+from umberward.local.links import Links
+from umberward.local.servers import WorkerServer
+from umberward.local.workercore import Fate, WorkerCore
+from umberward.protocol import wire
+from umberward.protocol.http import (
+    Client,
+    Handler,
+    NoAnswer,
+    NotSent,
+    Request,
+    Response,
+    Server,
+)
+from umberward.protocol.wire import Spec
+from umberward.soak import history, plan
+from umberward.soak.history import Event
+
+STATE, CLOUD = "state", "cloud"
+SILENCE_S = 40.0  # who is not answered has given up long before
+CARRIED_S = 60.0  # a held message may be under way for so long
+SOCKETS = 200
+FIRST_NETWORK, NETWORKS, HOSTS, PORT = 10, 240, 250, 9000  # of the loopback: 127.NETWORK.x.HOST
+BOOTS_FASTER = 4.0  # than the machine types say, and images are fetched so much faster
+RENTABLE = 4  # machines of each kind that may be rented besides those that are there
+CORES_FOR_RED = 8.0  # for each job a second: the team is at its limit all the time
+WORKER_TYPES = ("small", "small", "small", "large")
+ENDLESS_S = float("inf")
+
+
+def teams(size: plan.Size) -> list[Team]:
+    return [Team("red", cpus_max=CORES_FOR_RED * size.jobs_per_s), Team("blue")]
+
+
+class HarnessError(RuntimeError):
+    """A part of the soak itself has failed, so that a run says nothing."""
+
+
+class SoakWorker(WorkerCore):
+    """Its starts and ends are recorded; while its machine hangs, its tasks stand still."""
+
+    record: Callable[[Event], None]
+    clock: Callable[[], float]
+    sent_at = 0.0  # when the command that it carries out now was sent
+    still = False
+
+    def tick(self, now: float) -> None:
+        if not self.still:
+            super().tick(now)
+            return
+        self.now = now
+        if self.alive and now - self.lease_from > self.times.lease_s:
+            self.record(history.SessionOver(self.clock(), self.host))
+
+    def start(self, name: str, attempt: int) -> None:
+        known = set(self.alive)
+        now = self.clock()
+        super().start(name, attempt)
+        task = self.tasks[(name, attempt)]
+        if name in known or task.cause in ("no_such", "in_use", "no_room"):
+            return
+        self.record(history.TaskStarted(now, self.host, self.tenure, name, attempt, self.sent_at))
+        if task.over:
+            self.record(history.TaskEnded(now, self.host, name, attempt, str(task.cause)))
+
+    def _exit(self, task: Any, cause: str, stored: bool | None = None) -> None:
+        super()._exit(task, cause, stored)
+        self.record(history.TaskEnded(self.clock(), self.host, task.name, task.attempt, cause))
+
+    def end_session(self) -> None:
+        super().end_session()
+        self.record(history.SessionOver(self.clock(), self.host))
+
+
+class LinkedClient:
+    """A worker's client: each of its links may fail."""
+
+    def __init__(self, client: Client, links: Links, host: str, names: dict[Address, str]) -> None:
+        self.client = client
+        self.links = links
+        self.host = host
+        self.names = names
+
+    async def request(
+        self, address: Address, method: str, target: str, body: bytes, timeout: float
+    ) -> Response:
+        """Raises NotSent and NoAnswer as the client does. What is late is sent all the same."""
+        answers: list[Response] = []
+        failed: list[NotSent] = []
+        answered = curio.Event()
+
+        async def deliver() -> Response | None:
+            try:
+                return await self.client.request(address, method, target, body, timeout)
+            except NotSent as error:
+                failed.append(error)
+                await answered.set()
+            except NoAnswer:
+                pass
+            return None
+
+        async def carry() -> None:
+            response = await self.links.carry(self.host, self.names[address], target, deliver)
+            if response is not None:
+                answers.append(response)
+                await answered.set()
+
+        async def copy(after_s: float) -> None:
+            await curio.sleep(after_s)
+            with contextlib.suppress(NotSent, NoAnswer):
+                await self.client.request(address, method, target, body, timeout)
+
+        await curio.spawn(carry, daemon=True)
+        again = self.links.copied_after(self.host, self.names[address], target)
+        if again is not None:
+            await curio.spawn(copy, again, daemon=True)
+        await curio.ignore_after(timeout, answered.wait)
+        if answers:
+            return answers[0]
+        raise failed[0] if failed else NoAnswer(f"{method} {address}: no answer")
+
+
+class SoakCluster(LocalCluster):
+    links: Links
+    record: Callable[[Event], None]
+    began: float
+    hosts_used = 0  # of the loopback
+
+    @staticmethod
+    def local_plan(of: plan.Plan) -> LocalPlan:
+        return LocalPlan(
+            controllers=plan.CONTROLLERS, teams=teams(of.size), seed=of.seed, graphs=False,
+            speed=BOOTS_FASTER, workers=plan.TIMES, log_level="debug",
+            properties={"idle.seconds": "3600", "lease.seconds": "1.5", "silence.seconds": "2"},
+        )  # fmt: skip
+
+    def __init__(self, of: LocalPlan, folder: Path) -> None:
+        super().__init__(of, folder)
+        self.links = Links(self.rng)
+        self.began = time.monotonic()
+        self.record = lambda event: None
+        self.specs: dict[str, Spec] = {}  # of all jobs that users have sent
+        self.runs: dict[str, float] = {}  # how long a task of the job runs, in seconds
+        self.killed: set[int] = set()  # controllers that the soak has ended
+        self.takeovers = 0
+        self.tokens: dict[str, int] = {}
+        self.relays: dict[tuple[str, str], Server] = {}
+        for src in self.names:
+            for dst in self.names:
+                if src != dst:
+                    relay = Server(self._addresses(1)[0], self._relay(src, dst), SOCKETS)
+                    self.relays[src, dst] = relay
+        for number, server in enumerate(self.state.servers):
+            server.handler = self._linked(self.names[number], STATE, server.handler)
+        self.cloud.server.handler = self._linked("keeper-*", CLOUD, self.cloud.server.handler)
+        self.cloud.core.capacity = {
+            Capacity(sku.sku, zone, spot): RENTABLE
+            for sku in of.machines for zone in sku.yards for spot in (True, False)
+        }  # fmt: skip
+
+    def _addresses(self, count: int) -> list[Address]:
+        """On hosts of the loopback that this process alone uses: a port of 127.0.0.1 may be taken
+        by an outgoing connection at any time."""
+        network = FIRST_NETWORK + os.getpid() % NETWORKS
+        found = []
+        for _ in range(count):
+            self.hosts_used += 1
+            high, low = divmod(self.hosts_used, HOSTS)
+            found.append(Address(f"127.{network}.{high}.{low + 1}", PORT))
+        return found
+
+    def now(self) -> float:
+        return time.monotonic() - self.began
+
+    # ---- links ---------------------------------------------------------------------------
+
+    def _linked(self, src: str, dst: str, handler: Handler) -> Handler:
+        async def handle(request: Request) -> Response:
+            target = f"{request.path}?{request.query}" if request.query else request.path
+            response = await self.links.carry(src, dst, target, lambda: handler(request))
+            return response if response is not None else await _silence()
+
+        return handle
+
+    def _relay(self, src: str, dst: str) -> Handler:
+        """What one controller says to another goes through here."""
+        there = self.peers[self.names.index(dst)]
+
+        async def handle(request: Request) -> Response:
+            target = f"{request.path}?{request.query}" if request.query else request.path
+
+            async def deliver() -> Response | None:
+                try:
+                    return await self.client.request(
+                        there, request.method, target, request.body, CARRIED_S
+                    )
+                except (NotSent, NoAnswer):
+                    return None
+
+            response = await self.links.carry(src, dst, target, deliver)
+            return response if response is not None else await _silence()
+
+        return handle
+
+    def _settings(self, number: int) -> dict[str, Any]:
+        found = super()._settings(number)
+        for peer in found["peers"]:
+            peer["addr"] = str(self.relays[self.names[number], peer["label"]].address)
+        return found
+
+    async def _start(self) -> None:
+        for relay in self.relays.values():
+            await self.group.spawn(relay.run)
+        await super()._start()
+
+    # ---- machines ------------------------------------------------------------------------
+
+    async def add_machines(self, count: int) -> None:
+        """Machines that are there from the start."""
+        skus = self.cloud.core.skus
+        for number in range(count):
+            now = time.monotonic()
+            sku = skus[WORKER_TYPES[number % len(WORKER_TYPES)]]
+            zone = sku.yards[number % len(sku.yards)]
+            machine = Machine(f"m-{number:06d}", sku, zone, False, now, now)
+            machine.up = True
+            self.cloud.core.machines[machine.id] = machine
+            await self._up(machine, now)
+
+    def _worker(self, machine: Machine, now: float) -> WorkerServer:
+        core = SoakWorker(
+            machine.id, machine.address, machine.sku, machine.zone, machine.spot,
+            self.workers_said, self.mates, self.describe,
+            lambda name, spec: self._fate(machine.id, name, spec), now, self.plan.speed,
+        )  # fmt: skip
+        core.record, core.clock = self.record, self.now
+        self.record(history.MachineUp(
+            self.now(), machine.id, machine.sku.sku, machine.zone, machine.spot, machine.sku.cores
+        ))  # fmt: skip
+        names = {address: name for name, address in self.nodes.items()}
+        client: Any = LinkedClient(self.client, self.links, machine.id, names)
+        worker = WorkerServer(core, self.nodes, self.workers_said.report_s, client, self.rng)
+        worker.server.sockets.limit = worker.server.sockets.most_of_client = SOCKETS
+        worker.server.handler = self._commanded(core, worker.server.handler)
+        return worker
+
+    def _commanded(self, core: SoakWorker, handler: Handler) -> Handler:
+        """Questions and direct commands, whoever sends them: only the leader does."""
+
+        async def handle(request: Request) -> Response:
+            sent_at = self.now()
+
+            async def deliver() -> Response | None:
+                if core.host not in self.workers:
+                    return None
+                core.sent_at = sent_at
+                try:
+                    return await handler(request)
+                finally:
+                    core.sent_at = self.now()
+
+            src = self.names[self.leader] if self.leader is not None else "keeper-?"
+            response = await self.links.carry(src, core.host, request.path, deliver)
+            return response if response is not None else await _silence()
+
+        return handle
+
+    def _gone(self, machines: list[Machine]) -> None:
+        super()._gone(machines)
+        for machine in machines:
+            self.record(history.SessionOver(self.now(), machine.id))
+            self.record(history.MachineGone(self.now(), machine.id))
+
+    def hang(self, host: str, still: bool) -> None:
+        worker, _ = self.workers.get(host, (None, None))
+        if worker is None:
+            return
+        core: Any = worker.core
+        if not still:
+            core.still = False
+            core.tick(time.monotonic())  # its lease may be over, before it hears anything
+        core.still = still
+        self.record(history.MachineStill(self.now(), host, still))
+
+    def describe(self, job: str) -> Spec | None:
+        return self.specs.get(job)
+
+    def _fate(self, host: str, name: str, spec: Spec) -> Fate:
+        if spec.shape == wire.SERVICE:
+            return Fate(ENDLESS_S)
+        return Fate(self.runs[spec.uid])
+
+    def _end(self) -> None:
+        self.killed.update(range(len(self.children)))
+        super()._end()
+
+    # ---- controllers ---------------------------------------------------------------------
+
+    def kill(self, number: int, back_s: float) -> None:
+        child = self.children[number]
+        if child is not None:
+            self.come_back_s[number] = back_s
+            self.killed.add(number)
+            child.kill()
+
+    def stop(self, number: int, stopped: bool) -> None:
+        """SIGSTOP, or SIGCONT."""
+        child = self.children[number]
+        if child is not None and child.poll() is None:
+            child.send_signal(signal.SIGSTOP if stopped else signal.SIGCONT)
+
+    def _child_ended(self, number: int, code: int) -> None:
+        by_us = number in self.killed
+        self.killed.discard(number)
+        self.record(history.ProcessEnded(self.now(), self.names[number], code, by_us))
+
+    def look(self) -> None:
+        """Note who leads. Raises HarnessError if a part of the soak has failed."""
+        found = self.state.core.keys.get("leader")
+        if found is not None and self.tokens.get("leader") != found.stamp:
+            self.tokens["leader"] = found.stamp
+            self.takeovers += 1
+            name = str(found.data["node"])
+            self.record(history.LeaderChanged(self.now(), name, found.stamp))
+        for host, (_, task) in list(self.workers.items()):
+            if task.terminated and host in self.workers:
+                raise HarnessError(f"the worker of {host} has ended: {task.exception!r}")
+
+
+async def _silence() -> Response:
+    await curio.sleep(SILENCE_S)
+    return Response(503)
--- /dev/null
+++ b/umberward/soak/runner.py
@@ -0,0 +1,168 @@
+"""Plays one seed of a soak from its beginning to the verdict."""
+
+from __future__ import annotations
+
+import contextlib
+import random
+import resource
+import shutil
+import tempfile
+import time
+from pathlib import Path
+
+import curio
+import msgspec
+
+from umberward.soak import history, plan
+from umberward.soak.checker import Broken, Checker
+from umberward.soak.cluster import SoakCluster, teams
+from umberward.soak.faults import Faults
+from umberward.soak.history import Event
+from umberward.soak.users import Users
+
+LOOK_S = 0.05
+KNOWN_S = 75.0  # troubles over, each job is answered about by each controller within this time
+LONGEST_S = 240.0  # ... and for so long it is looked whether the rest goes on
+TIMELINE = 60  # events of a broken task, and as many lines of each controller's log
+KB = 1024.0
+
+
+class Result(msgspec.Struct):
+    """Of one seed. `processor_s` and `memory_mb`: of all controllers' processes together, and of
+    the largest; `overtaken` starts: those after a confirmed cancellation that were sent before."""
+
+    seed: int
+    workers: int
+    faults: dict[str, int]
+    jobs: int
+    starts: int
+    cancellations: int
+    kills: int
+    takeovers: int
+    late_in_flight: int
+    late_sent_after: int
+    unfinished: int
+    broken: list[Broken]
+    processor_s: float
+    memory_mb: float
+    seconds: float
+    timeline: list[str] = []
+
+
+class Run:
+    def __init__(self, of: plan.Plan) -> None:
+        self.of = of
+        self.checker = Checker(teams(of.size), plan.TIMES.cancel_s)
+        self.events: list[Event] = []
+        self.kills = 0
+        self.unfinished = 0  # jobs that still went on when the run ended
+
+    async def play(self) -> Result:
+        """Raises HarnessError or RuntimeError if the soak itself fails."""
+        began = time.monotonic()
+        folder = Path(tempfile.mkdtemp(prefix="umberward-soak-"))
+        cluster = SoakCluster(SoakCluster.local_plan(self.of), folder)
+        cluster.record = self._record
+        try:
+            async with curio.TaskGroup(wait=None) as cluster.group:
+                try:
+                    await cluster._start()
+                    await self._play(cluster)
+                finally:
+                    cluster._end()
+            return self._result(cluster, time.monotonic() - began, folder)
+        finally:
+            shutil.rmtree(folder, ignore_errors=True)
+
+    def _record(self, event: Event) -> None:
+        self.events.append(event)
+        self.checker.observe(event)
+        if isinstance(event, history.ProcessEnded):
+            self.kills += event.by_us
+
+    async def _play(self, cluster: SoakCluster) -> None:
+        rng = random.Random(f"users {self.of.seed}")
+        await cluster.add_machines(self.of.size.workers)
+        cluster.began = time.monotonic()
+        users = Users(cluster, rng, self.of.size.jobs_per_s)
+        faults = Faults(cluster, users)
+        # Whichever ends first ends the run: the story, or a part of the soak that fails.
+        async with curio.TaskGroup(wait=any) as group:
+            await group.spawn(self._watch, cluster)
+            await group.spawn(self._story, cluster, users, faults)
+        if group.exception is not None:
+            raise group.exception
+
+    async def _story(self, cluster: SoakCluster, users: Users, faults: Faults) -> None:
+        submitting = await curio.spawn(users.run, self.of.size.seconds, daemon=True)
+        await faults.run(self.of.faults)
+        await submitting.join()
+        await faults.end_all()
+        await self._calm(cluster, users)
+
+    async def _watch(self, cluster: SoakCluster) -> None:
+        while True:
+            await curio.sleep(LOOK_S)
+            cluster.look()
+            self.checker.tick(cluster.now())
+
+    async def _calm(self, cluster: SoakCluster, users: Users) -> None:
+        """Troubles over: each job is known to each controller, and goes on to its end."""
+        calm = cluster.now()
+        asked = [(job, name) for job in self.checker.accepted for name in cluster.names]
+        while asked and cluster.now() < calm + KNOWN_S:
+            asked = [(job, name) for job, name in asked if await self._unknown(users, job, name)]
+        for job, name in asked:
+            self.checker.forgotten(cluster.now(), job, name)
+        await users.cancel_endless()
+        while self.checker.unfinished() and cluster.now() < calm + LONGEST_S:
+            for job in self.checker.unfinished():
+                await users.ask("poll", job)
+            self.checker.look_for_waiting(cluster.now())
+            await curio.sleep(0.5)
+        self.unfinished = len(self.checker.unfinished())
+
+    async def _unknown(self, users: Users, job: str, name: str) -> bool:
+        return await users.ask("poll", job, name) != 200
+
+    # ---- what is told --------------------------------------------------------------------
+
+    def _result(self, cluster: SoakCluster, seconds: float, folder: Path) -> Result:
+        used = resource.getrusage(resource.RUSAGE_CHILDREN)
+        kinds = [fault.kind.value for fault in self.of.faults]
+        return Result(
+            seed=self.of.seed, workers=self.of.size.workers,
+            faults={kind: kinds.count(kind) for kind in sorted(set(kinds))},
+            jobs=len(self.checker.jobs), starts=self.checker.starts,
+            cancellations=len(self.checker.cancel_asked), kills=self.kills,
+            takeovers=cluster.takeovers, late_in_flight=self.checker.late_in_flight,
+            late_sent_after=self.checker.late_sent_after, unfinished=self.unfinished, broken=self.checker.broken,
+            processor_s=round(used.ru_utime + used.ru_stime, 1),
+            memory_mb=round(used.ru_maxrss / KB, 1), seconds=round(seconds, 1),
+            timeline=self._timeline(cluster, folder) if self.checker.broken else [],
+        )  # fmt: skip
+
+    def _timeline(self, cluster: SoakCluster, folder: Path) -> list[str]:
+        """What was seen of the first broken job, with the faults and leaders, and what the
+        controllers have said of it."""
+        broken = self.checker.broken[0]
+        general = (history.FaultBegan, history.LeaderChanged, history.ProcessEnded)
+        events = [
+            history.said(event)
+            for event in self.events
+            if event.at <= broken.at + 1.0
+            and (isinstance(event, general) or _is_about(event, broken.job))
+        ]
+        lines = [f"{broken.at:.3f} {broken.rule}: {broken.job} {broken.what}", *events[-TIMELINE:]]
+        for name in cluster.names:
+            with contextlib.suppress(OSError):
+                text = (folder / f"{name}.log").read_text(errors="replace").splitlines()
+                said = [line for line in text if broken.job and broken.job in line]
+                lines += [f"{name}: {line[:300]}" for line in said[-TIMELINE:]]
+        return lines
+
+
+def _is_about(event: Event, job: str) -> bool:
+    if not job:
+        return False
+    return job == getattr(event, "job", None) or getattr(event, "task", "").startswith(f"{job}/")
