--- a/tests/test_direct_starts.py
+++ b/tests/test_direct_starts.py
@@ -6,8 +6,9 @@
 
 import hypothesis.strategies as st
 from hypothesis import given
+from test_scenarios import Play
 
-from umberward.core.types import Attempt, Epoch, Instant, JobId, TaskId
+from umberward.core.types import Attempt, Epoch, Instant, JobId, MachineId, NodeName, TaskId
 from umberward.decisions import token_raises
 from umberward.decisions.direct_starts import DirectStarts
 from umberward.decisions.token_raises import TokenRaises
@@ -94,3 +95,27 @@
     assert not asked(raises.exited_unforgotten, at, late)
     assert asked(raises.exited_unforgotten, at, at + 11.0 + token_raises.EXITED_EVERY_S)
     assert raises.count == 1
+
+
+def test_a_machine_on_which_an_unwanted_start_may_arrive_is_neither_lent_nor_returned() -> None:
+    game = Play()
+    game.do_peer("n1", "a")
+    game.do_machine("m1", "small", "a")
+    game.do_lead()
+    game.do_run("3")
+    world, scheduler, provisioner = game.world, game.world.scheduler, game.world.provisioner
+    assert scheduler is not None and provisioner is not None
+    machine = scheduler.machines[MachineId("m1")]
+    now, later = Instant(world.now), Instant(world.now + 1000.0)
+
+    def lent() -> bool:
+        loan = scheduler.lend(NodeName("n1"), 0, False, now)
+        return loan is not None and "m1" in loan.hosts
+
+    assert lent() and machine in provisioner.idle(later)
+    machine.direct_starts.handed(TASK, ATTEMPT)
+    assert not lent() and machine not in provisioner.idle(later)
+    machine.direct_starts.given_up(TASK, ATTEMPT, machine.epoch, machine.epoch)
+    assert not lent() and machine not in provisioner.idle(later)
+    machine.direct_starts.token_seen(Epoch(machine.epoch + 1))
+    assert lent() and machine in provisioner.idle(later)
--- a/tools/regress/meetings.py
+++ b/tools/regress/meetings.py
@@ -189,6 +189,34 @@
             _ends(52.0),
         ]
     ),
+    "late-commands": Meeting(
+        lambda t: [
+            _at(0.0, "late_commands", share=0.5, for_s=60.0),
+            _at(10.0, "machine_hang", count=t.tenth, for_s=6.0),
+            _at(25.0, "cancel_now", count=6),
+            _at(40.0, "machine_hang", count=t.tenth, for_s=6.0),
+        ]
+    ),
+    "late-commands-cut": Meeting(
+        lambda t: [
+            _at(0.0, "late_commands", share=0.5, for_s=60.0),
+            _at(5.0, "machine_cut", count=t.tenth, for_s=0.8 * t.lease_s, mode="hold"),
+            _at(12.0, "machine_deaf", count=t.tenth, for_s=0.7 * t.lease_s),
+            _at(22.0, "cancel_now", count=6, hang_s=6.0),
+            _ends(25.0),
+            _at(42.0, "machine_mute", count=t.tenth, for_s=0.8 * t.lease_s),
+        ]
+    ),
+    "late-commands-ends": Meeting(
+        lambda t: [
+            _at(0.0, "late_commands", share=0.5, for_s=60.0),
+            _ends(8.0),
+            _at(14.0, "cancel_now", count=10),
+            _at(20.0, "machine_hang", count=t.tenth, for_s=4.0),
+            _ends(30.0),
+            _ends(45.0),
+        ]
+    ),
     "ten-leaders": Meeting(
         lambda t: [
             *(_ends(12.0 * n) for n in range(10)),
