--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -97,7 +97,7 @@
     assert [fields["invariant"] for fields in said] == [invariant.value]
     assert said[0]["task"] == TASK and "machine" in said[0]
     sent = [order for item in scene.scheduler.out for order in getattr(item, "orders", ())]
-    assert all(order["verb"] != "start" for order in sent)
+    assert all(order.verb != "start" for order in sent)
 
 
 def test_a_forget_that_was_decided_wrongly_does_not_leave(monkeypatch: pytest.MonkeyPatch) -> None:
--- a/tests/world.py
+++ b/tests/world.py
@@ -645,7 +645,7 @@
         if orders is None or worker.deaf or worker.oneway or self.now - sent > 4.0:
             return
         if self.store.mode == "down" or holder is not self.scheduler:
-            orders = [order for order in orders if order["verb"] == wire.KILL]
+            orders = [order for order in orders if order.verb == wire.KILL]
         worker.answered(Instant(sent), tenure, holder.epoch, orders)
 
     def copy(self, said: deque[tuple[float, bytes]], age: float) -> None:
--- a/umberward/control/holder.py
+++ b/umberward/control/holder.py
@@ -387,7 +387,7 @@
         body = {"epoch": command.epoch, "tenure": command.tenure, "orders": command.orders}
         # Without our lease, or long after our last reading, nothing may be started; what is there
         # may still be tended.
-        starts = any(order["verb"] == wire.START for order in command.orders)
+        starts = any(order.verb == wire.START for order in command.orders)
         still = self._may_start if starts else self.membership.tending
         sent = _now()
         log.debug("command_sent", machine=command.machine, epoch=command.epoch,
@@ -556,9 +556,9 @@
     return max(PASS_S, (PASS_PART + SLOW_PART * min(1.0, took / SLOW_PASS_S)) * took)
 
 
-def _orders_said(orders: list[dict[str, Any]]) -> str:
+def _orders_said(orders: list[wire.Order]) -> str:
     """The first few orders for a line of the log: what, which task, which attempt."""
-    said = [f"{order['verb']}:{order['shard']}#{order['try']}" for order in orders[:ORDERS_SAID]]
+    said = [f"{order.verb}:{order.shard}#{order.attempt}" for order in orders[:ORDERS_SAID]]
     if len(orders) > ORDERS_SAID:
         said.append(f"+{len(orders) - ORDERS_SAID}")
     return ",".join(said)
--- a/umberward/control/node.py
+++ b/umberward/control/node.py
@@ -243,9 +243,9 @@
                     if not holder.scheduler.may_keep_session(MachineId(head.host)):
                         return None
                     # Without our lease nothing may be started; what is there goes on.
-                    orders = [order for order in orders if order["verb"] == wire.KILL]
+                    orders = [order for order in orders if order.verb == wire.KILL]
                 elif not self.membership.may_start(holder.scheduler.known):
-                    orders = [order for order in orders if order["verb"] != wire.START]
+                    orders = [order for order in orders if order.verb != wire.START]
                 epoch = holder.scheduler.epoch
                 return Response(200, wire.encode({"epoch": epoch, "orders": orders}))
         return None
--- a/umberward/decisions/cluster.py
+++ b/umberward/decisions/cluster.py
@@ -11,7 +11,7 @@
 import random
 from collections import Counter
 from collections.abc import Callable
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
 from umberward.core.log import logger
 from umberward.core.settings import Settings
@@ -35,8 +35,7 @@
 from umberward.decisions.quota import Quota
 from umberward.decisions.reserve import Reserve
 from umberward.decisions.token_raises import TokenRaises
-from umberward.protocol import wire
-from umberward.protocol.wire import KILL, START, Sku
+from umberward.protocol.wire import KILL, START, Order, Sku
 
 log = logger(__name__)
 
@@ -54,7 +53,7 @@
     address: str
     epoch: Epoch
     tenure: Tenure
-    orders: list[dict[str, Any]]
+    orders: list[Order]
 
 
 class Probe(NamedTuple):
@@ -356,10 +355,10 @@
         if not placement.sent:
             self.release(machine, placement)
             return
-        order = wire.order(KILL, str(placement.task), placement.attempt, grace)
+        order = Order(KILL, str(placement.task), placement.attempt, grace)
         self.command(machine, [order])
 
-    def command(self, machine: Machine, orders: list[dict[str, Any]]) -> None:
+    def command(self, machine: Machine, orders: list[Order]) -> None:
         for item in self.out:
             if isinstance(item, Command) and item.machine == machine.id:
                 item.orders.extend(orders)
@@ -376,7 +375,7 @@
             return
         placement.sent = True
         machine.direct_starts.handed(placement.task, placement.attempt)
-        order = wire.order(START, str(placement.task), placement.attempt)
+        order = Order(START, str(placement.task), placement.attempt)
         self.command(machine, [order])
 
     def unwanted_start(self, machine: Machine) -> bool:
--- a/umberward/decisions/commands.py
+++ b/umberward/decisions/commands.py
@@ -7,12 +7,11 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Any
 
 from umberward.core.types import Attempt, MachineId, parse_task_id
 from umberward.decisions.cluster import Cluster, Command
 from umberward.decisions.fleet import Machine
-from umberward.protocol import wire
+from umberward.protocol.wire import START, Order
 
 
 class CommandQueue:
@@ -63,17 +62,17 @@
         return command._replace(orders=orders, epoch=self.cluster.epoch, address=machine.address)
 
     @staticmethod
-    def _not_sent(order: dict[str, Any], machine: Machine) -> None:
-        task = parse_task_id(order["shard"])
+    def _not_sent(order: Order, machine: Machine) -> None:
+        task = parse_task_id(order.shard)
         if task is not None:
-            machine.direct_starts.answered(task, Attempt(order["try"]))
+            machine.direct_starts.answered(task, Attempt(order.attempt))
 
-    def _holds(self, order: dict[str, Any], command: Command, machine: Machine) -> bool:
-        if order["verb"] != wire.START:
+    def _holds(self, order: Order, command: Command, machine: Machine) -> bool:
+        if order.verb != START:
             return True
-        task = parse_task_id(order["shard"])
+        task = parse_task_id(order.shard)
         placement = machine.held.get(task) if task is not None else None
-        if placement is None or placement.attempt != order["try"]:
+        if placement is None or placement.attempt != order.attempt:
             return False
         if placement.stop is not None or machine.tenure != command.tenure or not self.may_start():
             return False
--- a/umberward/decisions/reports.py
+++ b/umberward/decisions/reports.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from typing import Any
-
 from umberward.core.bounded_log import BoundedLog
 from umberward.core.log import logger
 from umberward.core.types import (
@@ -26,7 +24,7 @@
 from umberward.decisions.jobs import Job, Placement
 from umberward.decisions.writer import Writer
 from umberward.protocol import wire
-from umberward.protocol.wire import FORGET, KILL, START, Report
+from umberward.protocol.wire import FORGET, KILL, START, Order, Report
 
 log = logger(__name__)
 bounded_log = BoundedLog(log)
@@ -44,7 +42,7 @@
         self.copies_at = cluster.started
         self.forgets_put_off = 0  # machines that kept exited attempts as a start may arrive
 
-    def hello(self, head: wire.Head, body: bytes, now: Instant) -> list[dict[str, Any]] | None:
+    def hello(self, head: wire.Head, body: bytes, now: Instant) -> list[Order] | None:
         """A periodic report; the orders for its response, or None: it is not ours to answer."""
         if self._unchanged(head, now):
             return []
@@ -99,7 +97,7 @@
         ):
             machine.calm = bytes(head.shards)
 
-    def report(self, report: Report, now: Instant, hello: bool) -> list[dict[str, Any]] | None:
+    def report(self, report: Report, now: Instant, hello: bool) -> list[Order] | None:
         """Take in a worker's report; the orders for its response, or None: not ours to answer."""
         self.cluster.now = now
         id = MachineId(report.host)
@@ -210,8 +208,8 @@
 
     def _reconcile(
         self, machine: Machine, report: Report, now: Instant, hello: bool
-    ) -> list[dict[str, Any]]:
-        orders: list[dict[str, Any]] = []
+    ) -> list[Order]:
+        orders: list[Order] = []
         listed: set[TaskId] = set()
         kept = False
         machine.lingering.clear()
@@ -235,21 +233,21 @@
                     and self.cluster.invariants.may_forget(machine, task, Attempt(shard.attempt))
                 ):  # fmt: skip
                     log.debug("forgetting", task=task, attempt=shard.attempt, machine=machine.id)
-                    orders.append(wire.order(FORGET, shard.shard, shard.attempt))
+                    orders.append(Order(FORGET, shard.shard, shard.attempt))
                 continue
             if placement is None:
                 placement = self._stray(machine, task, shard, now)
                 if placement is None:
                     self.cluster.add_stray(machine, task)
                     if self.cluster.loaded:
-                        orders.append(wire.order(KILL, shard.shard, shard.attempt, 0.0))
+                        orders.append(Order(KILL, shard.shard, shard.attempt, 0.0))
                     continue
             if not placement.seen:
                 placement.seen = True
                 self.hearing.proved(machine, now)
             self._progress(machine, placement, shard.phase, now)
             if placement.stop is not None:
-                orders.append(wire.order(KILL, shard.shard, shard.attempt, placement.stop))
+                orders.append(Order(KILL, shard.shard, shard.attempt, placement.stop))
         for task, placement in list(machine.held.items()):
             if task in listed or not placement.sent:
                 continue
@@ -272,12 +270,12 @@
         return orders
 
     def _start_again(
-        self, machine: Machine, placement: Placement, report: Report, orders: list[dict[str, Any]]
+        self, machine: Machine, placement: Placement, report: Report, orders: list[Order]
     ) -> None:
         job = self.cluster.jobs.get(placement.task.job)
         if self.cluster.invariants.may_start(job, placement, self.cluster.strays):
             placement.hello_serial = report.serial
-            orders.append(wire.order(START, str(placement.task), placement.attempt))
+            orders.append(Order(START, str(placement.task), placement.attempt))
 
     def _ask_to_forget_later(self, machine: Machine, kept: bool, now: Instant) -> None:
         """`kept`: whether an exited attempt stays on its worker as a start may still arrive."""
@@ -442,10 +440,10 @@
     def _note_starts(machine: Machine, command: Command, unknown: bool) -> None:
         """What has become of the starts in a direct command of the session of now."""
         for order in command.orders:
-            task = parse_task_id(order["shard"])
-            if order["verb"] != START or task is None:
+            task = parse_task_id(order.shard)
+            if order.verb != START or task is None:
                 continue
-            attempt = Attempt(order["try"])
+            attempt = Attempt(order.attempt)
             if unknown:
                 machine.direct_starts.given_up(task, attempt, command.epoch, machine.epoch)
             else:
@@ -458,9 +456,9 @@
         log.warning("address_taken", machine=machine.id, by=report.host)
         listed = {(shard.shard, shard.attempt) for shard in report.shards}
         for made in command.orders:
-            task = parse_task_id(made["shard"])
+            task = parse_task_id(made.shard)
             placement = machine.held.get(task) if task is not None else None
-            if placement is not None and (made["shard"], placement.attempt) in listed:
+            if placement is not None and (made.shard, placement.attempt) in listed:
                 # It is there, and nowhere else: its report makes it ours again.
                 self.cluster.release(machine, placement, requeue=False)
         self.hearing.doubt(machine, now, sure=True)
--- a/umberward/decisions/scheduler.py
+++ b/umberward/decisions/scheduler.py
@@ -116,7 +116,7 @@
 
     # ---- what is said to it: passed on to the part that knows ----------------------------
 
-    def hello(self, head: wire.Head, body: bytes, now: Instant) -> list[dict[str, Any]] | None:
+    def hello(self, head: wire.Head, body: bytes, now: Instant) -> list[wire.Order] | None:
         return self.reports.hello(head, body, now)
 
     def commanded(
--- a/umberward/local/servers.py
+++ b/umberward/local/servers.py
@@ -316,12 +316,12 @@
 class _Do(msgspec.Struct):
     epoch: int
     tenure: int
-    orders: list[dict[str, object]]
+    orders: list[wire.Order]
 
 
 class _Orders(msgspec.Struct):
     epoch: int = -1
-    orders: list[dict[str, object]] = []
+    orders: list[wire.Order] = []
 
 
 class _Steward(msgspec.Struct):
--- a/umberward/local/workercore.py
+++ b/umberward/local/workercore.py
@@ -7,13 +7,13 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable
-from typing import Any, NamedTuple
+from collections.abc import Callable, Sequence
+from typing import NamedTuple
 
 from umberward.core.settings import Workers
 from umberward.core.types import NOTHING, Amount
 from umberward.protocol import wire
-from umberward.protocol.wire import Report, ShardReport, Sku, Spec
+from umberward.protocol.wire import Order, Report, ShardReport, Sku, Spec
 
 
 class Fate(NamedTuple):
@@ -190,7 +190,7 @@
 
     # ---- commands ------------------------------------------------------------------------
 
-    def answered(self, sent: float, tenure: int, epoch: int, orders: list[dict[str, Any]]) -> bool:
+    def answered(self, sent: float, tenure: int, epoch: int, orders: Sequence[Order]) -> bool:
         """The response to a report that was sent then; False: dropped, as its token is too low or
         its session is over."""
         if epoch < self.epoch or tenure != self.tenure:
@@ -200,7 +200,7 @@
         self.execute(orders)
         return True
 
-    def direct(self, epoch: int, tenure: int, orders: list[dict[str, Any]]) -> bool:
+    def direct(self, epoch: int, tenure: int, orders: Sequence[Order]) -> bool:
         """False: nothing was executed."""
         if epoch < self.epoch or tenure != self.tenure:
             return False
@@ -213,19 +213,19 @@
             self.epoch = epoch
             self.changes += 1
 
-    def execute(self, orders: list[dict[str, Any]]) -> None:
+    def execute(self, orders: Sequence[Order]) -> None:
         for order in orders:
-            name, attempt = order["shard"], order["try"]
+            name, attempt = order.shard, order.attempt
             task = self.tasks.get((name, attempt))
-            if order["verb"] == wire.START:
+            if order.verb == wire.START:
                 if task is None:
                     self.start(name, attempt)
             elif task is None:
                 continue
-            elif order["verb"] == wire.FORGET and task.over:
+            elif order.verb == wire.FORGET and task.over:
                 del self.tasks[(name, attempt)]
-            elif order["verb"] == wire.KILL and not task.over:
-                self._kill(task, order.get("drain_s", 0.0))
+            elif order.verb == wire.KILL and not task.over:
+                self._kill(task, order.drain_s or 0.0)
 
     def start(self, name: str, attempt: int) -> None:
         job, _, number = name.rpartition("/")
--- a/umberward/protocol/wire.py
+++ b/umberward/protocol/wire.py
@@ -67,6 +67,16 @@
     stored: bool | None = None
 
 
+class Order(msgspec.Struct, frozen=True, omit_defaults=True):
+    """What a worker is told to do with one attempt of a task (PROTOCOL, "Workers -> controller
+    nodes"). `drain_s`: of a kill, the seconds that it may take to save."""
+
+    verb: str
+    shard: str
+    attempt: int = msgspec.field(name="try")
+    drain_s: float | None = None
+
+
 class Report(msgspec.Struct):
     host: Name
     address: Name
@@ -302,13 +312,6 @@
         raise Malformed(str(error)) from None
 
 
-def order(verb: str, shard: str, attempt: int, drain_s: float | None = None) -> dict[str, Any]:
-    made: dict[str, Any] = {"verb": verb, "shard": shard, "try": attempt}
-    if drain_s is not None:
-        made["drain_s"] = drain_s
-    return made
-
-
 def pack_needs(ids: Iterable[JobId]) -> str:
     """As short as it goes: hundreds of ids must fit into one record."""
     return " ".join(id.removeprefix(JOB_PREFIX) for id in ids)
