Soak: when an answer with orders left

Cause: a start in the answer to a report was taken for one sent with the last direct command, so that too many counted as in flight at a cancellation.

Change: the soak's workers note when a controller had answered.

--- a/umberward/soak/cluster.py
+++ b/umberward/soak/cluster.py
@@ -93,10 +93,13 @@
 class LinkedClient:
     """A worker's client: each of its links may fail."""
 
-    def __init__(self, client: Client, links: Links, host: str, names: dict[Address, str]) -> None:
+    def __init__(
+        self, client: Client, links: Links, core: SoakWorker, names: dict[Address, str]
+    ) -> None:
         self.client = client
         self.links = links
-        self.host = host
+        self.core = core
+        self.host = core.host
         self.names = names
 
     async def request(
@@ -105,11 +108,14 @@
         """Raises NotSent and NoAnswer as the client does. What is late is sent all the same."""
         answers: list[Response] = []
         failed: list[NotSent] = []
+        answered_at: list[float] = []  # when the controller had answered
         answered = curio.Event()
 
         async def deliver() -> Response | None:
             try:
-                return await self.client.request(address, method, target, body, timeout)
+                response = await self.client.request(address, method, target, body, timeout)
+                answered_at.append(self.core.clock())
+                return response
             except NotSent as error:
                 failed.append(error)
                 await answered.set()
@@ -134,6 +140,7 @@
             await curio.spawn(copy, again, daemon=True)
         await curio.ignore_after(timeout, answered.wait)
         if answers:
+            self.core.sent_at = answered_at[0]  # the worker takes it up at once
             return answers[0]
         raise failed[0] if failed else NoAnswer(f"{method} {address}: no answer")
 
@@ -256,7 +263,7 @@
             self.now(), machine.id, machine.sku.sku, machine.zone, machine.spot, machine.sku.cores
         ))  # fmt: skip
         names = {address: name for name, address in self.nodes.items()}
-        client: Any = LinkedClient(self.client, self.links, machine.id, names)
+        client: Any = LinkedClient(self.client, self.links, core, names)
         worker = WorkerServer(core, self.nodes, self.workers_said.report_s, client, self.rng)
         worker.server.sockets.limit = worker.server.sockets.most_of_client = SOCKETS
         worker.server.handler = self._commanded(core, worker.server.handler)
