--- a/umberward/control/holder.py
+++ b/umberward/control/holder.py
@@ -400,6 +400,8 @@
             )  # fmt: skip
             if response.status in (200, 409):
                 report = wire.decode_report(response.body)
+            # Only a 400 says as surely that nothing was executed.
+            unknown = response.status not in (200, 409, 400)
         except NotSent:
             pass
         except (NoAnswer, wire.Malformed, ValueError) as error:
--- a/umberward/decisions/scheduler.py
+++ b/umberward/decisions/scheduler.py
@@ -36,6 +36,7 @@
     WallTime,
     ZoneName,
 )
+from umberward.decisions.answers import Answers
 from umberward.decisions.blame import Blame
 from umberward.decisions.choice import choose
 from umberward.decisions.clearing import Clearing, Stoppable
@@ -108,6 +109,7 @@
         self.hearing = Hearing(self)
         self.watch = Watch(self, self.lender, self.hearing)
         self.reports = Reports(self, self.hearing, self.blame, self.writer)
+        self.answers = Answers(self, self.hearing, self.reports)
         self.attempts = 0
         self.missed: dict[JobId, Instant] = {}  # live, and not known here: since when
         self.lately_gone: dict[JobId, Instant] = {}  # an older reading may still show them
@@ -122,10 +124,10 @@
     def commanded(
         self, command: Command, report: Report | None, unknown: bool, now: Instant
     ) -> None:
-        self.reports.commanded(command, report, unknown, now)
+        self.answers.commanded(command, report, unknown, now)
 
     def probed(self, probe: Probe, report: Report | None, now: Instant) -> None:
-        self.reports.probed(probe, report, now)
+        self.answers.probed(probe, report, now)
 
     def may_keep_session(self, id: MachineId) -> bool:
         """Whether a leader without its lease may keep the worker's session alive, as far as the
