A soak that is ended takes its processes along

Cause: ended by SIGTERM, a soak of several seeds left these running.

Change: it ends them; a test waits until none of its process group is left.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,6 +2,11 @@
 
 from __future__ import annotations
 
+import os
+import signal
+import subprocess
+import sys
+import time
 from pathlib import Path
 
 import msgspec
@@ -200,6 +205,23 @@
     assert "the soak failed: the worker of m-000001 has ended" in result.output
 
 
+def test_a_soak_that_is_ended_leaves_no_process_behind() -> None:
+    words = [sys.executable, "-m", "umberward", "soak", "--seeds", "1-2", "--size", "short"]
+    soak = subprocess.Popen([*words, "--jobs", "2"], start_new_session=True)
+    time.sleep(4.0)  # its seeds have their controllers by then
+    soak.terminate()
+    assert soak.wait(20.0) == 143
+    until = time.monotonic() + 20.0
+    while time.monotonic() < until:
+        try:
+            os.killpg(soak.pid, 0)
+        except ProcessLookupError:
+            return
+        time.sleep(0.1)
+    os.killpg(soak.pid, signal.SIGKILL)
+    raise AssertionError("processes of the soak go on")
+
+
 def test_a_short_soak_keeps_the_rules(tmp_path: Path) -> None:
     report = tmp_path / "soak.json"
     result = CliRunner().invoke(
--- a/umberward/cli/soak.py
+++ b/umberward/cli/soak.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 import subprocess
 import sys
 import tempfile
@@ -12,6 +13,7 @@
 import click
 import msgspec
 
+TERMINATED = 143  # exit code after SIGTERM
 BROKEN, BAD_INPUT, HARNESS_FAILED = 1, 2, 3  # exit codes; 0: no rule was broken
 
 
@@ -61,6 +63,8 @@
     except plan.PlanError as error:
         click.echo(f"soak: {error}", err=True)
         sys.exit(BAD_INPUT)
+    # Ended by a signal, it still takes its processes along.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(TERMINATED))
     if len(seeds) == 1:
         sys.exit(_play_here(seeds[0], size, faults, report))
     sys.exit(_play_apart(seeds, size, faults, jobs, report))
@@ -92,7 +96,8 @@
 def _play_apart(
     seeds: range, size: str, faults: tuple[str, ...], jobs: int, report: Path | None
 ) -> int:
-    """Each seed in a process of its own."""
+    """Each seed in a process of its own; none outlives this one."""
+    running: list[subprocess.Popen[str]] = []
     with tempfile.TemporaryDirectory(prefix="umberward-soak-") as folder:
 
         def play(seed: int) -> Played:
@@ -101,15 +106,24 @@
             words += ["--size", size, "--report", str(path)]
             for name in faults:
                 words += ["--fault", name]
-            done = subprocess.run(words, check=False, capture_output=True, text=True)
+            process = subprocess.Popen(
+                words, stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True
+            )
+            running.append(process)
+            said, _ = process.communicate()
             result = msgspec.json.decode(path.read_bytes())[0] if path.exists() else None
-            return Played(seed, done.returncode, (done.stdout + done.stderr).strip(), result)
+            return Played(seed, process.returncode, said.strip(), result)
 
         played = []
         with ThreadPoolExecutor(max_workers=jobs) as pool:
-            for one in pool.map(play, seeds):
-                click.echo(one.said)
-                played.append(one)
+            try:
+                for one in pool.map(play, seeds):
+                    click.echo(one.said)
+                    played.append(one)
+            finally:
+                pool.shutdown(wait=False, cancel_futures=True)
+                for process in running:
+                    process.terminate()  # of one that has ended already it does nothing
     results = [one.result for one in played if one.result is not None]
     if report is not None:
         report.write_bytes(msgspec.json.format(msgspec.json.encode(results)) + b"\n")
