A placement is released once, however often that is said

Releasing one task of a gang releases those of the others that were not sent yet; a caller that walks all tasks of a machine (session over, lease over, machine gone) came to these again, and their use was given back twice. The team was credited with more than it had used, and got more than its limit.

Change: release does nothing for a placement that its machine does not hold. A job of which an invariant has refused a start rests for a second.

--- a/umberward/decisions/cluster.py
+++ b/umberward/decisions/cluster.py
@@ -43,6 +43,7 @@
 BEGIN_S = 240.0  # every job should begin within four minutes (the users' rules)
 AGED_S = 0.4 * BEGIN_S  # a job that has missed its goals and waited so long is served first
 LATEST_S = 0.6 * BEGIN_S  # ... and so is any that has waited so long
+REFUSED_START_S = 1.0  # a job of which a start was refused by an invariant rests for so long
 DEFAULT_WAIT_S = 120.0  # when a job should start for which nothing is said
 
 
@@ -292,7 +293,12 @@
         self.quota.take(placement.team, placement.need)
 
     def release(self, machine: Machine, placement: Placement, requeue: bool = True) -> None:
-        """The attempt is surely gone from its machine."""
+        """The attempt is surely gone from its machine; once, however often that is said.
+
+        Releasing one task of a gang releases those of the others that were not sent, and a caller
+        that walks all tasks of a machine comes to these again."""
+        if machine.held.get(placement.task) is not placement:
+            return
         machine.tasks_changed()
         machine.held.pop(placement.task, None)
         self.running[placement.key] -= 1
@@ -330,8 +336,7 @@
         self.clear_strays(machine)
 
     def add_stray(self, machine: Machine, task: TaskId) -> None:
-        """The machine runs a task that is not held there; it must not start elsewhere before that
-        has ended."""
+        """The machine runs a task that is not held there, and that is to be stopped."""
         if task not in machine.strays:
             machine.strays.add(task)
             self.strays[task] += 1
@@ -371,6 +376,8 @@
         machine = self.machines[placement.machine]
         job = self.jobs.get(placement.task.job)
         if not self.invariants.may_start(job, placement, self.strays):
+            if job is not None:
+                job.hold_until = max(job.hold_until, self.now + REFUSED_START_S)
             self.release(machine, placement)
             return
         placement.sent = True
