What runs without a placement: the invariant alone refuses its second start

The guard settle-again is as it was.

Result: scenario, graph, serving, release and invariant tests pass.

--- a/umberward/decisions/scheduler.py
+++ b/umberward/decisions/scheduler.py
@@ -525,21 +525,17 @@
         self.attempts += 1
         attempt = Attempt((self.term << 20) + self.attempts)
         left = [job.take() for _ in chosen]
-        stray = [index for index in left if TaskId(job.id, index) in self.strays]
-        startable = [index for index in left if index not in stray] if stray else left
         pairs: list[tuple[int, MachineId]] = []
         for id in chosen:
             machine = self.machines[id]
-            for index in startable:
+            for index in left:
                 task = TaskId(job.id, index)
                 if task not in machine.held and task not in machine.lingering:
-                    startable.remove(index)
+                    left.remove(index)
                     pairs.append((index, id))
                     break
-        left = [*startable, *stray]
         if job.gang and left:
-            # One task would be refused where its last attempt is still listed, or runs somewhere
-            # without a placement: not without it.
+            # One task would be refused where its last attempt is still listed: not without it.
             left += [index for index, _ in pairs]
             pairs = []
         for index in left:
