--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -253,7 +253,9 @@
             return
         self._begin(link, "leader", "m*")
         leader = self._node("leader")
-        spec = self._spec(tasks, 40.0, f"shape={shape}", "rank=idle", "cores=3")
+        # A gang must fit the team's limit beside the endless job, or it could never go on.
+        cores = 1 if self.limit else 3
+        spec = self._spec(tasks, 40.0, f"shape={shape}", "rank=idle", f"cores={cores}")
         self.world.submit(spec, leader)
         self.world.run(gap)
         higher = self._spec(3, ENDLESS_S, "shape=service", "rank=production", "cores=3")
