Soak: simpler relay and bookkeeping; a fault that goes on ends with the others

Cause: read once more. The relay between controllers repeated the handler of the other links, some names were used by nothing, a branch met a form that results never have. Leaders that end in series went on ending after the faults were declared over.

Change: the relay is a linked forwarder; dead names are gone; what a fault still has to do is cancelled when all faults end.

--- a/umberward/cli/soak.py
+++ b/umberward/cli/soak.py
@@ -36,7 +36,6 @@
     """One seed as a process of its own has played it."""
 
     seed: int
-    code: int
     said: str
     result: Any
 
@@ -112,7 +111,7 @@
             running.append(process)
             said, _ = process.communicate()
             result = msgspec.json.decode(path.read_bytes())[0] if path.exists() else None
-            return Played(seed, process.returncode, said.strip(), result)
+            return Played(seed, said.strip(), result)
 
         played = []
         with ThreadPoolExecutor(max_workers=jobs) as pool:
@@ -140,8 +139,7 @@
 
 
 def _line(result: dict[str, Any]) -> str:
-    rules = sorted({broken["rule"] if isinstance(broken, dict) else broken[1]
-                    for broken in result["broken"]})  # fmt: skip
+    rules = sorted({rule for _, rule, *_ in result["broken"]})
     return (
         f"seed {result['seed']}: {', '.join(rules) if rules else 'no rule broken'};"
         f" {result['workers']} workers, {result['jobs']} jobs, {result['starts']} starts,"
--- a/umberward/soak/cluster.py
+++ b/umberward/soak/cluster.py
@@ -168,7 +168,7 @@
         self.runs: dict[str, float] = {}  # how long a task of the job runs, in seconds
         self.killed: set[int] = set()  # controllers that the soak has ended
         self.takeovers = 0
-        self.tokens: dict[str, int] = {}
+        self.token: int | None = None  # of who leads
         self.relays: dict[tuple[str, str], Server] = {}
         for src in self.names:
             for dst in self.names:
@@ -201,8 +201,7 @@
 
     def _linked(self, src: str, dst: str, handler: Handler) -> Handler:
         async def handle(request: Request) -> Response:
-            target = f"{request.path}?{request.query}" if request.query else request.path
-            response = await self.links.carry(src, dst, target, lambda: handler(request))
+            response = await self.links.carry(src, dst, _target(request), lambda: handler(request))
             return response if response is not None else await _silence()
 
         return handle
@@ -211,21 +210,15 @@
         """What one controller says to another goes through here."""
         there = self.peers[self.names.index(dst)]
 
-        async def handle(request: Request) -> Response:
-            target = f"{request.path}?{request.query}" if request.query else request.path
-
-            async def deliver() -> Response | None:
-                try:
-                    return await self.client.request(
-                        there, request.method, target, request.body, CARRIED_S
-                    )
-                except (NotSent, NoAnswer):
-                    return None
-
-            response = await self.links.carry(src, dst, target, deliver)
-            return response if response is not None else await _silence()
+        async def forward(request: Request) -> Response:
+            try:
+                return await self.client.request(
+                    there, request.method, _target(request), request.body, CARRIED_S
+                )
+            except (NotSent, NoAnswer):
+                return await _silence()
 
-        return handle
+        return self._linked(src, dst, forward)
 
     def _settings(self, number: int) -> dict[str, Any]:
         found = super()._settings(number)
@@ -301,10 +294,9 @@
         if worker is None:
             return
         core: Any = worker.core
+        core.still = still
         if not still:
-            core.still = False
             core.tick(time.monotonic())  # its lease may be over, before it hears anything
-        core.still = still
         self.record(history.MachineStill(self.now(), host, still))
 
     def describe(self, job: str) -> Spec | None:
@@ -342,8 +334,8 @@
     def look(self) -> None:
         """Note who leads. Raises HarnessError if a part of the soak has failed."""
         found = self.state.core.keys.get("leader")
-        if found is not None and self.tokens.get("leader") != found.stamp:
-            self.tokens["leader"] = found.stamp
+        if found is not None and self.token != found.stamp:
+            self.token = found.stamp
             self.takeovers += 1
             name = str(found.data["node"])
             self.record(history.LeaderChanged(self.now(), name, found.stamp))
@@ -352,6 +344,10 @@
                 raise HarnessError(f"the worker of {host} has ended: {task.exception!r}")
 
 
+def _target(request: Request) -> str:
+    return f"{request.path}?{request.query}" if request.query else request.path
+
+
 async def _silence() -> Response:
     await curio.sleep(SILENCE_S)
     return Response(503)
--- a/umberward/soak/faults.py
+++ b/umberward/soak/faults.py
@@ -18,7 +18,6 @@
 SLOW_S = (0.2, 1.5)
 COPIES_S = (1.0, 2.0 * TIMES.lease_s)
 MOST_CANCELLED = 8
-Ends = tuple[str, str, str, str]  # from, to, what, path
 
 
 class Faults:
@@ -26,16 +25,19 @@
         self.cluster = cluster
         self.users = users
         self.number = 0
+        self.causing: list[curio.Task] = []
 
     async def run(self, faults: list[Fault]) -> None:
         """Begin each at its second; returns when the last one has begun."""
         for fault in faults:
             await curio.sleep(max(0.0, fault.at_s - self.cluster.now()))
-            await curio.spawn(self._cause, fault, daemon=True)
+            self.causing.append(await curio.spawn(self._cause, fault, daemon=True))
 
     async def end_all(self) -> None:
-        """Every link is whole again, every machine and controller goes on."""
+        """Every link is whole again, every machine and controller goes on, nothing more begins."""
         cluster = self.cluster
+        for task in self.causing:
+            await task.cancel()
         cluster.links.faults.clear()
         cluster.state.refused.clear()
         cluster.state.lossy = ""
--- a/umberward/soak/users.py
+++ b/umberward/soak/users.py
@@ -33,7 +33,6 @@
         self.client = Client(SOCKETS)
         self.count = 0
         self.live: dict[str, dict[str, Any]] = {}  # accepted, and not known to be over
-        self.cancellations = 0
 
     async def run(self, until: float) -> None:
         """Until that second of the run."""
@@ -97,7 +96,6 @@
 
     async def cancel(self, job: str) -> None:
         """Until it is answered."""
-        self.cancellations += 1
         self.cluster.record(history.CancelAsked(self.cluster.now(), job))
         until = self.cluster.now() + PATIENCE_S
         while self.cluster.now() < until and await self.ask("cancel", job) != 200:
