Which attempt an order starts is asked of the order; workers of the loopback are built once

Three places took the task and attempt of a start out of an order, each in its own way; the soak built its workers with a copy of the cluster's code.

Change: Order.started; LocalCluster.worker_core says which class its workers have.

--- a/umberward/decisions/answers.py
+++ b/umberward/decisions/answers.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 from umberward.core.log import logger
-from umberward.core.types import Attempt, Instant, parse_task_id
+from umberward.core.types import Instant, parse_task_id
 from umberward.decisions.cluster import Cluster, Command, Probe
 from umberward.decisions.fleet import Machine
 from umberward.decisions.hearing import Hearing
 from umberward.decisions.reports import Reports
-from umberward.protocol.wire import START, Report
+from umberward.protocol.wire import Report
 
 log = logger(__name__)
 
@@ -39,10 +39,9 @@
     def _note_starts(machine: Machine, command: Command, unknown: bool) -> None:
         """What has become of the starts in a direct command of the session of now."""
         for order in command.orders:
-            task = parse_task_id(order.shard)
-            if order.verb != START or task is None:
+            if order.started is None:
                 continue
-            attempt = Attempt(order.attempt)
+            task, attempt = order.started
             if unknown:
                 machine.direct_starts.given_up(task, attempt, command.epoch, machine.epoch)
             else:
--- a/umberward/decisions/commands.py
+++ b/umberward/decisions/commands.py
@@ -8,7 +8,7 @@
 
 from collections.abc import Callable
 
-from umberward.core.types import Attempt, MachineId, parse_task_id
+from umberward.core.types import MachineId
 from umberward.decisions.cluster import Cluster, Command
 from umberward.decisions.fleet import Machine
 from umberward.protocol.wire import START, Order
@@ -54,25 +54,21 @@
         for order in command.orders:
             if self._holds(order, command, machine):
                 orders.append(order)
-            elif machine.tenure == command.tenure:
-                self._not_sent(order, machine)
+            elif machine.tenure == command.tenure and order.started is not None:
+                machine.direct_starts.answered(*order.started)
         if (command.orders and not orders) or machine.tenure != command.tenure:
             return None
         self._under_way.add(command.machine)
         return command._replace(orders=orders, epoch=self.cluster.epoch, address=machine.address)
 
-    @staticmethod
-    def _not_sent(order: Order, machine: Machine) -> None:
-        task = parse_task_id(order.shard)
-        if task is not None:
-            machine.direct_starts.answered(task, Attempt(order.attempt))
-
     def _holds(self, order: Order, command: Command, machine: Machine) -> bool:
         if order.verb != START:
             return True
-        task = parse_task_id(order.shard)
-        placement = machine.held.get(task) if task is not None else None
-        if placement is None or placement.attempt != order.attempt:
+        if order.started is None:
+            return False
+        task, attempt = order.started
+        placement = machine.held.get(task)
+        if placement is None or placement.attempt != attempt:
             return False
         if placement.stop is not None or machine.tenure != command.tenure or not self.may_start():
             return False
--- a/umberward/local/cluster.py
+++ b/umberward/local/cluster.py
@@ -93,6 +93,8 @@
 
 
 class LocalCluster:
+    worker_core: type[WorkerCore] = WorkerCore
+
     def __init__(self, plan: Plan, folder: Path) -> None:
         self.plan = plan
         self.folder = folder
@@ -271,15 +273,18 @@
         level = {"LOG_LEVEL": self.plan.log_level} if self.plan.log_level else {}
         return {**os.environ, **level}
 
-    def _worker(self, machine: Machine, now: float) -> WorkerServer:
-        times = self.workers_said
-        core = WorkerCore(
+    def _core(self, machine: Machine, now: float) -> WorkerCore:
+        return self.worker_core(
             machine.id, machine.address, machine.sku, machine.zone, machine.spot,
-            times, self.mates, self.describe,
+            self.workers_said, self.mates, self.describe,
             lambda name, spec: self._fate(machine.id, name, spec), now, self.plan.speed,
         )  # fmt: skip
+
+    def _worker(self, machine: Machine, now: float) -> WorkerServer:
+        core = self._core(machine, now)
         core.exited = self._exited
-        return WorkerServer(core, self.nodes, times.report_s, self.client, self.rng)
+        report_s = self.workers_said.report_s
+        return WorkerServer(core, self.nodes, report_s, self.client, self.rng)
 
     async def _up(self, machine: Machine, now: float) -> None:
         machine.address = str(self._addresses(1)[0])
--- a/umberward/protocol/wire.py
+++ b/umberward/protocol/wire.py
@@ -7,7 +7,16 @@
 
 import msgspec
 
-from umberward.core.types import JOB_PREFIX, MAX_TASKS, Amount, JobId, parse_job_id
+from umberward.core.types import (
+    JOB_PREFIX,
+    MAX_TASKS,
+    Amount,
+    Attempt,
+    JobId,
+    TaskId,
+    parse_job_id,
+    parse_task_id,
+)
 
 BODY_LIMIT = 64 * 1024
 RENT_LIMIT = 50
@@ -76,6 +85,12 @@
     attempt: int = msgspec.field(name="try")
     drain_s: float | None = None
 
+    @property
+    def started(self) -> tuple[TaskId, Attempt] | None:
+        """The attempt that it starts; None: it starts none."""
+        task = parse_task_id(self.shard) if self.verb == START else None
+        return None if task is None else (task, Attempt(self.attempt))
+
 
 class Report(msgspec.Struct):
     host: Name
--- a/umberward/soak/cluster.py
+++ b/umberward/soak/cluster.py
@@ -146,6 +146,7 @@
 
 
 class SoakCluster(LocalCluster):
+    worker_core = SoakWorker
     links: Links
     record: Callable[[Event], None]
     began: float
@@ -246,11 +247,7 @@
             await self._up(machine, now)
 
     def _worker(self, machine: Machine, now: float) -> WorkerServer:
-        core = SoakWorker(
-            machine.id, machine.address, machine.sku, machine.zone, machine.spot,
-            self.workers_said, self.mates, self.describe,
-            lambda name, spec: self._fate(machine.id, name, spec), now, self.plan.speed,
-        )  # fmt: skip
+        core: Any = self._core(machine, now)
         core.record, core.clock = self.record, self.now
         self.record(history.MachineUp(
             self.now(), machine.id, machine.sku.sku, machine.zone, machine.spot, machine.sku.cores
