A final record with an unknown phase is unreadable, not a cancellation

What callers saw: a poll of a job whose final record had any other phase than done or cancelled was answered 200 with that text, and live jobs that depended on it were reported as cancelled by nobody.

Cause: FinalJobRecord accepted every text as its phase, and whatever was not "done" counted as cancelled, for users and for the leader. The check stood in the fallback for records that can't be decoded, not in the decoder.

Change: the type of the phase has the two values, so that every decoder rejects others. Users get 503 and a log line; the leader waits.

--- a/tests/test_job_api_states.py
+++ b/tests/test_job_api_states.py
@@ -21,8 +21,11 @@
 )
 from mutations import MUTATIONS
 from simulated_job_api import CONTROLLERS, SimulatedJobApis, job_spec
+from test_scenarios import ScenarioPlayer
 
+from umberward.core.types import JobId
 from umberward.protocol import wire
+from umberward.scheduling import job_records
 
 EXAMPLES = 150
 EXAMPLES_TO_FIND_FORMER_FAULT = 100
@@ -34,6 +37,7 @@
     JOB_IDS[2]: wire.PENDING,
 }
 NEVER_SUBMITTED = "req-999999"
+UNREADABLE_RECORDS: tuple[object, ...] = ({}, {"phase": "over"}, {"phase": "done\n"}, "text")
 REQUESTS = ("submit", "poll", "cancel", "submit dependent", "submit malformed", "submit infeasible")
 # Faults of the links between one controller and the state service: fields of LinkFault after its
 # two ends; True: of the answers, False: of the requests.
@@ -114,7 +118,7 @@
         else:
             self.apis.place_job(job_id)
 
-    @rule(job_id=jobs, data=st.sampled_from(({}, "text")))
+    @rule(job_id=jobs, data=st.sampled_from(UNREADABLE_RECORDS))
     def final_record_is_unreadable(self, job_id: str, data: object) -> None:
         self.apis.end_job(job_id, data)
 
@@ -228,3 +232,33 @@
 ) -> None:
     MUTATIONS["look-up-first"](monkeypatch)
     assert _overlapping_requests(*whats)
+
+
+@pytest.mark.parametrize("data", UNREADABLE_RECORDS)
+def test_unreadable_final_record_is_neither_an_answer_nor_a_cancellation(data: object) -> None:
+    with SimulatedJobApis().running() as apis:
+        apis.store_job(JOB_IDS[0])
+        apis.ask("submit", JOB_IDS[1], "k0", job_spec(JOB_IDS[1], waits_on=[JOB_IDS[0]]))
+        apis.run(0.1)
+        apis.end_job(JOB_IDS[0], data)
+        apis.answers.clear()
+        for what, job_id, name in itertools.product(REQUESTS[:3], JOB_IDS[:1], CONTROLLERS):
+            apis.ask(what, job_id, name)
+        for name in CONTROLLERS:
+            apis.ask("poll", JOB_IDS[1], name)
+        apis.run(5.0)
+        assert not apis.broken
+        assert {status for *_, status in apis.answers} == {503}
+
+
+def test_leader_ignores_unreadable_final_record_of_a_dependency() -> None:
+    player = ScenarioPlayer()
+    player.do_lead()
+    player.do_submit(JOB_IDS[0])
+    player.do_submit(JOB_IDS[1], f"waits_on={JOB_IDS[0]}")
+    player.do_run("1")
+    scheduler = player.cluster.scheduler
+    for data in UNREADABLE_RECORDS:
+        job_records.apply_final_record(scheduler, JobId(JOB_IDS[0]), data)
+    assert not scheduler.blocked_jobs.jobs_to_cancel(1)
+    assert JobId(JOB_IDS[1]) in scheduler.blocked_jobs.jobs
--- a/umberward/protocol/state_records.py
+++ b/umberward/protocol/state_records.py
@@ -14,8 +14,11 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
 
+from umberward.protocol.constants import JobPhase
 from umberward.protocol.job_spec import JobSpec
 
 JOBS_PREFIX = "jobs/"
@@ -80,6 +83,10 @@
     done_bitmap: str = "0"
 
 
+# Decoding rejects any other phase.
+FinalPhase = Annotated[str, msgspec.Meta(pattern=rf"\A({JobPhase.DONE}|{JobPhase.CANCELLED})\Z")]
+
+
 class FinalJobRecord(
     msgspec.Struct,
     omit_defaults=True,
@@ -97,7 +104,7 @@
     is set only for a cancelled job of a team with a limit, if any task may have been placed.
     """
 
-    phase: str
+    phase: FinalPhase
     done_count: int = 0
     ended_at: float | None = None
     cancelled_by: str = ""
