Each controller says which build it runs

Cause: in the incident several versions ran side by side, and which one had answered had to be inferred from the form of log lines and the times of kills.

Change: the build is the version and a digest of the sources. It stands in the `serving` line and in the controller's record, which is stored at the start (one write of the lowest priority) and at each election. A missing or invalid build is "unknown" and stops nothing. Earlier versions ignore the field; its default is not encoded.

Golden traffic is unchanged for a process without a build. The record has a fixture of its own; the earlier one must still round-trip.

--- a/umberward/cli/main.py
+++ b/umberward/cli/main.py
@@ -5,18 +5,19 @@
 import gc
 import os
 import sys
+from http import HTTPStatus
 from pathlib import Path
 from typing import BinaryIO
 
 import click
 import msgspec
 
-from umberward import __version__
 from umberward.cli.asking import ask, print_response, server_option
 from umberward.cli.graph import graph
 from umberward.cli.load import load as load_command
 from umberward.cli.local import local
 from umberward.cli.soak import soak
+from umberward.core.build_identity import read_build
 from umberward.core.settings import Settings, SettingsError, load
 from umberward.core.types import Address
 from umberward.protocol import wire
@@ -39,8 +40,22 @@
 )
 
 
+def _print_version(context: click.Context, _: click.Parameter, *, value: bool) -> None:
+    """Print the build and exit; reads the sources only if asked to."""
+    if value:
+        click.echo(f"umberward, version {read_build()}")
+        context.exit()
+
+
 @click.group()
-@click.version_option(__version__)
+@click.option(
+    "--version",
+    is_flag=True,
+    is_eager=True,
+    expose_value=False,
+    callback=lambda context, parameter, value: _print_version(context, parameter, value=value),
+    help="Show the build and exit.",
+)
 def main() -> None:
     """umberward: a cluster scheduler."""
 
@@ -64,7 +79,7 @@
     # Reference counting alone frees the objects of each message, so that most collections find
     # nothing.
     gc.set_threshold(GC_THRESHOLD_OBJECTS)
-    event_loop.run(Controller(settings).run)
+    event_loop.run(Controller(settings, build=read_build()).run)
 
 
 @main.command()
@@ -80,6 +95,24 @@
     )
 
 
+@main.command()
+@_config
+@_properties
+def builds(config: Path, properties: Path | None) -> None:
+    """Show the build that each controller has stored, "unknown" for versions before 0.5."""
+    from umberward.control.controller_builds import builds_by_controller
+    from umberward.leader.leader_election import CONTROLLER_KEY_PREFIX
+
+    settings = _load(config, properties)
+    response = ask(settings.state, "GET", f"/kv?prefix={CONTROLLER_KEY_PREFIX}")
+    if response.status != HTTPStatus.OK:
+        print_response(response)
+    page = wire.decoder(wire.KeyValuePage)(response.body)
+    names = [settings.platform.label, *settings.peers]
+    for name, build in builds_by_controller(page.entries, names).items():
+        click.echo(f"{name} {build}")
+
+
 @main.command()
 @server_option
 @click.option(
--- a/umberward/control/controller.py
+++ b/umberward/control/controller.py
@@ -11,6 +11,7 @@
 
 from umberward.clients.cloud_client import CloudClient
 from umberward.clients.state_client import StateClient
+from umberward.control.controller_builds import ControllerBuilds
 from umberward.control.heartbeat_api import HeartbeatApi
 from umberward.control.job_admission import max_value_bytes
 from umberward.control.job_api import JobApi, JobApiCallbacks
@@ -20,6 +21,7 @@
 from umberward.control.peer_messages import DelegationRequest
 from umberward.control.readiness import Readiness
 from umberward.control.request_router import RequestRouter
+from umberward.core.build_identity import UNKNOWN_BUILD
 from umberward.core.log import logger
 from umberward.core.settings import Settings
 from umberward.core.tasks import TaskScope
@@ -62,8 +64,16 @@
 class Controller:
     """Owns the parts of a controller and, while it leads, the leader's event loop."""
 
-    def __init__(self, settings: Settings, clock: Callable[[], float] = time.monotonic) -> None:
-        """Create all parts without starting any; `clock` is a monotonic clock, in seconds."""
+    def __init__(
+        self,
+        settings: Settings,
+        clock: Callable[[], float] = time.monotonic,
+        build: str = UNKNOWN_BUILD,
+    ) -> None:
+        """Create all parts without starting any.
+
+        `clock` is a monotonic clock, in seconds; `build` identifies the build of this process.
+        """
         self.settings = settings
         self.clock = clock
         self.rng = random.Random()
@@ -83,6 +93,10 @@
         self.election = LeaderElection(
             settings, self.store, self.rng, self._start_leading, self._stop_leading, clock
         )
+        self.election.build = build
+        self.builds = ControllerBuilds(
+            self.election, self.store, [settings.platform.label, *settings.peers]
+        )
         self.peers = self._create_peer_link()
         self.heartbeat_api = HeartbeatApi(
             self, self.election, self.peers, self._set_client_name, clock
@@ -95,7 +109,7 @@
             max_value_bytes(cluster.state),
             self.rng,
         )
-        self.server = Server(settings.listen, self.router.serve, shared_sockets, self.client)
+        self.server = Server(settings.listen, self.router.serve, shared_sockets, self.client, build)
 
     def _create_peer_link(self) -> PeerLink:
         callbacks = PeerCallbacks(
@@ -141,6 +155,8 @@
             self.peers.delegation.run,
             self.peers.cancellations.run,
         ]
+        if self.election.build != UNKNOWN_BUILD:
+            parts.append(self.builds.run)
         # The scope must outlive the group: the election in the group spawns the leader's task.
         async with self.leader_tasks, curio.TaskGroup() as group:
             for part in parts:
--- a/umberward/leader/leader_election.py
+++ b/umberward/leader/leader_election.py
@@ -17,6 +17,7 @@
 
 from umberward.clients import state_client
 from umberward.clients.state_client import StateClient
+from umberward.core.build_identity import UNKNOWN_BUILD
 from umberward.core.log import logger
 from umberward.core.settings import Settings, WorkerTimes
 from umberward.core.types import (
@@ -78,6 +79,7 @@
         platform = settings.platform
         self.name = ControllerName(platform.label)
         self.record_key = Key(f"{CONTROLLER_KEY_PREFIX}{platform.label}")
+        self.build = UNKNOWN_BUILD  # of this process, set by its owner; for its stored record
         self.store = store
         self.lease_seconds = settings.operator.lease_seconds
         self.clock = clock
@@ -173,7 +175,7 @@
         self.term += 1
         revision = await self.store.commit(
             [self.leadership_condition()],
-            [transactions.put(self.record_key, self._controller_record())],
+            [transactions.put(self.record_key, self.controller_record())],
         )
         self.fencing_token = FencingToken(revision)
         return self.fencing_token
@@ -379,7 +381,7 @@
                 [(LEADER_KEY, self.leader_key_version)],
                 [
                     transactions.put(LEADER_KEY, leader_record, self.lease),
-                    transactions.put(self.record_key, self._controller_record()),
+                    transactions.put(self.record_key, self.controller_record()),
                 ],
                 priority=transactions.URGENT,
             )
@@ -390,5 +392,6 @@
         if self.nonce == nonce:  # otherwise the key's lease has been abandoned meanwhile
             await self._become_leader(Version(revision))
 
-    def _controller_record(self) -> wire.ControllerRecord:
-        return wire.ControllerRecord(self.name, self.nonce, self.term, ALL_JOB_HASHES)
+    def controller_record(self) -> wire.ControllerRecord:
+        """This controller's record, to be stored under `record_key`."""
+        return wire.ControllerRecord(self.name, self.nonce, self.term, ALL_JOB_HASHES, self.build)
--- a/umberward/protocol/http/server.py
+++ b/umberward/protocol/http/server.py
@@ -46,15 +46,18 @@
         handler: Handler,
         socket_budget: SocketBudget | int,
         client: Client | None = None,
+        build: str = "",
     ) -> None:
         """Create a server; `socket_budget` is a number of sockets, or shared with `client`.
 
-        When the budget is exhausted, idle connections of `client` are closed.
+        When the budget is exhausted, idle connections of `client` are closed. `build`: logged when
+        the server starts.
         """
         self.address = address
         self.handler = handler
         self.socket_budget = SocketBudget.of(socket_budget)
         self.client = client
+        self.log_fields = {"build": build} if build else {}
         self.connections: set[Connection] = set()
         self.connections_by_name: dict[str, Connection] = {}
         self.refused_connections = 0  # closed at once because the socket budget was exhausted
@@ -70,7 +73,7 @@
         listener.setsockopt(sockets.SOL_SOCKET, sockets.SO_REUSEADDR, 1)
         listener.bind(tuple(self.address))
         listener.listen(LISTEN_BACKLOG)
-        log.info("serving", address=self.address)
+        log.info("serving", address=self.address, **self.log_fields)
         sweeper = await curio.spawn(self._sweep, daemon=True)
         try:
             await self._accept(listener)
--- a/umberward/protocol/state_records.py
+++ b/umberward/protocol/state_records.py
@@ -18,6 +18,7 @@
 
 import msgspec
 
+from umberward.core.build_identity import UNKNOWN_BUILD
 from umberward.protocol.constants import JobPhase
 from umberward.protocol.job_spec import JobSpec
 
@@ -130,13 +131,18 @@
     machines: dict[str, tuple[str, str, str, bool]]
 
 
-class ControllerRecord(msgspec.Struct, rename={"controller": "node", "job_hash_range": "jobs"}):
+class ControllerRecord(
+    msgspec.Struct, omit_defaults=True, rename={"controller": "node", "job_hash_range": "jobs"}
+):
     """The jobs that a leader is responsible for; the revision of this record is its fencing token.
 
-    `term` counts the tokens of one term; `job_hash_range` is the range of job hashes.
+    A controller also stores it when it starts, with `term` 0. `term` counts the tokens of one term;
+    `job_hash_range` is the range of job hashes; `build` is that of the process (versions before 0.5
+    store none).
     """
 
     controller: str
     nonce: str
     term: int
     job_hash_range: tuple[int, int]
+    build: str = UNKNOWN_BUILD
