A line and a count for each 404, 400 and 422 about a job

Cause: nothing in the log of the incident said what the 404 had been based on.

`live_jobs_listed` says when the cache was listed anew. Answers about accepted jobs cost nothing more.

--- a/tests/simulated_job_api.py
+++ b/tests/simulated_job_api.py
@@ -159,6 +159,7 @@
             self.settings, store, job_states, MACHINE_TYPES, lambda: WallTime(self.clock.now)
         )
         task = await self.scope.spawn(job_states.run)
+        await self.scope.spawn(job_api.rejections.run)
         self.controllers[name] = RunningController(job_api, job_states, client, task)
         self.starts[name] = self.starts.get(name, 0) + 1
 
--- a/umberward/control/absent_jobs.py
+++ b/umberward/control/absent_jobs.py
@@ -12,7 +12,7 @@
 class AbsenceLookup:
     """A lookup of a job in the state service; its result is not known until it is confirmed."""
 
-    confirmed_absent: bool = False
+    confirmed_at: float | None = None  # by the monotonic clock that the cache's owner uses
 
 
 class AbsentJobCache:
@@ -40,15 +40,19 @@
             self._lookups.popitem(last=False)
         return lookup
 
-    def confirm(self, job_id: JobId, lookup: AbsenceLookup) -> None:
+    def confirm(self, job_id: JobId, lookup: AbsenceLookup, now: float) -> None:
         """Record that the lookup found no job, unless it has been discarded or replaced."""
         if self._lookups.get(job_id) is lookup:
-            lookup.confirmed_absent = True
+            lookup.confirmed_at = now
 
     def is_absent(self, job_id: JobId) -> bool:
         """Whether a confirmed lookup has found that no controller has accepted the job."""
+        return self.confirmed_at(job_id) is not None
+
+    def confirmed_at(self, job_id: JobId) -> float | None:
+        """When a lookup has found that no controller has accepted the job; None if none has."""
         lookup = self._lookups.get(job_id)
-        return lookup is not None and lookup.confirmed_absent
+        return None if lookup is None else lookup.confirmed_at
 
     def discard(self, job_id: JobId) -> None:
         """Remove the job: it has been accepted, or its lookup has failed."""
--- a/umberward/control/controller.py
+++ b/umberward/control/controller.py
@@ -150,6 +150,7 @@
             self.election.keep_lease,
             self.election.follow_leader_key,
             self.job_states.run,
+            self.router.job_api.rejections.run,
             self.machine_type_loader.run,
             self.peers.run,
             self.peers.delegation.run,
--- a/umberward/control/job_api.py
+++ b/umberward/control/job_api.py
@@ -25,10 +25,11 @@
 from umberward.control.job_responses import (
     JobStateResponse,
     final_response,
-    rejection_response,
     state_response,
 )
 from umberward.control.job_state_cache import JobStateCache, LiveJobState
+from umberward.control.rejection_log import JobRequest, RejectionLog
+from umberward.control.responses import error_response
 from umberward.control.stored_jobs import done_task_count, final_key, live_key
 from umberward.core.log import logger
 from umberward.core.settings import Settings
@@ -92,6 +93,7 @@
         self.machine_types = machine_types
         self.callbacks = callbacks
         self.admission = JobAdmission(settings, machine_types, wall_clock)
+        self.rejections = RejectionLog(job_states, job_states.clock)
 
     # ---- submit ------------------------------------------------------------------------
 
@@ -118,8 +120,9 @@
             submission = self.admission.decode(body)
         except wire.MalformedMessageError as error:
             # A repeated submission of an accepted job gets its state, whatever the body contains.
-            existing = await self._existing_job_response(extract_job_id(body))
-            return existing or rejection_response(400, str(error))
+            job_id = extract_job_id(body)
+            existing = await self._existing_job_response(job_id)
+            return existing or self._refused_response(job_id, 400, str(error))
         final = self.job_states.final_records.get(submission.job_id)
         if final is not None:
             return final_response(submission.job_id, final)
@@ -132,7 +135,7 @@
                 raise SelfDependencyError  # rejected like an infeasible job
         except JobRejectedError as error:
             existing = await self._existing_job_response(submission.job_id)
-            return existing or rejection_response(422, str(error))
+            return existing or self._refused_response(submission.job_id, 422, str(error))
         if submission.dependencies:
             return await self._submit_dependent(submission)
         return await self._store_submission(submission.job_id, submission.record)
@@ -147,7 +150,7 @@
         try:
             outcome = resolve_dependencies(states)
         except JobRejectedError as error:
-            return rejection_response(422, str(error))
+            return self._refused_response(job_id, 422, str(error))
         if outcome.cancelled is not None:
             final = FinalJobRecord(CANCELLED, cancelled_by=outcome.cancelled)
             return await self._store_submission(job_id, final)
@@ -195,7 +198,8 @@
             if final is not None:
                 return final_response(job_id, final)
             self._require_state_service()
-            return await self._existing_job_response(job_id, urgent=False) or Response(404)
+            response = await self._existing_job_response(job_id, urgent=False)
+            return response or self._unknown_job_response(JobRequest.POLL, job_id)
         except (state_client.StateUnavailableError, state_client.UnknownOutcomeError) as error:
             log.debug("poll_not_answered", job=job_id, error=error)
             return _retry_later_response()
@@ -230,7 +234,7 @@
             # without a live record has ended.
             state = await self.job_states.state(job_id, urgent=True)
             if state is None:
-                return Response(404)
+                return self._unknown_job_response(JobRequest.CANCEL, job_id)
             if isinstance(state, FinalJobRecord):
                 return final_response(job_id, state)
             raise JobChangedError(job_id)
@@ -310,6 +314,13 @@
             return final_response(job_id, state)
         return self._live_response(job_id, state)
 
+    def _unknown_job_response(self, request: JobRequest, job_id: JobId) -> Response:
+        return self.rejections.record(request, job_id, Response(404))
+
+    def _refused_response(self, job_id: JobId | None, status: int, reason: str) -> Response:
+        response = error_response(status, reason)
+        return self.rejections.record(JobRequest.SUBMIT, job_id, response, reason)
+
     def _live_response(self, job_id: JobId, state: LiveJobState) -> Response:
         return state_response(
             JobStateResponse(
--- a/umberward/control/job_responses.py
+++ b/umberward/control/job_responses.py
@@ -4,15 +4,11 @@
 
 import msgspec
 
-from umberward.control.responses import error_response
-from umberward.core.log import logger
 from umberward.core.types import JobId
 from umberward.protocol import wire
 from umberward.protocol.http import Response
 from umberward.protocol.wire import FinalJobRecord
 
-log = logger(__name__)
-
 
 class JobStateResponse(
     msgspec.Struct,
@@ -54,9 +50,3 @@
         cancelled_by=final.cancelled_by or msgspec.UNSET,
     )
     return state_response(state, status)
-
-
-def rejection_response(status: int, reason: str) -> Response:
-    """A response that rejects a submission; the reason is logged as well."""
-    log.info("submission_refused", status=status, error=reason)
-    return error_response(status, reason)
--- a/umberward/control/job_state_cache.py
+++ b/umberward/control/job_state_cache.py
@@ -210,7 +210,7 @@
             self._apply_live(live_key(job_id), stored_live.data)
             return self.live_jobs[job_id]
         # Confirm only now: concurrent requests must not take an unfinished lookup for a result.
-        self.absent_jobs.confirm(job_id, lookup)
+        self.absent_jobs.confirm(job_id, lookup, self.clock())
         return None
 
     def _add_stored_final(self, job_id: JobId, data: object) -> FinalJobRecord:
@@ -291,6 +291,12 @@
         # The pages of a listing are read one after another. Changes made in between must be applied
         # before any request is answered.
         await self._apply_changes_after(listed_revision)
+        log.info(
+            "live_jobs_listed",
+            jobs=len(entries),
+            revision=self.watched_revision,
+            seconds=round(self.clock() - self.listed_at, 3),
+        )
 
     async def _apply_changes_after(self, revision: Revision) -> None:
         changes, self.watched_revision = await self.store.watch(
