Soak: users repeat cancellations and polls of ended jobs at every controller

Cause: no user of the soak asked again about a job after its end, so a controller that was restarted never had to look up an ended job for two at once.

--- a/umberward/soak/users.py
+++ b/umberward/soak/users.py
@@ -29,6 +29,7 @@
 SAME_ZONE_GANG_SHARE = 0.5
 CHECKPOINT_SHARE = 0.3
 REPEATED_SHARE, CANCELLED_SHARE, QUERIED_SHARE, UNRUNNABLE_SHARE = 0.2, 0.25, 0.3, 0.05
+ENDED_QUERY_INTERVAL_S = 0.5  # between queries of jobs that have ended
 
 
 class Users:
@@ -42,9 +43,11 @@
         self.client = Client(MAX_CLIENT_SOCKETS)
         self.submission_count = 0
         self.live_jobs: dict[str, dict[str, Any]] = {}  # accepted and not known to have ended
+        self.ended_jobs: list[str] = []
 
     async def run(self, until: float) -> None:
         """Submit and poll until second `until` of the run."""
+        await self.cluster.task_scope.spawn(self._query_ended_jobs, until)
         while self.cluster.now() < until:
             await curio.sleep(self.rng.expovariate(self.jobs_per_s))
             max_live_jobs = LIVE_JOBS_PER_TEN_WORKERS * max(1, len(self.cluster.workers) // 10)
@@ -105,6 +108,22 @@
             )
             await curio.sleep(gap_s)
 
+    async def _query_ended_jobs(self, until: float) -> None:
+        """Query random jobs that have ended: a controller that was restarted must look them up."""
+        while self.cluster.now() < until:
+            await curio.sleep(ENDED_QUERY_INTERVAL_S)
+            if self.ended_jobs:
+                await self._query_ended_job(self.rng.choice(self.ended_jobs))
+
+    async def _query_ended_job(self, job: str) -> None:
+        """Cancel and poll an ended job twice at every controller, within milliseconds."""
+        kinds = self.rng.sample(("cancel", "poll", "cancel", "poll"), 4)
+        gap_s = self.rng.choice(QUERY_GAPS_S)
+        for kind in kinds:
+            for name in self.cluster.controller_names:
+                await self.cluster.task_scope.spawn(self.send_request, kind, job, name)
+            await curio.sleep(gap_s)
+
     async def cancel(self, job: str) -> None:
         """Send cancellations of the job until one succeeds."""
         self.cluster.record(history.CancelAsked(self.cluster.now(), job))
@@ -135,8 +154,8 @@
             pass
         answer = history.Answered(self.cluster.now(), kind, job, name, asked_at, status, phase)
         self.cluster.record(answer)
-        if phase in (wire.DONE, wire.CANCELLED):
-            self.live_jobs.pop(job, None)
+        if phase in (wire.DONE, wire.CANCELLED) and self.live_jobs.pop(job, None) is not None:
+            self.ended_jobs.append(job)
         return status
 
     # ---- submitted jobs --------------------------------------------------------------------
