--- a/tools/regress/meetings.py
+++ b/tools/regress/meetings.py
@@ -16,6 +16,9 @@
 FIRST_FAULT_DELAY_S = 20.0  # from the end of the warm-up to the first fault
 FAULT_FREE_END_S = 60.0  # from the last fault to the end of the day
 REPETITION_DELAY_S = 75.0  # from a combination's first run to its second, plus `cancel_s`
+ENDED_JOBS_FOR_S = 85.0
+CRASH_INTERVAL_S = 20.0
+CANCELLED_BEFORE_CRASH_S = 6.0
 SLOW_STATE_SERVICE = {"state_slow": 0.3, "state_slow_times": 60.0}
 
 
@@ -58,6 +61,19 @@
     return _fault(at_s, "node_cut", count=1, busiest=True, from_state=True, for_s=for_s, **cut)
 
 
+def _ended_jobs() -> list[Fault]:
+    """All controllers end again and again, while users repeat requests for jobs that have ended."""
+    faults = [
+        _fault(0.0, "close_looks", for_s=ENDED_JOBS_FOR_S),
+        _fault(0.0, "odd_requests", for_s=ENDED_JOBS_FOR_S),
+    ]
+    for number in range(int(ENDED_JOBS_FOR_S / CRASH_INTERVAL_S)):
+        crash_at_s = (number + 1) * CRASH_INTERVAL_S
+        faults.append(_fault(crash_at_s - CANCELLED_BEFORE_CRASH_S, "cancel_now", count=8))
+        faults.append(_crash(crash_at_s, 5))
+    return faults
+
+
 COMBINATIONS: dict[str, Combination] = {
     "gap": Combination(
         lambda t: [_cut_leader(0.0, 14.0), _fault(2.0, "state_outage", for_s=t.cancel_s + 12.0)],
@@ -227,6 +243,11 @@
             _crash(45.0),
         ]
     ),
+    "ended-jobs": Combination(lambda _: _ended_jobs(), 0.8),
+    # The production version, which runs first, may forget ended jobs: its log tells which answered.
+    "ended-jobs-upgrade": Combination(
+        lambda _: [_fault(5.0, "node_roll", every_s=30.0, upgrade=True), *_ended_jobs()], 0.8
+    ),
     "ten-leaders": Combination(
         lambda _: [
             *(_crash(12.0 * n) for n in range(10)),
