A job that ends between the reads of its two records is not unknown

What callers saw: nothing yet. If a controller's cache had missed a live job, a poll or a repeated submission that would be refused could get 404 or 422 in the moment in which the job ended.

Cause: the lookup of a job that is not in the cache reads the final record, then (if the last listing is old) the live one. A job that moves from live to final between the two is in neither read. GraphReader reads live first for this reason; the check stood in one path and not in the other. Found while going through all places that say "not known"; it needs a cache that has missed a change, which was never seen.

Change: if the live record is missing too, the final record is read again. Only unknown ids cost a third read, once each.

Evidence: test_missed_job_that_ends_during_its_lookup_is_not_unknown fails without the change where the job ends 0.1 s into a lookup of 0.3 s (404 for the poll, 422 for the submission), and passes with it.

--- a/tests/test_job_api_states.py
+++ b/tests/test_job_api_states.py
@@ -23,6 +23,7 @@
 from simulated_job_api import CONTROLLERS, SimulatedJobApis, job_spec
 from test_scenarios import ScenarioPlayer
 
+from umberward.control.job_state_cache import RECENT_LISTING_S
 from umberward.core.types import JobId
 from umberward.protocol import wire
 from umberward.scheduling import job_records
@@ -262,3 +263,29 @@
         job_records.apply_final_record(scheduler, JobId(JOB_IDS[0]), data)
     assert not scheduler.blocked_jobs.jobs_to_cancel(1)
     assert JobId(JOB_IDS[1]) in scheduler.blocked_jobs.jobs
+
+
+def _forget_live_job(apis: SimulatedJobApis, name: str, job_id: str) -> None:
+    """Remove a live job from a controller's cache, as if a change had been missed."""
+    apis.ask("poll", NEVER_SUBMITTED, name)
+    apis.run(RECENT_LISTING_S + 1.0)
+    del apis.controllers[name].job_states.live_jobs[JobId(job_id)]
+
+
+@pytest.mark.parametrize("what", ["poll", "cancel", "submit infeasible"])
+@pytest.mark.parametrize("ends_after_s", [0.0, 0.1, 0.2, 0.3, 0.4, 0.5])
+def test_missed_job_that_ends_during_its_lookup_is_not_unknown(
+    what: str, ends_after_s: float
+) -> None:
+    machine = JobRequests()
+    machine.begin()
+    try:
+        _forget_live_job(machine.apis, "k0", JOB_IDS[2])
+        machine.apis.set_fault("slow", "state", "k0", "late", "/kv/", 0.15, 0.15)
+        machine._ask(what, JOB_IDS[2], "k0", JOB_IDS[2])
+        machine.apis.run(ends_after_s)
+        machine.apis.end_job(JOB_IDS[2])
+        machine.apis.run(5.0)
+        assert not machine.apis.broken
+    finally:
+        machine.open.close()
--- a/umberward/control/job_state_cache.py
+++ b/umberward/control/job_state_cache.py
@@ -199,6 +199,9 @@
             stored_live = None
             if stored_final is None and self.clock() - self.listed_at > RECENT_LISTING_S:
                 stored_live = await self.store.get(live_key(job_id))
+                if stored_live is None:
+                    # It may have ended between these reads.
+                    stored_final = await self.store.get(final_key(job_id))
         except BaseException:
             self.absent_jobs.discard(job_id)
             raise
