--- a/tests/simulated_controllers.py
+++ b/tests/simulated_controllers.py
@@ -25,11 +25,13 @@
 from umberward.core.settings import OperatorSettings, settings_from_toml
 from umberward.core.tasks import TaskScope
 from umberward.core.types import Key, MachineTypeName
-from umberward.local import servers
+from umberward.local import cloud_server, state_server, worker_server
+from umberward.local.cloud_server import CloudServer
 from umberward.local.cloudcore import CapacityPool, CloudCore, Machine
 from umberward.local.links import LinkFault
-from umberward.local.servers import CloudServer, StateServer, WorkerServer
+from umberward.local.state_server import StateServer
 from umberward.local.statecore import StateCore
+from umberward.local.worker_server import WorkerServer
 from umberward.local.workercore import TaskOutcome, WorkerCore
 from umberward.protocol import wire
 from umberward.protocol.http import NoResponseError, RequestNotSentError, Response
@@ -137,8 +139,10 @@
             stack.enter_context(self.clock.running())
             stack.enter_context(mock.patch.object(controller_module, "Client", self.network.client))
             stack.enter_context(mock.patch.object(controller_module, "Server", self.network.server))
-            stack.enter_context(mock.patch.object(servers, "Server", self.network.server))
-            stack.enter_context(mock.patch.object(servers, "POLL_S", STEP_S))
+            for module in (cloud_server, state_server, worker_server):
+                stack.enter_context(mock.patch.object(module, "Server", self.network.server))
+            stack.enter_context(mock.patch.object(state_server, "OUTAGE_POLL_S", STEP_S))
+            stack.enter_context(mock.patch.object(worker_server, "CHANGE_POLL_S", STEP_S))
             self.kernel = curio.Kernel(selector=JumpingSelector(self.clock))
             stack.callback(self._shut_down)
             self.kernel.run(self._start)
--- a/tests/simulated_job_api.py
+++ b/tests/simulated_job_api.py
@@ -23,9 +23,9 @@
 from umberward.core.settings import OperatorSettings, settings_from_toml
 from umberward.core.tasks import TaskScope
 from umberward.core.types import JobId, WallTime
-from umberward.local import servers, statecore
+from umberward.local import state_server, statecore
 from umberward.local.links import LinkFault
-from umberward.local.servers import StateServer
+from umberward.local.state_server import StateServer
 from umberward.local.statecore import StateCore
 from umberward.protocol import wire
 from umberward.protocol.http import Response
@@ -110,7 +110,7 @@
     def running(self) -> Iterator[SimulatedJobApis]:
         with contextlib.ExitStack() as stack:
             stack.enter_context(self.clock.running())
-            stack.enter_context(mock.patch.object(servers, "Server", self.network.server))
+            stack.enter_context(mock.patch.object(state_server, "Server", self.network.server))
             stack.enter_context(mock.patch.object(statecore, "MAX_PAGE_ENTRIES", PAGE_ENTRIES))
             stack.enter_context(
                 mock.patch.object(statecore, "MAX_RETAINED_CHANGES", RETAINED_CHANGES)
--- a/umberward/local/cluster.py
+++ b/umberward/local/cluster.py
@@ -30,12 +30,14 @@
 from umberward.core.tasks import TaskScope
 from umberward.core.types import Address
 from umberward.graphs import records
+from umberward.local.cloud_server import CloudServer
 from umberward.local.cloudcore import CloudCore, Machine
 from umberward.local.cluster_plan import ClusterPlan as ClusterPlan
 from umberward.local.cluster_plan import Fault as Fault
 from umberward.local.job_descriptions import JobDescriptions
-from umberward.local.servers import CloudServer, StateServer, WorkerServer
+from umberward.local.state_server import StateServer
 from umberward.local.statecore import StateCore
+from umberward.local.worker_server import WorkerServer
 from umberward.local.workercore import SharedTaskState, TaskOutcome, WorkerCore
 from umberward.protocol import wire
 from umberward.protocol.http import Client, NoResponseError, RequestNotSentError
--- a/umberward/soak/cluster.py
+++ b/umberward/soak/cluster.py
@@ -19,7 +19,7 @@
 from umberward.local.cluster import ClusterPlan as LocalPlan
 from umberward.local.cluster import LocalCluster
 from umberward.local.links import Links
-from umberward.local.servers import WorkerServer
+from umberward.local.worker_server import WorkerServer
 from umberward.local.workercore import TaskAttempt, TaskOutcome, WorkerCore
 from umberward.protocol import wire
 from umberward.protocol.http import (
