--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -249,7 +249,7 @@
 
     patch.setattr(StateWriter, "transaction_committed", transaction_committed)
 
-    from simulated_cluster import SimulatedStore
+    from simulated_store import SimulatedStore
 
     async def commit(self: SimulatedStore, conditions: Any, writes: Any, **_: Any) -> Any:
         kept = [w for w in writes if not str(w.get("write", "")).startswith("jobs/live")]
--- a/tests/simulated_controllers.py
+++ b/tests/simulated_controllers.py
@@ -16,9 +16,9 @@
 
 import curio
 import msgspec
+from cluster_settings import MACHINE_TYPES, raw_settings
 from network import Clock, JumpingSelector, Network
 from rules import RuleChecker, UserKnowledge
-from simulated_cluster import MACHINE_TYPES, raw_settings
 
 from umberward.control import controller as controller_module
 from umberward.control.controller import Controller
--- a/tests/simulated_graphs.py
+++ b/tests/simulated_graphs.py
@@ -10,7 +10,8 @@
 
 import curio
 import msgspec
-from simulated_cluster import MACHINE_TYPES, SimulatedCluster, Worker
+from cluster_settings import MACHINE_TYPES
+from simulated_cluster import SimulatedCluster, Worker
 from traffic_recorder import record_message
 
 from umberward.clients import state_client
--- a/tests/test_build_identity.py
+++ b/tests/test_build_identity.py
@@ -8,7 +8,7 @@
 
 import pytest
 from click.testing import CliRunner
-from simulated_cluster import raw_settings
+from cluster_settings import raw_settings
 from simulated_controllers import SimulatedControllers
 
 from umberward import __version__
--- a/tests/test_graphs.py
+++ b/tests/test_graphs.py
@@ -16,8 +16,9 @@
 import pytest
 import tomli_w
 from click.testing import CliRunner
+from cluster_settings import raw_settings
 from hypothesis import strategies
-from simulated_cluster import SimulatedCluster, raw_settings
+from simulated_cluster import SimulatedCluster
 from simulated_graphs import FINAL, SimulatedGraphCluster
 from test_scenarios import (
     ScenarioPlayer,
--- a/tests/test_job_api_states.py
+++ b/tests/test_job_api_states.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 import pytest
+from cluster_settings import job_spec
 from hypothesis import HealthCheck, Phase, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
@@ -20,7 +21,7 @@
     run_state_machine_as_test,
 )
 from mutations import MUTATIONS
-from simulated_job_api import CONTROLLERS, SimulatedJobApis, job_spec
+from simulated_job_api import CONTROLLERS, SimulatedJobApis
 from test_scenarios import ScenarioPlayer
 
 from umberward.control.job_state_cache import RECENT_LISTING_S
--- a/tests/test_leader_election.py
+++ b/tests/test_leader_election.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 import curio
-from simulated_cluster import raw_settings
+from cluster_settings import raw_settings
 
 from umberward.clients import state_client
 from umberward.core.settings import OperatorSettings, settings_from_toml
--- a/tests/test_peer_link.py
+++ b/tests/test_peer_link.py
@@ -10,7 +10,8 @@
 import curio
 import msgspec
 import pytest
-from simulated_cluster import SimulatedStore, raw_settings
+from cluster_settings import raw_settings
+from simulated_store import SimulatedStore
 
 from umberward.control import cancellation_announcer
 from umberward.control.controller import Controller
--- a/tests/test_rejection_log.py
+++ b/tests/test_rejection_log.py
@@ -6,7 +6,8 @@
 from typing import Any
 
 import pytest
-from simulated_job_api import SimulatedJobApis, job_spec
+from cluster_settings import job_spec
+from simulated_job_api import SimulatedJobApis
 
 from umberward.control import rejection_log
 from umberward.control.rejection_log import COUNTS_INTERVAL_S
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -6,7 +6,7 @@
 
 import curio
 import pytest
-from simulated_cluster import MACHINE_TYPES, raw_settings
+from cluster_settings import MACHINE_TYPES, raw_settings
 from test_scenarios import ScenarioPlayer
 
 from umberward.control.controller import Controller
