Soak: a broken rule keeps its records, and a quota names the tasks

Change: `--keep FOLDER` keeps all events and the controllers' logs of such a seed; the line of a broken quota lists each running attempt and its machine. The checks are unchanged.

Tests: test_records_of_a_broken_rule_are_kept.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -319,6 +319,29 @@
     assert not result.broken
 
 
+def test_records_of_a_broken_rule_are_kept(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    over_limit = "over its limit"
+
+    async def start(cluster: SoakCluster) -> None:
+        (cluster.folder / "keeper-0.log").write_text("a line\n")
+
+    async def exceed_limit(run: SoakRun, _: SoakCluster) -> None:
+        run.checker = Checker([TeamQuota("red", cpus_max=4.0)], CANCEL_S)
+        for event in (machine_up("m1"), machine_up("m2"), *VIOLATING_HISTORIES[over_limit][1]):
+            run._record(event)
+
+    monkeypatch.setattr(SoakCluster, "_start", start)
+    monkeypatch.setattr(SoakRun, "_run_plan", exceed_limit)
+    soak_plan = plan.draw_plan(1, plan.size_by_name("short"), [])
+    result = event_loop.run(SoakRun(soak_plan, tmp_path).execute)
+    assert [found.rule for found in result.broken] == ["quota"]
+    assert result.broken[0].detail.endswith(f"{JOB}/0#1@m1 {JOB}/1#1@m2")
+    kept = tmp_path / "seed-1"
+    assert (kept / "keeper-0.log").read_text() == "a line\n"
+    lines = (kept / "events.txt").read_text().splitlines()
+    assert "quota" in lines[0] and any("TaskStarted" in line for line in lines)
+
+
 def test_short_soak_has_no_violation(tmp_path: Path) -> None:
     report = tmp_path / "soak.json"
     result = CliRunner().invoke(
--- a/umberward/cli/soak.py
+++ b/umberward/cli/soak.py
@@ -62,7 +62,19 @@
     help="Seeds run in parallel.",
 )
 @click.option("--report", type=click.Path(path_type=Path), help="Write the results as JSON.")
-def soak(seeds: range, size: str, faults: tuple[str, ...], jobs: int, report: Path | None) -> None:
+@click.option(
+    "--keep",
+    type=click.Path(path_type=Path, file_okay=False),
+    help="Keep all events and logs of each seed that breaks a rule in this folder.",
+)
+def soak(
+    seeds: range,
+    size: str,
+    faults: tuple[str, ...],
+    jobs: int,
+    report: Path | None,
+    keep: Path | None,
+) -> None:
     """Inject random faults into a cluster on this machine and check it from outside.
 
     Exits with 0 if no rule was broken, 1 if one was, 2 for bad input, 3 if the soak itself failed.
@@ -78,20 +90,21 @@
     # Raises SystemExit on SIGTERM, so that the soak stops its child processes.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_TERMINATED))
     if len(seeds) == 1:
-        sys.exit(_run_in_this_process(seeds[0], size, faults, report))
-    sys.exit(_run_in_processes(seeds, size, faults, jobs, report))
+        sys.exit(_run_in_this_process(seeds[0], size, faults, report, keep))
+    sys.exit(_run_in_processes(seeds, size, faults, jobs, report, keep))
 
 
-def _run_in_this_process(seed: int, size: str, faults: tuple[str, ...], report: Path | None) -> int:
+def _run_in_this_process(
+    seed: int, size: str, faults: tuple[str, ...], report: Path | None, keep: Path | None
+) -> int:
     """Run one seed in this process and print the result. Returns the exit status."""
     from umberward.core import event_loop, log
     from umberward.soak import plan
     from umberward.soak.runner import SoakRun
 
     log.configure("error", "lines")
-    run = SoakRun(
-        plan.draw_plan(seed, plan.size_by_name(size), plan.fault_kinds_by_name(list(faults)))
-    )
+    kinds = plan.fault_kinds_by_name(list(faults))
+    run = SoakRun(plan.draw_plan(seed, plan.size_by_name(size), kinds), keep)
     try:
         result = event_loop.run(run.execute)
     except (RuntimeError, OSError) as error:
@@ -109,7 +122,12 @@
 
 
 def _run_in_processes(
-    seeds: range, size: str, faults: tuple[str, ...], jobs: int, report: Path | None
+    seeds: range,
+    size: str,
+    faults: tuple[str, ...],
+    jobs: int,
+    report: Path | None,
+    keep: Path | None,
 ) -> int:
     """Run each seed in a child process, all of which end with this one; returns the exit status."""
     running: list[subprocess.Popen[str]] = []
@@ -119,6 +137,8 @@
             path = Path(folder) / f"{seed}.json"
             command = [sys.executable, "-m", "umberward", "soak", "--seeds", str(seed)]
             command += ["--size", size, "--report", str(path)]
+            if keep is not None:
+                command += ["--keep", str(keep)]
             for name in faults:
                 command += ["--fault", name]
             process = subprocess.Popen(
--- a/umberward/soak/checker.py
+++ b/umberward/soak/checker.py
@@ -167,6 +167,15 @@
             if alive and self.jobs[_job_of(task)].owner == owner
         )
 
+    def _running_tasks_of_team(self, owner: str) -> list[str]:
+        """Each running attempt of the team's tasks as TASK#ATTEMPT@MACHINE."""
+        return [
+            f"{task}#{attempt.attempt}@{attempt.host}"
+            for task, alive in self.running_attempts.items()
+            for attempt in alive
+            if self.jobs[_job_of(task)].owner == owner
+        ]
+
     # ---- events of workers -----------------------------------------------------------------
 
     def _handle_task_started(self, event: TaskStarted) -> None:
@@ -226,7 +235,9 @@
             return
         used = self._cores_used_by_team(spec.owner)
         if used > limit + CORES_TOLERANCE:
-            self._report(event.at, "quota", spec.job, f"{spec.owner} uses {used:g} cores")
+            tasks = " ".join(sorted(self._running_tasks_of_team(spec.owner)))
+            detail = f"{spec.owner} uses {used:g} cores: {tasks}"
+            self._report(event.at, "quota", spec.job, detail)
 
     def _handle_task_ended(self, event: TaskEnded) -> None:
         alive = self.running_attempts.get(event.task, [])
--- a/umberward/soak/runner.py
+++ b/umberward/soak/runner.py
@@ -26,6 +26,7 @@
 MAX_DRAIN_S = 240.0  # after all faults, how long unfinished jobs are watched
 MAX_TIMELINE_LINES = 60  # of events, and of each controller's log
 KIB_PER_MIB = 1024.0
+EVENTS_FILE = "events.txt"  # in the folder of a kept seed
 
 
 class Result(msgspec.Struct):
@@ -57,9 +58,13 @@
 class SoakRun:
     """The run of one plan."""
 
-    def __init__(self, soak_plan: plan.Plan) -> None:
-        """Start nothing yet."""
+    def __init__(self, soak_plan: plan.Plan, keep: Path | None = None) -> None:
+        """Start nothing yet.
+
+        `keep`: if a rule is broken, where to keep all events and the controllers' logs.
+        """
         self.soak_plan = soak_plan
+        self.keep = keep
         self.checker = Checker(teams(soak_plan.size), plan.WORKER_TIMES.cancel_s)
         self.events: list[Event] = []
         self.kills = 0
@@ -81,6 +86,8 @@
                     await self._run_plan(cluster)
             finally:
                 cluster._stop_processes()
+            if self.keep is not None and self.checker.violations:
+                self._keep_records(self.keep / f"seed-{self.soak_plan.seed}", folder)
             return self._result(cluster, time.monotonic() - started_at, folder)
         finally:
             shutil.rmtree(folder, ignore_errors=True)
@@ -144,6 +151,15 @@
 
     # ---- the result ----------------------------------------------------------------------
 
+    def _keep_records(self, kept: Path, folder: Path) -> None:
+        """Write the violations and all events to `kept`, with the files of the controllers."""
+        shutil.copytree(folder, kept, dirs_exist_ok=True)
+        lines = [
+            f"{found.at:.3f} {found.rule}: {found.detail}" for found in self.checker.violations
+        ]
+        lines += [history.format_event(event) for event in self.events]
+        (kept / EVENTS_FILE).write_text("\n".join(lines) + "\n")
+
     def _result(self, cluster: SoakCluster, seconds: float, folder: Path) -> Result:
         usage = resource.getrusage(resource.RUSAGE_CHILDREN)
         kinds = [fault.kind.value for fault in self.soak_plan.faults]
