KNOWN-RED.txt may name a command that is run by hand

Cause: what a long soak finds is no pytest test, and an entry had to name one.

Change: an entry whose first part begins with "$ " is printed and counts towards the limit of three, and excuses nothing: with such a line alone, a failing test still fails the run.

Tests: three cases more of tests/test_known_red.py.

--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -3,6 +3,8 @@
 A line is `TEST | CAUSE | ISSUE`, with the test's pytest node id. Only the listed tests may fail;
 they are printed at the end of each run. A listed test that passes is a failure. A line that is
 malformed or names no test, and more than `MAX_ENTRIES` lines, are errors.
+
+`TEST` may also be `$ COMMAND`, a command that is run by hand: it is printed and excuses no test.
 """
 
 from __future__ import annotations
@@ -14,6 +16,7 @@
 
 FILE = "KNOWN-RED.txt"
 MAX_ENTRIES = 3
+COMMAND_PREFIX = "$ "
 
 
 class KnownFailure(NamedTuple):
@@ -45,6 +48,8 @@
         "INVOCATION_DIR",
     )
     for failure in failures:
+        if failure.test.startswith(COMMAND_PREFIX):
+            continue
         item = by_name.get(failure.test)
         if item is not None:
             item.add_marker(
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -10,6 +10,7 @@
 FAILING, PASSING, MISSING = (
     f"test_it.py::test_{name} | it leaks | issue 7\n" for name in ("red", "green", "blue")
 )
+COMMAND = "$ soak --seeds 4 | it leaks | issue 7\n"
 TESTS = "def test_red():\n    assert False\n\ndef test_green():\n    pass\n"
 
 
@@ -22,6 +23,9 @@
         (FAILING + MISSING, 4, "there is no test"),
         ("test_it.py::test_red\n", 4, "not TEST"),
         (FAILING * 4, 4, "4 lines"),
+        (FAILING + COMMAND, 0, "$ soak --seeds 4: it leaks (issue 7)"),
+        (COMMAND, 1, "1 failed, 1 passed"),
+        (COMMAND * 4, 4, "4 lines"),
     ],
 )
 def test_what_is_listed_alone_may_fail(
