Simulated worker: a completed task of a gang exits as soon as it has its image

One task exited done with its image at 33.1 s; the stand-in let the other wait for it, until it was stopped at 35.1 s. The job was stored as done, the next leader rightly had no record of tasks of a done job, and its 2 cores were missing in its sum. PROTOCOL: a completed task that is started again "exits with `done` as soon as it has its image", so a task of a done gang doesn't go on. The stand-in made it wait for the gang first. No check is changed.

Evidence: test_completed_gang_that_is_started_again_exits_done_without_waiting fails without the change (one task of two has not exited) and passes with it.

--- a/umberward/local/workercore.py
+++ b/umberward/local/workercore.py
@@ -219,6 +219,9 @@
         task.remaining_s -= elapsed_s
         if task.remaining_s <= 0 or image in self.images:
             self.images.add(image)
+            if task.name in self.shared_tasks.done:
+                self._exit(task, wire.DONE)  # without waiting for the rest of its gang
+                return
             next_phase = wire.WAITING_FOR_GANG if task.is_gang_member else wire.RUNNING
             self._enter_phase(task, next_phase)
 
@@ -240,10 +243,7 @@
             self._begin_run(task)
 
     def _begin_run(self, task: TaskAttempt) -> None:
-        """Start the run and decide how it will end; a task completed before ends at once."""
-        if task.name in self.shared_tasks.done:
-            self._exit(task, wire.DONE)
-            return
+        """Start the run and decide how it will end."""
         outcome = self.plan_outcome(task.name, task.required_spec)
         task.remaining_s = outcome.seconds - self.shared_tasks.saved_run_s.get(task.name, 0.0)
         task.planned_cause = outcome.cause
