Tests: the simulated job APIs use what the tests already have

Read again: what users knew stood twice (UserKnowledge of rules.py), so did the users' timeouts (simulated_controllers.py); four walks over dependencies did the same and are one; late transactions were set up in two ways, of which one was never used; the counting task of a controller outlived its restart. All assertions and rules are as before.

--- a/tests/simulated_job_api.py
+++ b/tests/simulated_job_api.py
@@ -8,7 +8,8 @@
 
 import contextlib
 import random
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Iterator
+from functools import partial
 from typing import Any, NamedTuple
 from unittest import mock
 
@@ -16,6 +17,8 @@
 import msgspec
 from cluster_settings import MACHINE_TYPES, job_spec, raw_settings
 from network import Client, Clock, JumpingSelector, Network
+from rules import UserKnowledge
+from simulated_controllers import ALL_KNOWN_S, POLL_TIMEOUT_S, WRITE_TIMEOUT_S
 
 from umberward.clients.state_client import StateClient
 from umberward.control.job_api import JobApi
@@ -36,37 +39,26 @@
 PAGE_ENTRIES = 2
 RETAINED_CHANGES = 12
 CACHED_RECORDS = 3
-POLL_TIMEOUT_S = 2.0
-WRITE_TIMEOUT_S = 5.0
-ALL_KNOWN_S = 75.0  # without faults, each controller must answer a poll within this time
 FINAL_PHASES = (wire.DONE, wire.CANCELLED)
 
 
-class Known(NamedTuple):
-    """What users knew of a job from the answers received until some moment."""
-
-    accepted: bool
-    ended: str | None
-
-
 class RunningController(NamedTuple):
     """The parts of a controller that answer users; they end with the process."""
 
     job_api: JobApi
     job_states: JobStateCache
     client: Client
-    refresh_task: Any
+    tasks: list[curio.Task]
 
 
 class SimulatedJobApis:
-    def __init__(self, seed: int = 1, cached_records: int = CACHED_RECORDS) -> None:
+    def __init__(self, cached_records: int = CACHED_RECORDS) -> None:
         """`cached_records`: how many final records and unknown ids each controller caches."""
         self.clock = Clock()
-        self.network = Network(self.clock, random.Random(seed))
+        self.network = Network(self.clock, random.Random(1))
         self.settings = settings_from_toml(
             raw_settings(), OperatorSettings(poll_cache=cached_records)
         )
-        self.core = StateCore()
         self.scope = TaskScope()
         self.controllers: dict[str, RunningController] = {}
         self.starts: dict[str, int] = {}
@@ -88,7 +80,7 @@
             stack.enter_context(
                 mock.patch.object(statecore, "MAX_RETAINED_CHANGES", RETAINED_CHANGES)
             )
-            self.core = StateCore()
+            self.core = StateCore()  # only now: it reads RETAINED_CHANGES
             self.kernel = curio.Kernel(selector=JumpingSelector(self.clock))
             stack.callback(self._shut_down)
             self.kernel.run(self._start)
@@ -103,15 +95,9 @@
         )
         for server in self.state.servers:
             await self.scope.spawn(server.run)
-        await self.scope.spawn(self._execute_late_transactions)
         for name in CONTROLLERS:
             await self._start_controller(name)
 
-    async def _execute_late_transactions(self) -> None:
-        while True:
-            await self.state.execute_due_transactions()
-            await curio.sleep(0.1)
-
     def _shut_down(self) -> None:
         self.kernel.run(self._stop)
         self.kernel.run(shutdown=True)
@@ -131,9 +117,8 @@
         job_api = JobApi(
             self.settings, store, job_states, MACHINE_TYPES, lambda: WallTime(self.clock.now)
         )
-        task = await self.scope.spawn(job_states.run)
-        await self.scope.spawn(job_api.rejections.run)
-        self.controllers[name] = RunningController(job_api, job_states, client, task)
+        tasks = [await self.scope.spawn(part) for part in (job_states.run, job_api.rejections.run)]
+        self.controllers[name] = RunningController(job_api, job_states, client, tasks)
         self.starts[name] = self.starts.get(name, 0) + 1
 
     def restart(self, name: str) -> None:
@@ -142,7 +127,8 @@
         async def restart() -> None:
             former = self.controllers[name]
             former.client.ended = True
-            await former.refresh_task.cancel()
+            for task in former.tasks:
+                await task.cancel()
             await self._start_controller(name)
 
         self.kernel.run(restart)
@@ -161,7 +147,6 @@
     def heal(self) -> None:
         """End all faults of links and of the state service."""
         self.network.links.faults.clear()
-        self.state.transaction_fault = ""
         self.state.set_down(False)
 
     # ---- the leader and other writers --------------------------------------------------
@@ -199,7 +184,8 @@
         if data is not None:
             self.unreadable.add(job_id)
         else:
-            phase = wire.CANCELLED if self._has_cancelled_dependency(job_id) else wire.DONE
+            needed_phases = map(self._stored_phase, self.needed_jobs(job_id))
+            phase = wire.CANCELLED if wire.CANCELLED in needed_phases else wire.DONE
             data = {"phase": phase, "done": 1}
         self._commit(
             [
@@ -225,12 +211,10 @@
         stored = self.core.keys.get(FINAL_JOBS_PREFIX + job_id)
         return stored.data.get("phase") if stored and isinstance(stored.data, dict) else None
 
-    def _has_cancelled_dependency(self, job_id: str) -> bool:
-        return any(
-            self._stored_phase(dependency) == wire.CANCELLED
-            or self._has_cancelled_dependency(dependency)
-            for dependency in self.dependencies.get(job_id, ())
-        )
+    def needed_jobs(self, job_id: str) -> set[str]:
+        """The job and all jobs that it depends on, directly or through others."""
+        direct = self.dependencies.get(job_id, ())
+        return {job_id}.union(*map(self.needed_jobs, direct))
 
     # ---- users -------------------------------------------------------------------------
 
@@ -244,29 +228,19 @@
     async def _ask(self, what: str, job_id: str, name: str, body: dict[str, Any] | None) -> None:
         job_api = self.controllers[name].job_api
         process = self.starts[name]
-        request: Callable[[], Awaitable[Response]]
-        timeout_s = WRITE_TIMEOUT_S
         if what == "submit":
             spec = job_spec(job_id) if body is None else body
             if body is None or "waits_on" in body:
                 self.submitted.add(job_id)
                 self.dependencies.setdefault(job_id, spec.get("waits_on", []))
-            encoded = wire.encode(spec)
-
-            async def request() -> Response:
-                return await job_api.submit(encoded)
+            request = partial(job_api.submit, wire.encode(spec))
         elif what == "cancel":
             self.cancel_requested.add(job_id)
-
-            async def request() -> Response:
-                return await job_api.cancel(JobId(job_id))
+            request = partial(job_api.cancel, JobId(job_id))
         else:
-            timeout_s = POLL_TIMEOUT_S
-
-            async def request() -> Response:
-                return await job_api.poll(JobId(job_id))
-
-        known = Known(job_id in self.accepted, self.ended.get(job_id))
+            request = partial(job_api.poll, JobId(job_id))
+        timeout_s = POLL_TIMEOUT_S if what == "poll" else WRITE_TIMEOUT_S
+        known = UserKnowledge(job_id in self.accepted, self.ended.get(job_id))
         dependencies_known = body is None or self.accepted.issuperset(body.get("waits_on", ()))
 
         async def exchange() -> None:
@@ -279,7 +253,7 @@
 
         await self.scope.spawn(exchange)
 
-    def _check(self, what: str, job_id: str, response: Response, known: Known) -> None:
+    def _check(self, what: str, job_id: str, response: Response, known: UserKnowledge) -> None:
         if response.status in (400, 404, 422) and known.accepted:
             self.broken.append(f"forgotten: {what} of {job_id} is answered {response.status}")
         if response.status not in (200, 201):
@@ -293,26 +267,22 @@
             self.broken.append(f"went back: {what} of {job_id}: {known.ended}, then {phase}")
         if phase == wire.DONE and self._stored_phase(job_id) != wire.DONE:
             self.broken.append(f"not done: {what} of {job_id}")
-        if phase == wire.CANCELLED and not self._may_be_cancelled(job_id):
+        if phase == wire.CANCELLED and self.cancel_requested.isdisjoint(self.needed_jobs(job_id)):
             self.broken.append(f"cancelled by nobody: {what} of {job_id}")
         self.accepted.add(job_id)
         if phase in FINAL_PHASES:
             self.ended.setdefault(job_id, phase)
 
-    def _may_be_cancelled(self, job_id: str) -> bool:
-        return job_id in self.cancel_requested or any(
-            self._may_be_cancelled(dependency) for dependency in self.dependencies.get(job_id, ())
-        )
+    def check_all_known(self) -> None:
+        """Without faults, every controller must answer polls of each accepted job in time.
 
-    def _is_unreadable(self, job_id: str) -> bool:
-        """Whether the final record of the job, or of one that it depends on, can't be decoded."""
-        return job_id in self.unreadable or any(
-            self._is_unreadable(dependency) for dependency in self.dependencies.get(job_id, ())
+        Left out are jobs that need one whose final record can't be decoded.
+        """
+        readable = sorted(
+            job_id
+            for job_id in self.accepted
+            if self.unreadable.isdisjoint(self.needed_jobs(job_id))
         )
-
-    def check_all_known(self) -> None:
-        """Without faults, every controller must answer polls of each accepted job in time."""
-        readable = sorted(job_id for job_id in self.accepted if not self._is_unreadable(job_id))
         missing = [(job_id, name) for job_id in readable for name in CONTROLLERS]
         deadline = self.clock.now + ALL_KNOWN_S
         while missing and self.clock.now < deadline:
--- a/tests/test_job_api_states.py
+++ b/tests/test_job_api_states.py
@@ -95,7 +95,7 @@
         if what == "submit dependent":
             if dependency == job_id or dependency not in self.apis.accepted:
                 return
-            if self._depends_on(dependency, job_id) or job_id in self.apis.submitted:
+            if job_id in self.apis.needed_jobs(dependency) or job_id in self.apis.submitted:
                 return
             body = job_spec(job_id, waits_on=[dependency])
         elif what == "submit malformed":
@@ -104,10 +104,6 @@
             body = job_spec(job_id, cores=1e6)
         self.apis.ask(what.split()[0], job_id, name, body)
 
-    def _depends_on(self, job_id: str, other: str) -> bool:
-        direct = self.apis.dependencies.get(job_id, ())
-        return any(job == other or self._depends_on(job, other) for job in direct)
-
     @rule(name=names)
     def users_ask_for_a_job_nobody_submitted(self, name: str) -> None:
         for what in ("poll", "cancel"):
