--- a/review/standins/cluster.py
+++ b/review/standins/cluster.py
@@ -149,9 +149,7 @@
 
     async def __aenter__(self) -> Cluster:
         """Start everything and wait until all controllers are ready."""
-        for number in range(self.plan.controllers):
-            path = self.folder / f"{self.names[number]}.toml"
-            path.write_text(to_toml(self._settings(number)))
+        self.write_settings()
         for server in [*self.state.servers, self.cloud.server]:
             await self.scope.spawn(server.run)
         for number, (type_name, zone) in enumerate(self.plan.machines):
@@ -167,6 +165,12 @@
         self.record.write("all controllers are ready")
         return self
 
+    def write_settings(self) -> None:
+        """Write the controllers' settings files, which a controller reads when it starts."""
+        for number in range(self.plan.controllers):
+            path = self.folder / f"{self.names[number]}.toml"
+            path.write_text(to_toml(self._settings(number)))
+
     async def __aexit__(self, *_: object) -> None:
         """End all processes and remove the files."""
         self.down.update(range(self.plan.controllers))
@@ -210,11 +214,7 @@
                 "teams": plan.teams,
                 "objectives": plan.objectives,
                 "workers": wire.to_builtins(plan.workers),
-                "state": {
-                    name: value
-                    for name, value in wire.to_builtins(plan.limits).items()
-                    if value is not None
-                },
+                "state": _without_none(wire.to_builtins(plan.limits)),
                 "cloud": {"rps": plan.cloud_rps, "list_lag_s": plan.list_lag_s},
                 "machine_limits": {
                     "cpu": plan.cpu,
@@ -240,15 +240,16 @@
                 stderr=log,
             )
 
+    async def is_ready(self, number: int) -> bool:
+        """Whether a controller answers that it is ready."""
+        try:
+            response = await self.client.request(self.listen[number], "GET", "/ready", b"", 1.0)
+        except (RequestNotSentError, NoResponseError):
+            return False
+        return response.status == OK
+
     async def _all_ready(self) -> bool:
-        for address in self.listen:
-            try:
-                response = await self.client.request(address, "GET", "/ready", b"", 1.0)
-            except (RequestNotSentError, NoResponseError):
-                return False
-            if response.status != OK:
-                return False
-        return True
+        return all([await self.is_ready(number) for number in range(self.plan.controllers)])
 
     # ---- ticks -------------------------------------------------------------------------
 
@@ -357,6 +358,15 @@
         )
 
 
+def _without_none(table: dict[str, Any]) -> dict[str, Any]:
+    """The table without the fields that are not set, which TOML can't express."""
+    return {
+        name: _without_none(value) if isinstance(value, dict) else value
+        for name, value in table.items()
+        if value is not None
+    }
+
+
 def default_outcome(_host: str, _name: str, spec: JobSpec) -> TaskOutcome:
     """A task runs as long as its owner expects; a replica until it is stopped."""
     return TaskOutcome(float("inf") if spec.kind == wire.SERVICE else spec.expected_runtime_s)
--- a/review/standins/users.py
+++ b/review/standins/users.py
@@ -38,14 +38,19 @@
         self.record = cluster.record
 
     async def ask(
-        self, number: int, method: str, path: str, body: object = None
+        self,
+        number: int,
+        method: str,
+        path: str,
+        body: object = None,
+        timeout_s: float = ANSWER_TIMEOUT_S,
     ) -> tuple[int, dict[str, Any]]:
         """Send one request to one node; the status is 0 if there is no answer."""
         data = b"" if body is None else wire.encode(body)
         address = self.cluster.listen[number]
         try:
             response = await self.cluster.client.request(
-                address, method, path, data, ANSWER_TIMEOUT_S
+                address, method, path, data, timeout_s
             )
         except (RequestNotSentError, NoResponseError):
             return 0, {}
