--- a/review/1/case.py
+++ b/review/1/case.py
@@ -147,7 +147,7 @@
             await curio.sleep(POLL_PAUSE_S)
         status, answer = await people.request("GET", f"/v1/graphs/{GRAPH}")
         record.write(f"{status} {answer}")
-        if not any(wire.DONE == phase for phase in observer.told.values()):
+        if not any(phase == wire.DONE for phase in observer.told.values()):
             message = "nothing was done"
             raise users.NotRunError(message)
         return observer.broken
--- a/review/standins/cluster.py
+++ b/review/standins/cluster.py
@@ -23,8 +23,8 @@
 from typing import Any
 
 import curio
-from standins.record import Record
 
+from standins.record import Record
 from umberward.core.settings import StateLimits, WorkerTimes
 from umberward.core.tasks import TaskScope
 from umberward.core.types import Address
--- a/review/standins/users.py
+++ b/review/standins/users.py
@@ -13,9 +13,9 @@
 
 import curio
 import msgspec
+
 from standins.cluster import Cluster, NotRunError
 from standins.record import Record
-
 from umberward.core import event_loop
 from umberward.protocol import wire
 from umberward.protocol.http import NoResponseError, RequestNotSentError
@@ -49,9 +49,7 @@
         data = b"" if body is None else wire.encode(body)
         address = self.cluster.listen[number]
         try:
-            response = await self.cluster.client.request(
-                address, method, path, data, timeout_s
-            )
+            response = await self.cluster.client.request(address, method, path, data, timeout_s)
         except (RequestNotSentError, NoResponseError):
             return 0, {}
         answer = msgspec.msgpack.decode(response.body) if response.body else {}
@@ -134,5 +132,5 @@
         record.write(f"not run: {traceback.format_exc()}")
     record.write(("the rule held", "the rule was broken", "the case could not run")[status])
     record.close()
-    print(*record.lines[-4:], sep="\n")  # noqa: T201 - for the person who runs it
+    print(*record.lines[-4:], sep="\n")
     sys.exit(status)
