--- a/review/1/case.py
+++ b/review/1/case.py
@@ -84,9 +84,11 @@
     cluster = Cluster(PLAN, record)
     people = Users(cluster)
     # The cloud has no further machines, with the disruption and without it.
-    cluster.cloud.core.capacity = {
-        CapacityPool("sampaguita", zone, spot): 0 for zone in PLAN.zones for spot in (True, False)
-    }
+    for name, zone in PLAN.machines:
+        for spot in (True, False):
+            pool = CapacityPool(name, zone, spot)
+            count = 0 if spot else PLAN.machines.count((name, zone))
+            cluster.cloud.core.capacity[pool] = count
 
     def outcome(host: str, task: str, spec: JobSpec) -> TaskOutcome:
         if with_trouble and task.startswith(MISTAKEN):
