--- a/review/1/case.py
+++ b/review/1/case.py
@@ -36,9 +36,8 @@
 )
 FAILING_RUN_S = 1.0
 SETTLED_S = 2.0  # until the portal's replicas run
-SOUND = (
-    24  # arrays of the class without a mistake, before the one that may have it: one of 25 is 4%
-)
+SOUND = 24  # arrays before the one that may have a mistake, which is 4% of them
+SOUND_RUN_S = 0.5
 SOUND_WITHIN_S = 20.0
 BEFORE_CANCEL_S = 6.0  # from the mistaken job's submission to its user's request to cancel it
 MAX_WAIT_S = 90.0  # for which no job is left waiting while a machine has room
