Soak: controllers of two builds beside each other

Cause: which build had answered in the incident could only be inferred; a trial with two builds was done by hand on a scratch copy. Each broken rule names the build that answered, sent or led, and summaries count by build. Properties that are off are not written, as older builds refuse those they do not know.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import copy
 import os
 import signal
 import socket
@@ -10,6 +11,7 @@
 import sys
 import time
 from pathlib import Path
+from typing import Any
 
 import curio
 import msgspec
@@ -21,12 +23,18 @@
 from umberward.core.settings import TeamQuota
 from umberward.local.links import HELD, LinkFault
 from umberward.soak import plan
-from umberward.soak.checker import MAX_START_AFTER_CANCEL_S, STARVATION_LIMIT_S, Checker
+from umberward.soak.checker import (
+    MAX_START_AFTER_CANCEL_S,
+    STARVATION_LIMIT_S,
+    Checker,
+    Violation,
+)
 from umberward.soak.cluster import SoakCluster
 from umberward.soak.history import (
     Answered,
     CancelAsked,
     Event,
+    LeaderChanged,
     MachineGone,
     MachineStill,
     MachineUp,
@@ -44,6 +52,11 @@
 
 def broken_rules(*events: Event, until: float = 0.0, faults_over: bool = False) -> list[str]:
     """The names of the rules that the history violates, without duplicates."""
+    return sorted({broken.rule for broken in violations(*events, until=until, over=faults_over)})
+
+
+def violations(*events: Event, until: float = 0.0, over: bool = False) -> list[Violation]:
+    """The violations in the history; `over`: whether all faults are over at its end."""
     checker = Checker([TeamQuota("red", cpus_max=4.0), TeamQuota("blue")], CANCEL_S)
     for event in (
         machine_up("m1"),
@@ -53,11 +66,11 @@
     ):
         checker.observe(event)
         checker.check_deadlines(event.at)
-    if faults_over:
+    if over:
         checker.check_waiting_jobs(events[-1].at)
         checker.check_waiting_jobs(until)
     checker.check_deadlines(until)
-    return sorted({broken.rule for broken in checker.violations})
+    return checker.violations
 
 
 def machine_up(host: str, zone: str = "a", spot: bool = False) -> MachineUp:
@@ -223,6 +236,19 @@
     assert broken_rules(*events, until=events[-1].at) == [rule]
 
 
+@pytest.mark.parametrize("what", VIOLATING_HISTORIES)
+def test_each_violation_names_the_build_that_answered_or_acted(what: str) -> None:
+    """That of an answer, of the sender of a start, of a process that ended, or the leader's."""
+    rule, events = VIOLATING_HISTORIES[what]
+    history: list[Any] = [LeaderChanged(0.5, "keeper-0", 7), *copy.deepcopy(events)]
+    with_build = [event for event in history if "build" in event.__struct_fields__]
+    for event in with_build[1:-1]:
+        event.build = "other"
+    with_build[0].build = with_build[-1].build = "responsible"
+    found = violations(*history, until=events[-1].at)
+    assert [(broken.rule, broken.build) for broken in found] == [(rule, "responsible")]
+
+
 def test_job_waiting_beside_free_machine_is_detected() -> None:
     until = ACCEPTED[-1].at + STARVATION_LIMIT_S + 1.0
     assert broken_rules(*ACCEPTED, until=until, faults_over=True) == ["left_waiting"]
@@ -240,6 +266,17 @@
     assert drawn_kinds == set(plan.FaultKind)
 
 
+def test_same_seed_draws_same_upgrade_of_each_controller_in_either_direction() -> None:
+    size = plan.size_by_name("small")
+    drawn = [plan.draw_plan(seed, size, list(plan.FaultKind)).roll for seed in range(40)]
+    assert drawn == [plan.draw_plan(seed, size, []).roll for seed in range(40)]
+    assert {roll.to_beside for roll in drawn} == {False, True}
+    for roll in drawn:
+        assert sorted(turn.controller for turn in roll.turns) == [0, 1, 2]
+        times = [turn.at_s for turn in roll.turns]
+        assert times == sorted(times) and times[-1] < size.seconds
+
+
 @pytest.mark.parametrize(
     ("arguments", "option"),
     [
@@ -247,6 +284,7 @@
         (["--seeds", "5-1"], "--seeds"),
         (["--size", "huge"], "--size"),
         (["--fault", "rain"], "--fault"),
+        (["--beside", "no-such-commit"], "--beside"),
     ],
 )
 def test_invalid_option_exits_with_status_2(arguments: list[str], option: str) -> None:
@@ -350,3 +388,13 @@
     assert result.exit_code == 0, result.output
     (found,) = msgspec.json.decode(report.read_bytes())
     assert found["starts"] > 20 and found["cancellations"] > 5 and not found["broken"]
+
+
+def test_short_soak_of_an_upgrade_between_equal_builds_has_no_violation(tmp_path: Path) -> None:
+    report = tmp_path / "soak.json"
+    options = ["--seeds", "2", "--size", "short", "--beside", "HEAD", "--report", str(report)]
+    result = CliRunner().invoke(cli.main, ["soak", *options])
+    assert result.exit_code == 0, result.output
+    (found,) = msgspec.json.decode(report.read_bytes())
+    assert len(found["builds"]) == 2 and not found["broken"]
+    assert found["kills"] >= plan.CONTROLLER_COUNT and found["starts"] > 20
--- a/umberward/local/cluster.py
+++ b/umberward/local/cluster.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import contextlib
-import os
 import random
 import shutil
 import socket
@@ -30,6 +29,8 @@
 from umberward.core.tasks import TaskScope
 from umberward.core.types import Address
 from umberward.graphs import records
+from umberward.local.builds import ControllerBuild, current_build
+from umberward.local.child import child_command
 from umberward.local.cloud_server import CloudServer
 from umberward.local.cloudcore import CloudCore, Machine
 from umberward.local.cluster_plan import ClusterPlan as ClusterPlan
@@ -94,6 +95,9 @@
         self.controller_names = [f"keeper-{number}" for number in range(plan.controllers)]
         self.controller_addresses = dict(zip(self.controller_names, self.listen, strict=True))
         self.controller_processes: list[subprocess.Popen[bytes] | None] = [None] * plan.controllers
+        # The build of each controller's process, and the one that it is started with next.
+        self.running_builds = [current_build()] * plan.controllers
+        self.next_builds = list(self.running_builds)
         self.start_at = [0.0] * plan.controllers
         self.restart_delays_s = [RESTART_DELAY_S] * plan.controllers
         self.shared_tasks = SharedTaskState()
@@ -147,7 +151,8 @@
         for number in range(self.plan.controllers):
             path = self.folder / f"{self.controller_names[number]}.toml"
             path.write_text(tomli_w.dumps(self._settings(number)))
-        graphs = {"graphs.enabled": str(self.plan.graphs).lower()}
+        # Builds from before a property was added refuse it.
+        graphs = {"graphs.enabled": "true"} if self.plan.graphs else {}
         properties = {**graphs, **self.plan.properties}
         (self.folder / "own.properties").write_text(javaproperties.dumps(properties))
 
@@ -267,12 +272,11 @@
 
     def _start_controller(self, number: int) -> subprocess.Popen[bytes]:
         name = self.controller_names[number]
+        build = self.running_builds[number] = self.next_builds[number]
         with (self.folder / f"{name}.log").open("ab") as log_file:
             return subprocess.Popen(
                 [
-                    sys.executable,
-                    "-m",
-                    "umberward.local.child",
+                    *child_command(),
                     "run",
                     "--config",
                     str(self.folder / f"{name}.toml"),
@@ -282,12 +286,12 @@
                 stdin=subprocess.PIPE,
                 stdout=log_file,
                 stderr=log_file,
-                env=self._environment(),
+                env=self._environment(build),
             )
 
-    def _environment(self) -> dict[str, str]:
+    def _environment(self, build: ControllerBuild) -> dict[str, str]:
         level = {"LOG_LEVEL": self.plan.log_level} if self.plan.log_level else {}
-        return {**os.environ, **level}
+        return {**build.environment(), **level}
 
     def _new_worker_core(self, machine: Machine, now: float) -> WorkerCore:
         return self.worker_core(
--- a/umberward/soak/checker.py
+++ b/umberward/soak/checker.py
@@ -22,12 +22,16 @@
 
 
 class Violation(NamedTuple):
-    """A violation of a rule; `job` is empty if no job is concerned."""
+    """A violation of a rule; `job` is empty if no job is concerned.
+
+    `build`: of the controller that answered or acted, or should have; empty if it is not known.
+    """
 
     at: float
     rule: str
     job: str
     detail: str
+    build: str = ""
 
 
 class RunningAttempt(NamedTuple):
@@ -63,6 +67,7 @@
         self.waiting_since: dict[str, float] = {}  # jobs that wait while a machine has room
         self.reported_waiting: set[str] = set()
         self.starts = 0
+        self.leader_build = ""
         # Starts after a confirmed cancellation, sent before it and after it.
         self.late_in_flight = 0
         self.late_sent_after = 0
@@ -87,8 +92,11 @@
             self.cancel_requested.add(event.job)
         elif isinstance(event, Answered):
             self._handle_answer(event)
+        elif isinstance(event, history.LeaderChanged):
+            self.leader_build = event.build
         elif isinstance(event, history.ProcessEnded) and not event.by_us:
-            self._report(event.at, "ended_by_itself", "", f"{event.controller}: {event.code}")
+            detail = f"{event.controller}: {event.code}"
+            self._report(event.at, "ended_by_itself", "", detail, event.build)
 
     def check_deadlines(self, now: float) -> None:
         """Check that the tasks of cancelled jobs end in time."""
@@ -101,15 +109,16 @@
             for task, host in self._tasks_of(job):
                 if host not in self.still and task not in self.reported_overdue:
                     self.reported_overdue.add(task)
-                    self._report(now, "ran_cancelled", job, f"{task} on {host}")
+                    detail = f"{task} on {host}"
+                    self._report(now, "ran_cancelled", job, detail, self.leader_build)
 
     def unfinished_jobs(self) -> list[str]:
         """Accepted jobs whose end has not been reported to a user yet."""
         return [job for job in self.accepted_at if job not in self.confirmed_ends]
 
-    def report_forgotten(self, now: float, job: str, controller: str) -> None:
+    def report_forgotten(self, now: float, job: str, controller: str, build: str) -> None:
         """Report that the controller answered no poll of the job in time after all faults."""
-        self._report(now, "forgotten", job, f"by {controller}, troubles over")
+        self._report(now, "forgotten", job, f"by {controller}, troubles over", build)
 
     def check_waiting_jobs(self, now: float) -> None:
         """Check that no job waits long while a machine has room. Call it only after all faults."""
@@ -118,12 +127,14 @@
         for job in self.unfinished_jobs():
             if self._makes_no_progress(self.jobs[job], now) and job not in self.reported_waiting:
                 self.reported_waiting.add(job)
-                self._report(now, "left_waiting", job, "its team's work stands still")
+                detail = "its team's work stands still"
+                self._report(now, "left_waiting", job, detail, self.leader_build)
             if self._could_start(self.jobs[job], used):
                 since = self.waiting_since.setdefault(job, now)
                 if now - since > STARVATION_LIMIT_S and job not in self.reported_waiting:
                     self.reported_waiting.add(job)
-                    self._report(now, "left_waiting", job, f"for {now - since:.0f} s beside room")
+                    detail = f"for {now - since:.0f} s beside room"
+                    self._report(now, "left_waiting", job, detail, self.leader_build)
             else:
                 self.waiting_since.pop(job, None)
 
@@ -183,21 +194,21 @@
         job = _job_of(event.task)
         started = (event.host, event.session, event.task, event.attempt)
         if started in self.started_attempts:
-            self._report(
-                event.at, "restarted", job, f"{event.task} attempt {event.attempt} on {event.host}"
-            )
+            detail = f"{event.task} attempt {event.attempt} on {event.host}"
+            self._report(event.at, "restarted", job, detail, event.build)
         self.started_attempts.add(started)
         alive = self.running_attempts.setdefault(event.task, [])
         for other in alive:
             there = f"{other.host} (attempt {other.attempt})"
             here = f"{event.host} (attempt {event.attempt})"
-            self._report(event.at, "ran_twice", job, f"{event.task} on {there}, started on {here}")
+            detail = f"{event.task} on {there}, started on {here}"
+            self._report(event.at, "ran_twice", job, detail, event.build)
         alive.append(RunningAttempt(event.host, event.attempt))
         self.tasks_on.setdefault(event.host, set()).add(event.task)
         self._check_not_cancelled(event, job)
         spec = self.jobs.get(job)
         if spec is None or spec.why_unfit:
-            self._report(event.at, "invented", job, f"{event.task} starts")
+            self._report(event.at, "invented", job, f"{event.task} starts", event.build)
             return
         self.last_start_at[spec.owner] = event.at
         self._check_placement(event, spec)
@@ -212,7 +223,8 @@
             return
         self.late_sent_after += 1
         if event.sent_at > confirmed_at + MAX_START_AFTER_CANCEL_S:
-            self._report(event.at, "ran_cancelled", job, f"{event.task}, sent after cancellation")
+            detail = f"{event.task}, sent after cancellation"
+            self._report(event.at, "ran_cancelled", job, detail, event.build)
 
     def _check_placement(self, event: TaskStarted, spec: Submitted) -> None:
         machine = self.machines[event.host]
@@ -227,7 +239,7 @@
         elif spec.apart and zones.count(machine.zone) > (spec.shards + 1) // 2:
             wrong = "too many in one zone"
         if wrong:
-            self._report(event.at, "wrong_place", spec.job, f"{event.task} {wrong}")
+            self._report(event.at, "wrong_place", spec.job, f"{event.task} {wrong}", event.build)
 
     def _check_quota(self, event: TaskStarted, spec: Submitted) -> None:
         limit = self.teams[spec.owner].cpus_max if spec.owner in self.teams else 0.0
@@ -237,7 +249,7 @@
         if used > limit + CORES_TOLERANCE:
             tasks = " ".join(sorted(self._running_tasks_of_team(spec.owner)))
             detail = f"{spec.owner} uses {used:g} cores: {tasks}"
-            self._report(event.at, "quota", spec.job, detail)
+            self._report(event.at, "quota", spec.job, detail, event.build)
 
     def _handle_task_ended(self, event: TaskEnded) -> None:
         alive = self.running_attempts.get(event.task, [])
@@ -271,18 +283,18 @@
         known_before = self.accepted_at.get(event.job, event.at) < event.asked_at
         spec = self.jobs.get(event.job)
         if event.status == HTTPStatus.NOT_FOUND and known_before:
-            self._report(event.at, "forgotten", event.job, f"404 by {event.controller}")
+            self._report_answer(event, "forgotten", f"404 by {event.controller}")
         if event.status in (400, 422) and event.kind == "submit" and known_before:
-            self._report(event.at, "forgotten", event.job, f"{event.status} for a repeat")
+            self._report_answer(event, "forgotten", f"{event.status} for a repeat")
         if event.status not in (200, 201):
             return
         if spec is None:
-            self._report(event.at, "invented", event.job, f"{event.phase} by {event.controller}")
+            self._report_answer(event, "invented", f"{event.phase} by {event.controller}")
             return
         if event.kind == "submit":
             self.accepted_at.setdefault(event.job, event.at)
             if spec.why_unfit:
-                self._report(event.at, "accepted", event.job, spec.why_unfit)
+                self._report_answer(event, "accepted", spec.why_unfit)
         self._check_phase(event, spec)
 
     def _check_phase(self, event: Answered, spec: Submitted) -> None:
@@ -292,23 +304,22 @@
         if contradicts_end or (
             asked_after_end and (event.phase != final or event.status == HTTPStatus.CREATED)
         ):
-            self._report(
-                event.at,
-                "went_back",
-                event.job,
-                f"was {final}, is {event.phase} by {event.controller}",
-            )
+            detail = f"was {final}, is {event.phase} by {event.controller}"
+            self._report_answer(event, "went_back", detail)
         if event.phase == wire.CANCELLED and event.job not in self.cancel_requested:
-            self._report(event.at, "went_back", event.job, "cancelled by nobody")
+            self._report_answer(event, "went_back", "cancelled by nobody")
         # A gang is done as soon as one of its tasks is.
         needed = 1 if spec.shape == wire.GANG else spec.shards
         if event.phase == wire.DONE and len(self.completed_tasks.get(event.job, ())) < needed:
-            self._report(event.at, "not_done", event.job, f"done by {event.controller}")
+            self._report_answer(event, "not_done", f"done by {event.controller}")
         if event.phase in FINAL_PHASES and not final:
             self.confirmed_ends[event.job] = (event.phase, event.at)
 
-    def _report(self, at: float, rule: str, job: str, detail: str) -> None:
-        self.violations.append(Violation(round(at, 3), rule, job, detail))
+    def _report_answer(self, event: Answered, rule: str, detail: str) -> None:
+        self._report(event.at, rule, event.job, detail, event.build)
+
+    def _report(self, at: float, rule: str, job: str, detail: str, build: str) -> None:
+        self.violations.append(Violation(round(at, 3), rule, job, detail, build))
 
 
 def _job_of(task: str) -> str:
--- a/umberward/soak/cluster.py
+++ b/umberward/soak/cluster.py
@@ -5,6 +5,7 @@
 import contextlib
 import os
 import signal
+import subprocess
 import time
 from collections.abc import Callable
 from pathlib import Path
@@ -63,6 +64,7 @@
     record: Callable[[Event], None]
     clock: Callable[[], float]
     sent_at = 0.0  # when the command being carried out was sent
+    sent_by = ""  # the build of the controller that sent it
     still = False  # whether the machine hangs
 
     def tick(self, now: float) -> None:
@@ -83,7 +85,9 @@
         if name in running_before or task.cause in ("no_such", "in_use", "no_room"):
             return
         self.record(
-            history.TaskStarted(now, self.host, self.incarnation, name, attempt, self.sent_at)
+            history.TaskStarted(
+                now, self.host, self.incarnation, name, attempt, self.sent_at, self.sent_by
+            )
         )
         if task.has_ended:
             self.record(history.TaskEnded(now, self.host, name, attempt, str(task.cause)))
@@ -108,14 +112,19 @@
         core: SoakWorker,
         names: dict[Address, str],
         message_tasks: TaskScope,
+        build_of: Callable[[str], str],
     ) -> None:
-        """`message_tasks` owns messages in flight, which may arrive after the request timed out."""
+        """`message_tasks` owns messages in flight, which may arrive after the request timed out.
+
+        `build_of` returns the build that a controller runs now.
+        """
         self.client = client
         self.links = links
         self.core = core
         self.host = core.host
         self.names = names
         self.message_tasks = message_tasks
+        self.build_of = build_of
 
     async def request(
         self, address: Address, method: str, target: str, body: bytes, timeout: float
@@ -127,12 +136,14 @@
         responses: list[Response] = []
         failed: list[RequestNotSentError] = []
         responded_at: list[float] = []  # when the controller had responded
+        responded_by: list[str] = []  # its build
         settled = curio.Event()
 
         async def deliver() -> Response | None:
             try:
                 response = await self.client.request(address, method, target, body, timeout)
                 responded_at.append(self.core.clock())
+                responded_by.append(self.build_of(self.names[address]))
                 return response
             except RequestNotSentError as error:
                 failed.append(error)
@@ -159,6 +170,7 @@
         await curio.ignore_after(timeout, settled.wait)
         if responses:
             self.core.sent_at = responded_at[0]  # the worker handles the response at once
+            self.core.sent_by = responded_by[0]
             return responses[0]
         raise failed[0] if failed else NoResponseError(f"{method} {address}: no response")
 
@@ -306,7 +318,9 @@
             )
         )
         names = {address: name for name, address in self.controller_addresses.items()}
-        client: Any = FaultInjectingClient(self.client, self.links, core, names, self.task_scope)
+        client: Any = FaultInjectingClient(
+            self.client, self.links, core, names, self.task_scope, self.build_of
+        )
         worker = WorkerServer(
             core, self.controller_addresses, self.worker_times.report_s, client, self.rng
         )
@@ -323,18 +337,18 @@
         """
 
         async def handle(request: Request) -> Response:
-            sent_at = self.now()
+            src = self.controller_names[self.leader] if self.leader is not None else "keeper-?"
+            sent_at, sent_by = self.now(), self.build_of(src)
 
             async def deliver() -> Response | None:
                 if core.host not in self.workers:
                     return None
-                core.sent_at = sent_at
+                core.sent_at, core.sent_by = sent_at, sent_by
                 try:
                     return await handler(request)
                 finally:
                     core.sent_at = self.now()
 
-            src = self.controller_names[self.leader] if self.leader is not None else "keeper-?"
             response = await self.links.exchange(src, core.host, request.path, deliver)
             return response if response is not None else await _withhold_response()
 
@@ -387,10 +401,24 @@
         if child is not None and child.poll() is None:
             child.send_signal(signal.SIGSTOP if stopped else signal.SIGCONT)
 
+    def build_of(self, name: str) -> str:
+        """The build that a controller runs, or ran last; empty if there is no such controller."""
+        if name not in self.controller_names:
+            return ""
+        return self.running_builds[self.controller_names.index(name)].name
+
+    def _start_controller(self, number: int) -> subprocess.Popen[bytes]:
+        process = super()._start_controller(number)
+        name = self.controller_names[number]
+        self.record(history.ProcessStarted(self.now(), name, self.build_of(name)))
+        return process
+
     def _controller_exited(self, number: int, code: int) -> None:
         by_us = number in self.killed_controllers
         self.killed_controllers.discard(number)
-        self.record(history.ProcessEnded(self.now(), self.controller_names[number], code, by_us))
+        name = self.controller_names[number]
+        build = self.build_of(name)
+        self.record(history.ProcessEnded(self.now(), name, code, by_us, build))
 
     def observe(self) -> None:
         """Record a change of leader. Raises HarnessError if a worker's task has ended."""
@@ -399,7 +427,8 @@
             self.leader_token = leader_record.version
             self.takeovers += 1
             name = str(leader_record.data["node"])
-            self.record(history.LeaderChanged(self.now(), name, leader_record.version))
+            build = self.build_of(name)
+            self.record(history.LeaderChanged(self.now(), name, leader_record.version, build))
         for host, (_, task) in list(self.workers.items()):
             if task.terminated and host in self.workers:
                 raise HarnessError(f"the worker of {host} has ended: {task.exception!r}")
--- a/umberward/soak/history.py
+++ b/umberward/soak/history.py
@@ -14,7 +14,8 @@
 class TaskStarted(Event):
     """A worker has started an attempt of a task.
 
-    `sent_at`: when its command was sent, as closely as the receiver can tell.
+    `sent_at`: when its command was sent, as closely as the receiver can tell; `build`: of its
+    sender.
     """
 
     host: str
@@ -22,6 +23,7 @@
     task: str
     attempt: int
     sent_at: float
+    build: str = ""
 
 
 class TaskEnded(Event):
@@ -86,7 +88,8 @@
 class Answered(Event):
     """A user's request was answered or given up.
 
-    `kind`: submit, poll or cancel; `status`: 0 without a response; `phase`: if it is 200 or 201.
+    `kind`: submit, poll or cancel; `status`: 0 without a response; `phase`: if it is 200 or 201;
+    `build`: of the process that answered.
     """
 
     kind: str
@@ -95,6 +98,7 @@
     asked_at: float
     status: int
     phase: str = ""
+    build: str = ""
 
 
 class LeaderChanged(Event):
@@ -102,6 +106,7 @@
 
     controller: str
     token: int
+    build: str = ""
 
 
 class FaultBegan(Event):
@@ -112,12 +117,20 @@
     what: str
 
 
+class ProcessStarted(Event):
+    """A controller process has been started with this build."""
+
+    controller: str
+    build: str
+
+
 class ProcessEnded(Event):
     """A controller process has exited; `by_us`: the soak killed it."""
 
     controller: str
     code: int
     by_us: bool
+    build: str = ""
 
 
 def format_event(event: Event) -> str:
--- a/umberward/soak/plan.py
+++ b/umberward/soak/plan.py
@@ -19,6 +19,9 @@
 FAULT_DURATIONS_S = (0.05, 0.3, 1.0, 2.5, 6.0)  # of faults, and before a killed process restarts
 LONGEST_FAULT_S = 2.0 * WORKER_TIMES.lease_s
 KILLS_IN_SERIES = 3  # leaders killed one after another
+# Of the length of a run: ranges of the time of the first turn of a roll, and between two turns.
+FIRST_TURN_SHARES = (0.1, 0.3)
+TURN_INTERVAL_SHARES = (0.08, 0.25)
 
 
 class InvalidOptionError(Exception):
@@ -80,12 +83,28 @@
     machine_count: int
 
 
+class Turn(msgspec.Struct, frozen=True):
+    """A controller's restart with the other build. `at_s`: seconds after the start of the run."""
+
+    at_s: float
+    controller: int
+    restart_delay_s: float
+
+
+class Roll(msgspec.Struct, frozen=True):
+    """A planned upgrade; `to_beside`: from this build to the one beside it, or the reverse."""
+
+    to_beside: bool
+    turns: list[Turn]
+
+
 class Plan(msgspec.Struct, frozen=True):
     """The plan derived from one seed; the faults are sorted by time."""
 
     seed: int
     size: Size
     faults: list[Fault]
+    roll: Roll
 
 
 def fault_kinds_by_name(names: list[str]) -> list[FaultKind]:
@@ -119,4 +138,15 @@
                 Fault(round(at_s + rng.uniform(0.0, 2.0), 2), kind, duration_s, machine_count)
             )
         at_s += rng.uniform(2.0, 9.0)
-    return Plan(seed, size, sorted(faults, key=lambda fault: fault.at_s))
+    return Plan(seed, size, sorted(faults, key=lambda fault: fault.at_s), _draw_roll(seed, size))
+
+
+def _draw_roll(seed: int, size: Size) -> Roll:
+    """Draw the upgrade that a run with two builds makes; the faults do not depend on it."""
+    rng = random.Random(f"roll {seed}")
+    at_s = size.seconds * rng.uniform(*FIRST_TURN_SHARES)
+    turns: list[Turn] = []
+    for controller in rng.sample(range(CONTROLLER_COUNT), CONTROLLER_COUNT):
+        turns.append(Turn(round(at_s, 2), controller, rng.choice(FAULT_DURATIONS_S)))
+        at_s += size.seconds * rng.uniform(*TURN_INTERVAL_SHARES)
+    return Roll(rng.random() < 0.5, turns)  # noqa: PLR2004 - either direction
--- a/umberward/soak/runner.py
+++ b/umberward/soak/runner.py
@@ -8,17 +8,20 @@
 import shutil
 import tempfile
 import time
+from collections import Counter
 from http import HTTPStatus
 from pathlib import Path
 
 import curio
 import msgspec
 
+from umberward.local.builds import current_build
 from umberward.soak import history, plan
 from umberward.soak.checker import Checker, Violation
 from umberward.soak.cluster import SoakCluster, teams
 from umberward.soak.faults import FaultInjector
 from umberward.soak.history import Event
+from umberward.soak.upgrade import BuildPair, Upgrade
 from umberward.soak.users import Users
 
 CHECK_INTERVAL_S = 0.05
@@ -34,7 +37,8 @@
 
     `processor_s`: of all controller processes together; `memory_mb`: of the largest one;
     `late_in_flight`, `late_sent_after`: starts after a confirmed cancellation, sent before it and
-    after it.
+    after it; `builds`: those of the controllers, the first one first; `broken_by_build`: the number
+    of violations by the build that answered or acted.
     """
 
     seed: int
@@ -49,6 +53,8 @@
     late_sent_after: int
     unfinished: int
     broken: list[Violation]
+    builds: list[str]
+    broken_by_build: dict[str, int]
     processor_s: float
     memory_mb: float
     seconds: float
@@ -58,13 +64,18 @@
 class SoakRun:
     """The run of one plan."""
 
-    def __init__(self, soak_plan: plan.Plan, keep: Path | None = None) -> None:
+    def __init__(
+        self, soak_plan: plan.Plan, keep: Path | None = None, builds: BuildPair | None = None
+    ) -> None:
         """Start nothing yet.
 
-        `keep`: if a rule is broken, where to keep all events and the controllers' logs.
+        `keep`: if a rule is broken, where to keep all events and the controllers' logs. `builds`:
+        the controllers are upgraded from one to the other during the run; None: all run this one.
         """
         self.soak_plan = soak_plan
         self.keep = keep
+        self.builds = builds
+        self.upgrade: Upgrade | None = None
         self.checker = Checker(teams(soak_plan.size), plan.WORKER_TIMES.cancel_s)
         self.events: list[Event] = []
         self.kills = 0
@@ -79,6 +90,8 @@
         folder = Path(tempfile.mkdtemp(prefix="umberward-soak-"))
         cluster = SoakCluster(SoakCluster.local_plan(self.soak_plan), folder)
         cluster.record = self._record
+        if self.builds is not None:
+            self.upgrade = Upgrade(cluster, self.soak_plan.roll, self.builds)
         try:
             try:
                 async with cluster.task_scope:
@@ -115,8 +128,12 @@
         self, cluster: SoakCluster, users: Users, fault_injector: FaultInjector
     ) -> None:
         submitting = await cluster.task_scope.spawn(users.run, self.soak_plan.size.seconds)
+        if self.upgrade is not None:
+            upgrading = await cluster.task_scope.spawn(self.upgrade.run)
         await fault_injector.run(self.soak_plan.faults)
         await submitting.join()
+        if self.upgrade is not None:
+            await upgrading.join()
         await fault_injector.end_all()
         await self._drain(cluster, users)
 
@@ -137,7 +154,7 @@
                 (job, name) for job, name in unconfirmed if await self._is_unknown(users, job, name)
             ]
         for job, name in unconfirmed:
-            self.checker.report_forgotten(cluster.now(), job, name)
+            self.checker.report_forgotten(cluster.now(), job, name, cluster.build_of(name))
         await users.cancel_services()
         while self.checker.unfinished_jobs() and cluster.now() < faults_over_at + MAX_DRAIN_S:
             for job in self.checker.unfinished_jobs():
@@ -155,7 +172,8 @@
         """Write the violations and all events to `kept`, with the files of the controllers."""
         shutil.copytree(folder, kept, dirs_exist_ok=True)
         lines = [
-            f"{found.at:.3f} {found.rule}: {found.detail}" for found in self.checker.violations
+            f"{found.at:.3f} {found.rule}: {found.detail} [{found.build}]"
+            for found in self.checker.violations
         ]
         lines += [history.format_event(event) for event in self.events]
         (kept / EVENTS_FILE).write_text("\n".join(lines) + "\n")
@@ -176,6 +194,8 @@
             late_sent_after=self.checker.late_sent_after,
             unfinished=self.unfinished,
             broken=self.checker.violations,
+            builds=[build.name for build in self.builds or [current_build()]],
+            broken_by_build=dict(Counter(found.build for found in self.checker.violations)),
             processor_s=round(usage.ru_utime + usage.ru_stime, 1),
             memory_mb=round(usage.ru_maxrss / KIB_PER_MIB, 1),
             seconds=round(seconds, 1),
@@ -185,7 +205,12 @@
     def _timeline(self, cluster: SoakCluster, folder: Path) -> list[str]:
         """Events and log lines about the job of the first violation, with faults and leaders."""
         broken = self.checker.violations[0]
-        always_shown = (history.FaultBegan, history.LeaderChanged, history.ProcessEnded)
+        always_shown = (
+            history.FaultBegan,
+            history.LeaderChanged,
+            history.ProcessStarted,
+            history.ProcessEnded,
+        )
         events = [
             history.format_event(event)
             for event in self.events
@@ -193,7 +218,7 @@
             and (isinstance(event, always_shown) or _is_about(event, broken.job))
         ]
         lines = [
-            f"{broken.at:.3f} {broken.rule}: {broken.job} {broken.detail}",
+            f"{broken.at:.3f} {broken.rule}: {broken.job} {broken.detail} [{broken.build}]",
             *events[-MAX_TIMELINE_LINES:],
         ]
         for name in cluster.controller_names:
--- a/umberward/soak/users.py
+++ b/umberward/soak/users.py
@@ -142,6 +142,7 @@
             "cancel": ("POST", f"/v1/jobs/{job}/cancel", SUBMIT_TIMEOUT_S),
         }[kind]
         asked_at = self.cluster.now()
+        asked_build = self.cluster.build_of(name)
         status, phase = 0, ""
         try:
             response = await self.client.request(
@@ -152,7 +153,12 @@
                 phase = msgspec.msgpack.decode(response.body)["phase"]
         except (RequestNotSentError, NoResponseError):
             pass
-        answer = history.Answered(self.cluster.now(), kind, job, name, asked_at, status, phase)
+        build = self.cluster.build_of(name)
+        if build != asked_build:
+            build = f"{asked_build} or {build}"  # it was restarted in between
+        answer = history.Answered(
+            self.cluster.now(), kind, job, name, asked_at, status, phase, build
+        )
         self.cluster.record(answer)
         if phase in (wire.DONE, wire.CANCELLED) and self.live_jobs.pop(job, None) is not None:
             self.ended_jobs.append(job)
