Upgrade from the production version: a test that is red for the forgotten job

What callers saw: an accepted, cancelled job was answered with 404 once during an upgrade. Cause: the version recorded as `production` takes a lookup in progress for its result. The code runs as real processes, taken from the history, beside this version's controllers.

--- /dev/null
+++ b/tests/test_upgrade.py
@@ -0,0 +1,169 @@
+"""An upgrade from the production version: both versions as real processes on one state service."""
+
+from __future__ import annotations
+
+import itertools
+from http import HTTPStatus
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import curio
+import msgspec
+import pytest
+
+from umberward.core import event_loop
+from umberward.local.builds import (
+    ControllerBuild,
+    current_build,
+    export_build,
+    production_commit,
+    repository_root,
+)
+from umberward.local.links import LATE, LinkFault
+from umberward.protocol import wire
+from umberward.soak import plan
+from umberward.soak.cluster import STATE, SoakCluster
+
+ASKED, OTHER = 0, 1  # controllers: the one that is restarted and asked, and one that cancels
+REQUEST_KINDS = ("poll", "cancel", "submit")
+LOOKUP_S = 0.3  # of a final record by the controller that is asked
+GAP_S = 0.01  # between two requests for the same job
+REQUEST_TIMEOUT_S = 5.0
+READY_TIMEOUT_S = 30.0
+READY_POLL_S = 0.05
+
+# A version that takes a lookup in progress for its result, and the changes that mend it.
+FAULTY_COMMIT = "e3e27d45fba9c421791ba7becade9d7c9039dc79"
+MENDED_FILE = "umberward/mirror.py"
+MEND = {
+    "self.absent: OrderedDict[JobId, None]": "self.absent: OrderedDict[JobId, bool]",
+    "found is None and id not in self.absent": "found is None and not self.absent.get(id)",
+    "        self.absent[id] = None\n": "        self.absent[id] = False\n",
+    "        if past is None:\n": "        if past is None:\n            self.absent[id] = True\n",
+}
+
+
+class Answers(NamedTuple):
+    """The answers to two overlapping requests for one job that was cancelled."""
+
+    kinds: tuple[str, str]
+    found: list[tuple[int, str]]  # status and phase of each
+    build: str  # of the controller that answered
+
+    @property
+    def are_right(self) -> bool:
+        return self.found == [(HTTPStatus.OK, wire.CANCELLED)] * 2
+
+
+class UpgradedCluster:
+    """Controllers of this version, but for the one that is asked."""
+
+    def __init__(self, build: ControllerBuild, folder: Path) -> None:
+        soak_plan = plan.draw_plan(1, plan.size_by_name("short"), [])
+        self.cluster = SoakCluster(SoakCluster.local_plan(soak_plan), folder)
+        self.cluster.next_builds[ASKED] = build
+
+    async def ask_about_ended_jobs(self) -> list[Answers]:
+        """Ask a controller that was restarted after the jobs had ended."""
+        pairs = list(itertools.product(REQUEST_KINDS, repeat=2))
+        jobs = [f"req-{number:06d}" for number in range(len(pairs))]
+        try:
+            async with self.cluster.task_scope:
+                await self.cluster._start()
+                for job in jobs:
+                    assert await self._request("submit", job, OTHER) == (201, wire.PENDING)
+                    assert await self._request("cancel", job, OTHER) == (200, wire.CANCELLED)
+                await self._restart()
+                name = self.cluster.controller_names[ASKED]
+                self.cluster.links.faults["slow lookups"] = LinkFault(
+                    STATE, name, LATE, f"/kv/{wire.FINAL_JOBS_PREFIX}", LOOKUP_S, LOOKUP_S
+                )
+                return [
+                    Answers(kinds, await self._ask_twice(kinds, job), self.cluster.build_of(name))
+                    for kinds, job in zip(pairs, jobs, strict=True)
+                ]
+        finally:
+            self.cluster._stop_processes()
+
+    async def _restart(self) -> None:
+        process = self.cluster.controller_processes[ASKED]
+        self.cluster.kill_controller(ASKED, 0.0)
+        async with curio.timeout_after(READY_TIMEOUT_S):
+            while self.cluster.controller_processes[ASKED] in (process, None):
+                await curio.sleep(READY_POLL_S)
+            while not await self.cluster._ready():
+                await curio.sleep(READY_POLL_S)
+
+    async def _ask_twice(self, kinds: tuple[str, str], job: str) -> list[tuple[int, str]]:
+        async with curio.TaskGroup() as requests:
+            for kind in kinds:
+                await requests.spawn(self._request, kind, job, ASKED)
+                await curio.sleep(GAP_S)
+        return list(requests.results)
+
+    async def _request(self, kind: str, job: str, controller: int) -> tuple[int, str]:
+        method, target, body = {
+            "submit": ("POST", "/v1/jobs", wire.encode(_job(job))),
+            "poll": ("GET", f"/v1/jobs/{job}", b""),
+            "cancel": ("POST", f"/v1/jobs/{job}/cancel", b""),
+        }[kind]
+        response = await self.cluster.client.request(
+            self.cluster.listen[controller], method, target, body, REQUEST_TIMEOUT_S
+        )
+        if response.status not in (HTTPStatus.OK, HTTPStatus.CREATED):
+            return response.status, ""
+        return response.status, msgspec.msgpack.decode(response.body)["phase"]
+
+
+def _job(job: str) -> dict[str, Any]:
+    """An array that fits no machine that is up: it waits until it is cancelled."""
+    amounts = {"cores": 4.0, "accelerators": 0.0, "mem_gb": 1.0, "pull_gb": 0.0, "expect_s": 5.0}
+    checkpoints = {"snapshot_every_s": 0.0, "snapshot_cost_s": 0.0}
+    place = {"same_place": False, "apart": False, "reclaimable": False}
+    names = {"uid": job, "jobclass": "batch", "owner": "blue", "bundle": "img-1"}
+    return {
+        **names, **amounts, **checkpoints, **place,
+        "shape": wire.ARRAY, "rank": "normal", "shards": 1,
+    }  # fmt: skip
+
+
+@pytest.fixture(scope="module")
+def production_build(tmp_path_factory: pytest.TempPathFactory) -> ControllerBuild:
+    repository = repository_root()
+    folder = tmp_path_factory.mktemp("production")
+    return export_build(production_commit(repository), repository, folder)
+
+
+@pytest.fixture(scope="module")
+def mended_build(tmp_path_factory: pytest.TempPathFactory) -> ControllerBuild:
+    build = export_build(FAULTY_COMMIT, repository_root(), tmp_path_factory.mktemp("mended"))
+    assert build.folder is not None
+    path = build.folder / MENDED_FILE
+    text = path.read_text()
+    for faulty, mended in MEND.items():
+        assert text.count(faulty) == 1
+        text = text.replace(faulty, mended)
+    path.write_text(text)
+    return build._replace(name=f"{build.name} mended")
+
+
+def wrong_answers(build: ControllerBuild, folder: Path) -> list[Answers]:
+    answers: list[Answers] = event_loop.run(UpgradedCluster(build, folder).ask_about_ended_jobs)
+    assert len(answers) == len(REQUEST_KINDS) ** 2
+    return [answer for answer in answers if not answer.are_right]
+
+
+def test_production_version_beside_this_one_forgets_no_ended_job(
+    production_build: ControllerBuild, tmp_path: Path
+) -> None:
+    assert wrong_answers(production_build, tmp_path) == []
+
+
+def test_production_version_with_the_mend_beside_this_one_forgets_no_ended_job(
+    mended_build: ControllerBuild, tmp_path: Path
+) -> None:
+    assert wrong_answers(mended_build, tmp_path) == []
+
+
+def test_this_version_forgets_no_ended_job(tmp_path: Path) -> None:
+    assert wrong_answers(current_build(), tmp_path) == []
