A graph that is accepted while it is cancelled is cancelled

What callers saw: the cancellation of a graph whose last part was being accepted was answered 200 with the phase `pending`, and the graph ran on. Cause: "no live record, no opening record" was taken for "it has ended", from two reads between which the acceptance moved the graph from one record to the other. Fix: only a stored end answers a cancellation; a graph that turns out to be live is cancelled by the next attempt.

--- /dev/null
+++ b/tests/test_graph_api.py
@@ -0,0 +1,75 @@
+"""Requests for graphs that overlap with their acceptance."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import curio
+import msgspec
+import pytest
+from simulated_graphs import SimulatedGraphCluster
+
+from umberward.core.types import Key, Revision
+from umberward.graphs.model import Options, Task
+from umberward.graphs.records import CANCELLED
+from umberward.protocol import wire
+from umberward.protocol.http import Response
+from umberward.protocol.transactions import VersionedValue
+
+GRAPH, OPTIONS = "graph-1", Options(team="red")
+TASKS = [Task("a", []), Task("b", ["a"])]
+MAX_REQUESTS = 9  # more than a cancellation sends to the state service
+
+
+class InterruptedStore:
+    """A client of the state service that does something else before its request `number`."""
+
+    def __init__(self, store: Any, number: int, action: Callable[[], Awaitable[None]]) -> None:
+        self._store = store
+        self._remaining = number
+        self._action = action
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._store, name)
+
+    async def get(self, key: Key, **more: Any) -> VersionedValue | None:
+        await self._count()
+        found: VersionedValue | None = await self._store.get(key, **more)
+        return found
+
+    async def commit(self, conditions: Any, writes: Any, **more: Any) -> Revision:
+        await self._count()
+        revision: Revision = await self._store.commit(conditions, writes, **more)
+        return revision
+
+    async def _count(self) -> None:
+        self._remaining -= 1
+        if self._remaining == -1:
+            await self._action()
+
+
+def phase(response: Response) -> str:
+    assert response.status in (200, 201), response
+    found: str = msgspec.msgpack.decode(response.body)["phase"]
+    return found
+
+
+@pytest.mark.parametrize("number", range(MAX_REQUESTS))
+def test_cancellation_that_overlaps_with_the_acceptance_is_not_answered_as_live(
+    number: int,
+) -> None:
+    """The last part is accepted before one of the requests that the cancellation sends."""
+    cluster = SimulatedGraphCluster()
+    first, last = cluster.split(GRAPH, OPTIONS, TASKS, 2)
+    assert cluster.ask("POST", "", first).status == 202
+
+    async def accept() -> None:
+        await cluster.new_graph_api().serve("POST", "", "", wire.encode(last))
+
+    api = cluster.new_graph_api()
+    interrupted = InterruptedStore(cluster.store, number, accept)
+    api._store = api._reader.store = interrupted  # type: ignore[assignment]
+    assert phase(curio.run(api.serve, "POST", f"/{GRAPH}/cancel", "", b"")) == CANCELLED
+    assert phase(cluster.ask("GET", f"/{GRAPH}")) == CANCELLED
+    assert phase(cluster.ask("POST", "", last)) == CANCELLED
--- a/umberward/graphs/graph_api.py
+++ b/umberward/graphs/graph_api.py
@@ -147,7 +147,10 @@
             if entry is None:
                 if await self._cancel_incomplete(graph_id):
                     continue
-                return await self.poll(graph_id)  # it has ended or does not exist
+                stored = await self._reader.find(graph_id)
+                if stored.end is None:
+                    continue  # its last part has been accepted since the live record was read
+                return Response(200, wire.encode(await self._summarize(graph_id, stored)))
             record = wire.convert(entry.data, GraphRecord)
             end = EndRecord(records.CANCELLED, record, round(self._wall(), 3))
             writes = [
