A malformed repeat of an accepted graph gets its state

What callers saw: a repeated submission of an accepted graph with a malformed body, or with a team that is not known, was answered 400 or 422, where an accepted job gets its state. Cause: the refusal was concluded from the body alone, before anything was read. Graphs that are unknown or incomplete are refused as before. Fix: a refused body's id is looked up first, as for jobs; while it can't be read, the answer is 503. The id is read from the body by one function for jobs and graphs.

--- a/tests/test_graph_api.py
+++ b/tests/test_graph_api.py
@@ -1,4 +1,4 @@
-"""Requests for graphs that overlap with their acceptance."""
+"""Requests for graphs that overlap with their acceptance, and malformed repeats of submissions."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 from simulated_graphs import SimulatedGraphCluster
 
 from umberward.core.types import Key, Revision
-from umberward.graphs.model import Options, Task
+from umberward.graphs.model import Options, Part, Task
 from umberward.graphs.records import CANCELLED
 from umberward.protocol import wire
 from umberward.protocol.http import Response
@@ -73,3 +73,46 @@
     assert phase(curio.run(api.serve, "POST", f"/{GRAPH}/cancel", "", b"")) == CANCELLED
     assert phase(cluster.ask("GET", f"/{GRAPH}")) == CANCELLED
     assert phase(cluster.ask("POST", "", last)) == CANCELLED
+
+
+MALFORMED: dict[str, dict[str, Any]] = {
+    "field of another type": {"tasks": 7},
+    "part out of range": {"part": 3},
+    "not a number": {"options": {"team": "red", "due_s": float("nan")}},
+    "unknown team": {"options": {"team": "green"}},
+}
+
+
+def malformed_body(what: str, graph: str = GRAPH) -> dict[str, Any]:
+    body: dict[str, Any] = wire.to_builtins(Part(graph, OPTIONS, TASKS, 0, 1))
+    return body | MALFORMED[what]
+
+
+@pytest.mark.parametrize("what", MALFORMED)
+@pytest.mark.parametrize("cancelled", [False, True])
+def test_malformed_repeat_of_an_accepted_graph_gets_its_state(what: str, cancelled: bool) -> None:
+    cluster = SimulatedGraphCluster()
+    assert cluster.send(GRAPH, OPTIONS, TASKS).status == 201
+    if cancelled:
+        assert phase(cluster.ask("POST", f"/{GRAPH}/cancel")) == CANCELLED
+    repeated = cluster.ask("POST", "", malformed_body(what))
+    assert phase(repeated) == (CANCELLED if cancelled else "pending")
+    without_zeros = cluster.ask("POST", "", malformed_body(what, "graph-01"))
+    assert phase(without_zeros) == phase(repeated)
+
+
+@pytest.mark.parametrize("what", MALFORMED)
+def test_malformed_submission_of_an_unknown_or_incomplete_graph_is_refused(what: str) -> None:
+    cluster = SimulatedGraphCluster()
+    refused = 422 if what == "unknown team" else 400
+    assert cluster.ask("POST", "", malformed_body(what)).status == refused
+    assert cluster.ask("POST", "", cluster.split(GRAPH, OPTIONS, TASKS, 2)[0]).status == 202
+    assert cluster.ask("POST", "", malformed_body(what)).status == refused
+
+
+@pytest.mark.parametrize("what", MALFORMED)
+def test_malformed_repeat_is_not_refused_while_the_graph_cannot_be_read(what: str) -> None:
+    cluster = SimulatedGraphCluster()
+    assert cluster.send(GRAPH, OPTIONS, TASKS).status == 201
+    cluster.store.mode = "down"
+    assert cluster.ask("POST", "", malformed_body(what)).status == 503
--- a/umberward/control/job_admission.py
+++ b/umberward/control/job_admission.py
@@ -5,8 +5,6 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import NamedTuple
 
-import msgspec
-
 from umberward.control.errors import ControllerError
 from umberward.control.job_state_cache import LiveJobState
 from umberward.core.settings import Settings, StateLimits
@@ -207,8 +205,4 @@
 
 def extract_job_id(body: bytes) -> JobId | None:
     """The job id in a malformed submission; None if there is no valid one."""
-    try:
-        data = msgspec.msgpack.decode(body)
-    except (msgspec.DecodeError, RecursionError, ValueError):
-        return None
-    return parse_job_id(data.get("uid")) if isinstance(data, dict) else None
+    return parse_job_id(wire.extract_uid(body))
--- a/umberward/graphs/graph_submission.py
+++ b/umberward/graphs/graph_submission.py
@@ -99,7 +99,14 @@
 
     async def submit(self, body: bytes) -> Response:
         """Store one part of a graph, and accept the graph if all its parts are stored."""
-        submission = self._parse(body)
+        try:
+            submission = self._parse(body)
+        except GraphRejectedError:
+            # A repeated submission of an accepted graph gets its state, whatever the body contains.
+            graph_id = parse_graph_id(wire.extract_uid(body))
+            if graph_id is None or await self._reader.read_record(graph_id) is None:
+                raise
+            return await self._poll(graph_id)
         for _ in range(MAX_ATTEMPTS):
             known = await self._reader.read_record(submission.graph_id)
             if known is not None:
--- a/umberward/protocol/wire.py
+++ b/umberward/protocol/wire.py
@@ -313,6 +313,15 @@
     return spec
 
 
+def extract_uid(body: bytes) -> object:
+    """The value of `uid` in a malformed submission, of any type; None if there is none."""
+    try:
+        data = msgspec.msgpack.decode(body)
+    except (msgspec.DecodeError, RecursionError, ValueError):
+        return None
+    return data.get("uid") if isinstance(data, dict) else None
+
+
 def _invalid_field(spec: JobSpec) -> str | None:
     """The reason why a field is invalid beyond its type and bounds; None if all are valid."""
     if spec.kind not in (ARRAY, GANG, SERVICE):
