Peers log each other's starts, silences and builds when they happen

Cause: the log of the controller that answered 404 was lost for the seconds concerned, and no other log said that it had been started, or with which build; the leader's `controller_builds` comes up to 30 s later and shows a stored build, which a process of an older version leaves as it is. Change: each controller asks its peers for their status every 2 s and logs `peer_started`, `peer_unreachable`, `peer_reachable`, `peer_builds` (mixed or not). The status says build and uptime, which older versions ignore; a version that says neither is `unknown`. `leader_changed` names the token. Nothing is decided by it.

--- a/umberward/control/controller.py
+++ b/umberward/control/controller.py
@@ -157,7 +157,7 @@
             self.peers.cancellations.run,
         ]
         if self.election.build != UNKNOWN_BUILD:
-            parts.append(self.builds.run)
+            parts += [self.builds.run, self.peers.monitor.run]
         # The scope must outlive the group: the election in the group spawns the leader's task.
         async with self.leader_tasks, curio.TaskGroup() as group:
             for part in parts:
--- a/umberward/control/peer_contacts.py
+++ b/umberward/control/peer_contacts.py
@@ -5,8 +5,11 @@
 import math
 from typing import NamedTuple
 
+import msgspec
+
 from umberward.control import peer_messages
 from umberward.control.peer_messages import STATUS_PATH, InvalidPeerMessageError, PeerStatus
+from umberward.core.build_identity import UNKNOWN_BUILD
 from umberward.core.settings import Settings
 from umberward.core.types import ControllerName, FencingToken
 from umberward.leader.leader_election import LeaderElection
@@ -58,6 +61,7 @@
         self.election = election
         self.client = client
         self.clock = election.clock
+        self.started_at = self.clock()
         self.contacts_by_peer: dict[str, ReceivedStatus] = {}
         # When peers were first queried while this controller was cut off; infinity: it is not.
         self.cut_off_since = math.inf
@@ -80,12 +84,16 @@
     def own_status(self) -> PeerStatus:
         """This controller's status, as reported to peers."""
         now = self.clock()
+        build = self.election.build
+        is_known = build != UNKNOWN_BUILD
         return PeerStatus(
             name=self.election.name,
             state_contact_age_s=now - self.election.renewal_sent_at,
             leader=self.election.leader,
             leader_key_version=self.election.leader_key_version,
             heartbeat_age_s=now - self.heartbeat_at,
+            build=build if is_known else msgspec.UNSET,
+            uptime_s=now - self.started_at if is_known else msgspec.UNSET,
         )
 
     # ---- the peers ---------------------------------------------------------------------
--- a/umberward/control/peer_link.py
+++ b/umberward/control/peer_link.py
@@ -14,6 +14,7 @@
 from umberward.control.peer_contacts import PeerContacts
 from umberward.control.peer_delegation import PeerDelegation
 from umberward.control.peer_messages import DelegationRequest, InvalidPeerMessageError
+from umberward.control.peer_monitor import PeerMonitor
 from umberward.control.snapshot_exchange import FETCH_INTERVAL_S, SnapshotExchange
 from umberward.core.settings import Settings
 from umberward.core.types import JobId
@@ -59,6 +60,9 @@
         self.rng = rng
         self.callbacks = callbacks
         self.contacts = PeerContacts(settings, election, client)
+        self.monitor = PeerMonitor(
+            settings.platform.label, lambda: election.build, addresses, client, election.clock
+        )
         self.forwarder = HeartbeatForwarder(addresses, client, election.clock)
         self.delegation = PeerDelegation(settings, self.contacts, client, rng)
         self.cancellations = CancellationAnnouncer(
--- a/umberward/control/peer_messages.py
+++ b/umberward/control/peer_messages.py
@@ -39,6 +39,7 @@
         "state_contact_age_s": "contact_age",
         "leader_key_version": "stamp",
         "heartbeat_age_s": "heard_age",
+        "uptime_s": "uptime",
     },
 ):
     """The status of a controller, returned to a peer that requests it.
@@ -48,6 +49,8 @@
     `leader` and `leader_key_version` are the current leader and the version of the leader's key.
     `heartbeat_age_s` is the time in seconds since a worker last sent it a heartbeat; earlier
     versions omit it.
+    `build` and `uptime_s` say which process it is, for the log only; they are omitted if the build
+    is not known, and by earlier versions, and of any type if they are malformed.
     """
 
     name: str = ""
@@ -55,6 +58,8 @@
     leader: ControllerName | None
     leader_key_version: int = 0
     heartbeat_age_s: float = math.inf
+    build: object = msgspec.UNSET
+    uptime_s: object = msgspec.UNSET
 
 
 class CancelledJobs(msgspec.Struct):
--- a/umberward/leader/leader_election.py
+++ b/umberward/leader/leader_election.py
@@ -358,7 +358,7 @@
         if self.fencing_token is not None:
             await self._lose_leadership()
         if self.leader != leader:
-            log.info("leader_changed", node=leader)
+            log.info("leader_changed", node=leader, epoch=version)
         self.leader, self.leader_key_version = leader, version
 
     async def _campaign(self) -> None:
