--- a/umberward/cli/soak.py
+++ b/umberward/cli/soak.py
@@ -124,6 +124,8 @@
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_TERMINATED))
     with tempfile.TemporaryDirectory(prefix="umberward-build-") as folder:
         builds = _export_beside(options, Path(folder))
+        if builds is not None:
+            options = options._replace(beside=builds.beside.commit)
         if len(seeds) == 1:
             sys.exit(_run_in_this_process(seeds[0], options, builds, report))
         sys.exit(_run_in_processes(seeds, jobs, options, report))
