The leader drops finished commands and probes

Cause: they run as tasks of a curio TaskGroup, which keeps every finished task until the group is joined, that is at the end of the term. Fix: `serve` takes finished tasks out of the group as they end, and returns at the first one that failed. The group cancels what still runs when it is left, also what is started meanwhile.

--- a/umberward/leader/leader_loop.py
+++ b/umberward/leader/leader_loop.py
@@ -177,7 +177,7 @@
 
     async def serve(self) -> None:
         """Run all background tasks of the term until cancelled."""
-        async with curio.TaskGroup() as self._tasks:
+        async with curio.TaskGroup(wait=None) as self._tasks:  # cancels what still runs at its end
             await self._spawn(self.run)
             await self._spawn(self.state_sync.run)
             await self._spawn(self._send_ticks)
@@ -190,6 +190,14 @@
                 await self._spawn(self.graph_controller.watch)
                 await self._spawn(self.graph_controller.store_ended_graphs)
                 await self._spawn(self.graph_controller.delete_abandoned_submissions)
+            await self._discard_finished_tasks()
+
+    async def _discard_finished_tasks(self) -> None:
+        """Remove finished tasks, which the group would retain; return when one has failed."""
+        assert self._tasks is not None, "serve() is not running"
+        async for task in self._tasks:
+            if task.exception is not None:
+                return
 
     async def _spawn(self, function: Callable[..., Awaitable[object]], *args: object) -> None:
         """Start a background task that ends with `serve`; if it raises, `serve` ends."""
