--- a/tests/test_builds.py
+++ b/tests/test_builds.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import subprocess
+import sys
 from pathlib import Path
 
 import pytest
@@ -47,7 +48,7 @@
     _commit(repository, {"umberward/__init__.py": "", "umberward/__main__.py": "print('old')\n"})
     folder = repository.parent
     build = export_build("HEAD", repository, folder)
-    command = ["python3", "-m", "umberward"]
+    command = [sys.executable, "-m", "umberward"]
     output = subprocess.run(
         command, cwd="/", env=build.environment(), check=True, capture_output=True
     ).stdout
