A look-up in progress is not taken for its result: ended jobs got 404

What callers saw: of two overlapping requests for a job that had ended before a controller listed the jobs, the second got 404 (poll, cancel) or 400 or 422 (repeat of the submission).

Cause: the mark "is looked up" and the result "was not found" were one entry of `Mirror.absent`.

An entry is a look-up until the look-up was answered, and only then NOT_FOUND; who asks meanwhile looks the id up as well.

Evidence: overlapping_polls_of_ended_job fails without the change, and with it once the guard takes a look-up for its result.

--- a/tests/guards.py
+++ b/tests/guards.py
@@ -174,6 +174,11 @@
     patch.setattr(Mirror, "state", state)
 
 
+def look_up_first(patch: pytest.MonkeyPatch) -> None:
+    """A look-up in progress is taken for its result."""
+    patch.setattr(mirror, "Lookup", lambda: mirror.NOT_FOUND)
+
+
 def ask_again(patch: pytest.MonkeyPatch) -> None:
     whole = Client.request
 
@@ -239,6 +244,7 @@
     "fresh-answers": fresh_answers,
     "absent-known": absent_known,
     "ask-again": ask_again,
+    "look-up-first": look_up_first,
     "blame-jobs": blame_jobs,
     "blame-undone": blame_undone,
     "ever-rarer": ever_rarer,
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -237,6 +237,10 @@
     def do_poll(self, id: str) -> None:
         self.last = self.world.poll(id)
 
+    def do_poll_elsewhere_at_once(self, id: str, times: str) -> None:
+        responses = self.world.poll_elsewhere_at_once(id, int(times))
+        self.answers = sum(response.status == 200 for response in responses)
+
     def do_poll_across_cancel(self, id: str, seconds: str) -> None:
         self.last = self.world.poll_across_cancel(id, float(seconds))
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -82,6 +82,7 @@
 
     async def get(self, key: Key, *_: Any, **__: Any) -> Got | None:
         self.requests += 1
+        await curio.sleep(0)  # other tasks run meanwhile
         if self.mode == "down":
             raise state.Unavailable("down")
         return self.keys.get(key)
@@ -313,6 +314,17 @@
         self.mirror = Mirror(self.settings, self.store, lambda: self.now)  # type: ignore[arg-type]
         self.users = Users(self.settings, self.store, self.mirror, SKUS, self.users.wall)  # type: ignore[arg-type]
 
+    def poll_elsewhere_at_once(self, id: str, times: int) -> list[Response]:
+        """Overlapping polls at a controller that was started just now."""
+
+        async def polls(id: JobId) -> Any:
+            asked = [await curio.spawn(self.users.poll, id) for _ in range(times)]
+            return [await task.join() for task in asked]
+
+        self._other_controller()
+        answers: Any = self._serve(polls, JobId(id))
+        return list(answers)
+
     def poll_across_cancel(self, id: str, seconds: float) -> Response:
         """We stand still after we have read the answer to a poll; meanwhile another controller
         cancels the job and says so."""
--- a/umberward/mirror.py
+++ b/umberward/mirror.py
@@ -30,6 +30,13 @@
 LULL_S = 10.0  # without polls a copy is brought up to date so often, as old changes are dropped
 
 
+class Lookup:
+    """A look-up of a job's final record that has not been answered yet: nothing is known."""
+
+
+NOT_FOUND = Lookup()  # a look-up was answered: nobody has submitted the job
+
+
 class Live(NamedTuple):
     """What users may know of a job under way."""
 
@@ -53,8 +60,8 @@
         self.pause = cluster.size / (cluster.state.rps * SHARE)
         self.live: dict[JobId, Live] = {}
         self.finals: OrderedDict[JobId, FinalRecord] = OrderedDict()
-        # Ids that nobody had submitted when they were looked up; a submission shows as a change.
-        self.absent: OrderedDict[JobId, None] = OrderedDict()
+        # Ids that are looked up, or were and were not found; a submission shows as a change.
+        self.absent: OrderedDict[JobId, Lookup] = OrderedDict()
         self.most_finals = settings.operator.poll_cache
         self.after: Revision | None = None
         self.read_at = 0.0  # when the latest changes were asked for
@@ -74,7 +81,7 @@
                 raise failed
             # A final state may have been told to its user while we waited: it comes first.
             found = self.finals.get(id) or self.live.get(id)
-            if found is None and id not in self.absent:
+            if found is None and self.absent.get(id) is not NOT_FOUND:
                 found = await self._past(id)
             now = self.clock()
             if isinstance(found, FinalRecord) or now - self.read_at <= STALE_S:
@@ -84,7 +91,7 @@
 
     async def _past(self, id: JobId) -> FinalRecord | None:
         # Noted before it is looked up: whatever is submitted meanwhile takes the note away.
-        self.absent[id] = None
+        lookup = self.absent[id] = Lookup()
         while len(self.absent) > self.most_finals:
             self.absent.popitem(last=False)
         try:
@@ -93,6 +100,8 @@
             self.absent.pop(id, None)
             raise
         if past is None:
+            if self.absent.get(id) is lookup:
+                self.absent[id] = NOT_FOUND
             return None
         self.absent.pop(id, None)
         record = wire.converted(past.data, FinalRecord)
