--- a/umberward/cli.py
+++ b/umberward/cli.py
@@ -17,6 +17,8 @@
 from umberward.settings import Settings, SettingsError, load
 from umberward.types import Address, parse_address
 
+log = logging.getLogger(__name__)
+
 LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
 
 _config = click.option(
@@ -58,6 +60,7 @@
     """Run one controller until it is killed."""
     settings = _load(config, properties)
     _log_to_stderr()
+    log.info("serving version=%s", __version__)
     from umberward.node import Node
 
     curio.run(Node(settings).run)
