A copy of an answered start could run its task again: each machine gets a fencing token of its own

Cause: InflightStarts took the answer as the end of a command, and the worker was told to forget the attempt under a token that the start still matched. The class: a right concluded from an answer, which orders nothing against a copy.

Change: an entry stays until the worker has seen a token above its starts, or the session is over; neither an answer nor a timeout ends it. The revision of each of the leader's transactions, which are conditional on its leader key, is a valid token without a write of its own. Each machine has a token between the leader's first one and the newest of these; it is raised with the response that carries a `forget`, or when a start is no longer wanted. The token is rotated (one write) only if no transaction has yielded one for a second; both former reasons for a rotation are one now. Peers that renew sessions for a zone accept all tokens of the term, in a field that earlier versions ignore; a peer's status says the newest, so that controllers without the state service still name the leader. A trial of a quarantined machine counts once a task was placed.

--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from typing import Any
 
+import msgspec
 import pytest
 
 from umberward.control import job_api, job_state_cache
@@ -157,8 +158,16 @@
     patch.setattr(Job, "is_completion_stored", lambda self, index: True)
 
 
+def _never_raise_tokens(patch: pytest.MonkeyPatch) -> None:
+    def void_starts(self: Scheduler, machine: Machine, task: Any, attempt: Any) -> bool:
+        return machine.inflight_starts.is_void_under(task, attempt, machine.fencing_token)
+
+    patch.setattr(Scheduler, "void_starts", void_starts)
+
+
 def unanswered_start(patch: pytest.MonkeyPatch) -> None:
-    """A command without an answer counts as not executed."""
+    """A command without an answer counts as not executed, and no token voids it."""
+    _never_raise_tokens(patch)
     original = Scheduler.command_completed
 
     def command_completed(
@@ -728,18 +737,48 @@
 
     def may_arrive(self: InflightStarts, task: Any, attempt: Any) -> bool:
         starts = self._starts.get((task, attempt))
-        return starts is not None and starts.timed_out_token is not None
+        return starts is not None and starts.token is not None
+
+    def is_void_under(self: InflightStarts, task: Any, attempt: Any, token: Any) -> bool:
+        starts = self._starts.get((task, attempt))
+        return starts is None or starts.token is None or starts.token < token
 
     patch.setattr(InflightStarts, "may_arrive", may_arrive)
+    patch.setattr(InflightStarts, "is_void_under", is_void_under)
+    patch.setattr(InflightStarts, "awaits_response", False)
+
+
+def answered_start(patch: pytest.MonkeyPatch) -> None:
+    """An answer ends a start: a copy of it that comes later is not counted."""
+    original = InflightStarts.completed
+
+    def completed(self: InflightStarts, task: Any, attempt: Any, *tokens: Any) -> None:
+        original(self, task, attempt, *tokens)
+        starts = self._starts.get((task, attempt))
+        if starts is not None and not starts.outstanding:
+            del self._starts[(task, attempt)]
+
+    patch.setattr(InflightStarts, "completed", completed)
+
+
+def one_token(patch: pytest.MonkeyPatch) -> None:
+    """A delegate knows one fencing token of its leader, as earlier versions do."""
+    original = Delegate.accept
+
+    def accept(self: Delegate, delegation: Any, *times: Any) -> None:
+        original(self, msgspec.structs.replace(delegation, newest_token=msgspec.UNSET), *times)
+
+    patch.setattr(Delegate, "accept", accept)
 
 
 def exited_raise(patch: pytest.MonkeyPatch) -> None:
     """The token is not rotated for exited attempts that can't be forgotten."""
-    patch.setattr(TokenRotation, "note_deferred_forget", lambda *_: None)
+    patch.setattr(TokenRotation, "note_missing_token", lambda *_: None)
 
 
 def unwanted_start(patch: pytest.MonkeyPatch) -> None:
-    """Sessions are renewed even while an unwanted start may still arrive."""
+    """Sessions are renewed even while an unwanted start may still arrive, and no token voids it."""
+    _never_raise_tokens(patch)
     patch.setattr(Scheduler, "has_unwanted_start", lambda *_: False)
 
 
@@ -807,6 +846,8 @@
     "longest-bound": longest_bound,
     "gang-done-together": gang_done_together,
     "late-start": late_start,
+    "answered-start": answered_start,
+    "one-token": one_token,
     "exited-raise": exited_raise,
     "unwanted-start": unwanted_start,
     "tells-others": tells_others,
--- a/tests/network.py
+++ b/tests/network.py
@@ -159,6 +159,10 @@
                     await answered.set()
 
         await network.messages.spawn(carry)
+        copied_after_s = network.links.duplicate_delay_s(self.owner, receiver, target)
+        if copied_after_s is not None:
+            copy = Request(method, path, query, body)
+            await network.messages.spawn(self._deliver_again, address, target, copy, copied_after_s)
         if path == "/hello" and network.rng.random() < network.kept_share:
             network.kept_heartbeats.append(Request(method, path, query, body))
         if path == "/hello" and self.owner in network.copied:
@@ -168,6 +172,16 @@
             raise NoResponseError(f"{method} {address}: no answer")
         return answers[0]
 
+    async def _deliver_again(
+        self, address: Address, target: str, request: Request, after_s: float
+    ) -> None:
+        """Deliver a late copy of a request over its link, whose response nobody awaits."""
+        await curio.sleep(after_s)
+        receiver = self.network.owners.get(address, "nobody")
+        server = self.network.serving.get(address)
+        if server is not None and await self.network.links.transmit(self.owner, receiver, target):
+            await server.handler(request)
+
     async def _copy(self, address: Address, request: Request) -> None:
         """Deliver a late copy of a heartbeat, whose response nobody awaits."""
         share, least, most = self.network.copied[self.owner]
--- a/tests/rules.py
+++ b/tests/rules.py
@@ -173,11 +173,7 @@
         if self.completions_never_lost and name in spec.get("_done", ()):
             self.broken.append(f"{name} started again after it was done")
         self.starts[name] = self.starts.get(name, 0) + 1
-        started = (worker.host, worker.incarnation, name, attempt)
-        if started in self.attempts:
-            # The worker was told to forget this attempt while a start of it was still in flight.
-            self.broken.append(f"restarted: attempt {attempt} of {name} on {worker.host}")
-        self.attempts.add(started)
+        self.note_attempt(worker, name, attempt)
         self.start_delay_s.setdefault(id, self.now - self.submitted.get(id, self.now))
         for need in spec.get("waits_on") or ():
             final_record = self.stored_keys().get(Key(FINAL_JOBS_PREFIX + need))
@@ -196,6 +192,14 @@
                 self.broken.append(f"ran_cancelled: {name}, sent after its job's cancellation")
         self._check_place(worker, spec, name)
 
+    def note_attempt(self, worker: WorkerCore, name: str, attempt: int) -> None:
+        """Check that the worker gets this attempt for the first time in its session."""
+        started = (worker.host, worker.incarnation, name, attempt)
+        if started in self.attempts:
+            # The worker was told to forget this attempt while a start of it was still in flight.
+            self.broken.append(f"restarted: attempt {attempt} of {name} on {worker.host}")
+        self.attempts.add(started)
+
     def _check_place(self, worker: WorkerCore, spec: dict[str, Any], name: str) -> None:
         """Check that the task may run on this machine and in its zone."""
         id = spec["uid"]
--- a/tests/simulated_cluster.py
+++ b/tests/simulated_cluster.py
@@ -99,11 +99,20 @@
         self.heartbeat_in_flight: tuple[float, int, bytes] | None = None
         self.holding = False  # direct commands are held, to be delivered later
         self.held_commands: list[HeldCommand] = []
+        self.executed_commands: list[CommandMessage] = []  # all direct ones, for late copies
+        self.refusal: str | None = None  # why it refuses every start; None: it refuses none
 
     def _plan_outcome(self, name: str, spec: JobSpec) -> TaskOutcome:
         return TaskOutcome(0.3) if self.sick else self.cluster.plan_outcome(name, spec)
 
     def start(self, name: str, attempt: int) -> None:
+        if self.refusal is not None:
+            task = self.tasks[(name, attempt)] = TaskAttempt(
+                name, attempt, self.find_spec(name.split("/")[0]), self.now
+            )
+            task.exit(self.refusal)
+            self.cluster.note_attempt(self, name, attempt)
+            return
         self.cluster.started(self, name, attempt)
         super().start(name, attempt)
 
@@ -603,14 +612,15 @@
         orders = leader.receive_heartbeat(
             wire.decode_heartbeat_header(body), body, Instant(self.now)
         )
-        record_message("report", body, leader.fencing_token, orders, self.now)
+        token = leader.fencing_token_for(MachineId(worker.host))
+        record_message("report", body, token, orders, self.now)
         if orders is None and leader is not self.scheduler:
             worker.astray = False  # refused, the worker looks for another controller
         if orders is None or worker.deaf or worker.oneway or self.now - sent > 4.0:
             return
         if self.store.mode == "down" or leader is not self.scheduler:
             orders = [order for order in orders if order.verb == wire.KILL]
-        worker.handle_heartbeat_response(Instant(sent), tenure, leader.fencing_token, orders)
+        worker.handle_heartbeat_response(Instant(sent), tenure, token, orders)
 
     def deliver_copy(self, heartbeats: deque[tuple[float, bytes]], age: float) -> None:
         """Deliver a late copy of the latest heartbeat that is at least `age` seconds old."""
@@ -624,7 +634,16 @@
             record_message("copied report", body, orders, self.now)
             self._send_outbox(self.scheduler)
 
+    def deliver_command_copies(self, name: str) -> None:
+        """Deliver a copy of each direct command that the worker has carried out and answered."""
+        worker = self.workers[name]
+        for command in worker.executed_commands:
+            worker.handle_direct_commands(
+                command.fencing_token, command.incarnation, command.commands
+            )
+
     def _execute(self, worker: Worker, command: CommandMessage) -> Heartbeat:
+        worker.executed_commands.append(command)
         worker.handle_direct_commands(command.fencing_token, command.incarnation, command.commands)
         report = worker.report()
         record_message(
--- a/tests/test_fault_days.py
+++ b/tests/test_fault_days.py
@@ -82,12 +82,13 @@
     "commands held": (("{node}", "{machine}", "hold", "/do"),),
     "answers to commands held": (("{machine}", "{node}", "hold", "/do"),),
     "commands late": (("k*", "{machine}", "late", "/do", 1.0, 15.0, 0.5),),
+    "commands copied": (("k*", "{machine}", "copied", "/do", 0.05, 60.0, 0.5),),
     "answers to reports late": (("k*", "{machine}", "late", "/hello", 0.5, 6.0, 0.5),),
     "questions late": (("{machine}", "k*", "late", "/status", 0.5, 8.0),),
 }  # fmt: skip
 
 
-COMMAND_LINKS = ("commands held", "commands late", "answers to commands held")
+COMMAND_LINKS = ("commands held", "commands late", "commands copied", "answers to commands held")
 HANGS = "machine hangs"
 KEPT = "reports kept for the next leader"
 
--- a/tests/test_inflight_commands.py
+++ b/tests/test_inflight_commands.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from typing import Any
-
 import hypothesis.strategies as st
 from hypothesis import given
 from test_scenarios import ScenarioPlayer
@@ -33,19 +31,20 @@
         self.token = 5  # of the leader
         self.seen = 5  # highest token that the worker has seen
         self.awaited: list[int] = []  # unanswered starts: the token each was sent with
-        self.given_up: list[int] = []
+        # Starts that were answered or given up, of which a copy may come: likewise.
+        self.completed: list[int] = []
 
     def step(self, what: str) -> None:
         if what == "send":
             self.starts.sent(TASK, ATTEMPT)
             self.awaited.append(self.token)
-        elif what == "answer" and self.awaited:
+        elif what == "withdraw" and self.awaited:
             self.awaited.pop(0)
-            self.starts.answered(TASK, ATTEMPT)
-        elif what == "give up" and self.awaited:
+            self.starts.not_sent(TASK, ATTEMPT)
+        elif what == "answer or give up" and self.awaited:
             token = self.awaited.pop(0)
-            self.given_up.append(token)
-            self.starts.timed_out(TASK, ATTEMPT, FencingToken(token), FencingToken(self.seen))
+            self.completed.append(token)
+            self.starts.completed(TASK, ATTEMPT, FencingToken(token), FencingToken(self.seen))
         elif what == "raise":
             self.token += 1
         elif what == "token seen":
@@ -53,14 +52,17 @@
             self.starts.token_seen(FencingToken(self.seen))
         elif what == "session over":
             self.awaited.clear()
-            self.given_up.clear()
+            self.completed.clear()
             self.starts.incarnation_ended()
 
     def executable(self) -> bool:
-        return bool(self.awaited) or any(token >= self.seen for token in self.given_up)
+        return self.executable_by(self.seen)
+
+    def executable_by(self, token_seen: int) -> bool:
+        return bool(self.awaited) or any(token >= token_seen for token in self.completed)
 
 
-STEPS = ("send", "answer", "give up", "raise", "token seen", "session over")
+STEPS = ("send", "withdraw", "answer or give up", "raise", "token seen", "session over")
 
 
 @given(st.lists(st.sampled_from(STEPS), max_size=40))
@@ -69,6 +71,10 @@
     for what in steps:
         model.step(what)
         assert model.starts.may_arrive(TASK, ATTEMPT) == model.executable()
+        assert model.starts.awaits_response == bool(model.awaited)
+        for token in (model.seen, model.token, model.token + 1):
+            void = model.starts.is_void_under(TASK, ATTEMPT, FencingToken(token))
+            assert void == (not model.executable_by(token))
         assert len(model.starts) <= 1
 
 
@@ -76,8 +82,8 @@
     starts = InflightStarts()
     starts.sent(TASK, ATTEMPT)
     starts.incarnation_ended()
-    starts.answered(TASK, ATTEMPT)
-    starts.timed_out(TASK, ATTEMPT, FencingToken(5), FencingToken(5))
+    starts.not_sent(TASK, ATTEMPT)
+    starts.completed(TASK, ATTEMPT, FencingToken(5), FencingToken(5))
     assert not starts.may_arrive(TASK, ATTEMPT)
 
 
@@ -85,33 +91,25 @@
     rotation = TokenRotation()
     at = 1000.0
 
-    def requested(reason: Any, since: float, now: float) -> bool:
+    def requested(since: float, now: float) -> bool:
         rotation.requested = False
-        reason(Instant(since), Instant(now))
+        rotation.note_missing_token(Instant(since), Instant(now))
         return rotation.requested
 
-    assert not requested(rotation.note_unwanted_start, at, at + 1.0)
-    assert requested(
-        rotation.note_unwanted_start, at, at + token_rotation.UNWANTED_START_MIN_AGE_S + 0.1
-    )
+    assert not requested(at, at + token_rotation.MISSING_TOKEN_MIN_AGE_S - 0.1)
+    assert requested(at, at + token_rotation.MISSING_TOKEN_MIN_AGE_S + 0.1)
     rotation.started()
-    assert not requested(rotation.note_unwanted_start, at, at + 10.0)  # a rotation is in progress
+    assert not requested(at, at + 10.0)  # a rotation is in progress
     rotation.failed()
-    assert requested(rotation.note_unwanted_start, at, at + 10.0)
+    assert requested(at, at + 10.0)
     rotation.started()
     rotation.completed(Instant(at + 10.0))
-    assert not requested(rotation.note_unwanted_start, at, at + 11.0)
-    late = at + 10.0 + token_rotation.DEFERRED_FORGET_MIN_AGE_S + 1.0
-    assert not requested(rotation.note_deferred_forget, at, late)
-    assert requested(
-        rotation.note_deferred_forget,
-        at,
-        at + 11.0 + token_rotation.DEFERRED_FORGET_ROTATION_INTERVAL_S,
-    )
+    assert not requested(at, at + 10.0 + token_rotation.ROTATION_INTERVAL_S - 0.1)
+    assert requested(at, at + 10.0 + token_rotation.ROTATION_INTERVAL_S + 0.1)
     assert rotation.count == 1
 
 
-def test_a_machine_on_which_an_unwanted_start_may_arrive_is_neither_lent_nor_returned() -> None:
+def test_an_unwanted_start_keeps_its_machine_from_being_renewed_lent_or_returned() -> None:
     player = ScenarioPlayer()
     player.do_peer("n1", "a")
     player.do_machine("m1", "small", "a")
@@ -130,10 +128,14 @@
         delegation = scheduler.issue_delegation(ControllerName("n1"), 0, False, now)
         return delegation is not None and "m1" in delegation.machine_ids
 
-    assert delegated() and machine in autoscaler.machines_to_drain(later)
+    def usable() -> tuple[bool, bool, bool]:
+        returned = machine in autoscaler.machines_to_drain(later)
+        return scheduler.may_keep_session(machine.id), delegated(), returned
+
+    assert all(usable())
     machine.inflight_starts.sent(TASK, ATTEMPT)
-    assert not delegated() and machine not in autoscaler.machines_to_drain(later)
-    machine.inflight_starts.timed_out(TASK, ATTEMPT, machine.token_seen, machine.token_seen)
-    assert not delegated() and machine not in autoscaler.machines_to_drain(later)
+    assert not any(usable())
+    machine.inflight_starts.completed(TASK, ATTEMPT, machine.token_seen, machine.token_seen)
+    assert not any(usable())
     machine.inflight_starts.token_seen(FencingToken(machine.token_seen + 1))
-    assert delegated() and machine in autoscaler.machines_to_drain(later)
+    assert all(usable())
--- a/tests/test_peer_link.py
+++ b/tests/test_peer_link.py
@@ -97,6 +97,9 @@
         ({}, 7, "k11"),
         ({}, 50, None),
         ({11: {"contact_age": 30.0, "leader": "k11"}}, 50, None),
+        # It says itself which tokens it uses in its term.
+        ({11: {"contact_age": 30.0, "leader": "k11", "token": 50}}, 50, "k11"),
+        ({11: {"contact_age": 30.0, "leader": "k11", "token": 49}}, 50, None),
     ],
 )
 def test_whom_a_controller_names_that_lacks_the_state_service(
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -286,6 +286,15 @@
     def do_notice(self, name: str, seconds: str) -> None:
         self.cluster.workers[name].notice_at = self.cluster.now + float(seconds)
 
+    def do_copy_commands(self, name: str, times: str = "1") -> None:
+        """Deliver copies of all direct commands that the machine has carried out and answered."""
+        for _ in range(int(times)):
+            self.cluster.deliver_command_copies(name)
+
+    def do_refuse_starts(self, name: str, cause: str) -> None:
+        """Make the worker refuse each start with this cause; `none`: refuse none."""
+        self.cluster.workers[name].refusal = None if cause == "none" else cause
+
     def do_release(self, name: str) -> None:
         self.cluster.release_commands(name)
 
@@ -558,6 +567,12 @@
         assert self.cluster.scheduler is not None
         return self.cluster.scheduler.token_rotation.count
 
+    def see_tokens_of_own(self) -> bool:
+        """Whether the workers have seen tokens that differ, above the leader's first one."""
+        assert self.cluster.scheduler is not None
+        tokens = {worker.fencing_token for worker in self.cluster.workers.values()}
+        return len(tokens) > 1 and max(tokens) > self.cluster.scheduler.initial_token
+
     def see_starts(self, task: str) -> int:
         return self.cluster.starts.get(task, 0)
 
--- a/tests/test_stored_bytes.py
+++ b/tests/test_stored_bytes.py
@@ -52,6 +52,7 @@
     "controller": ["build"],
     "stored hints": SNAPSHOT_LATER_FIELDS,
     "peer hints": SNAPSHOT_LATER_FIELDS,
+    "peer loan": ["newest"],
 }
 GRAPH_TASKS = "graph tasks"
 CBOR_TYPES: dict[str, Any] = {
--- a/umberward/control/heartbeat_api.py
+++ b/umberward/control/heartbeat_api.py
@@ -143,7 +143,8 @@
             commands = [command for command in commands if command.verb == wire.KILL]
         elif not self.election.may_start(scheduler.jobs_read_requested_at):
             commands = [command for command in commands if command.verb != wire.START]
-        return _session_response(scheduler.fencing_token, commands)
+        token = scheduler.fencing_token_for(MachineId(header.machine_id))
+        return _session_response(token, commands)
 
 
 def _session_response(fencing_token: int, commands: list[wire.TaskCommand]) -> Response:
--- a/umberward/control/peer_contacts.py
+++ b/umberward/control/peer_contacts.py
@@ -36,6 +36,7 @@
     )
     heartbeat_age_s: float  # seconds since it received a worker's heartbeat, at that time
     leader: ControllerName | None  # the leader known to the peer
+    newest_token: int = 0  # the highest fencing token that it may use; 0: it does not lead
 
     @property
     def has_state_contact(self) -> bool:
@@ -86,11 +87,13 @@
         now = self.clock()
         build = self.election.build
         is_known = build != UNKNOWN_BUILD
+        newest_token = self.election.fencing_token
         return PeerStatus(
             name=self.election.name,
             state_contact_age_s=now - self.election.renewal_sent_at,
             leader=self.election.leader,
             leader_key_version=self.election.leader_key_version,
+            newest_token=msgspec.UNSET if newest_token is None else newest_token,
             heartbeat_age_s=now - self.heartbeat_at,
             build=build if is_known else msgspec.UNSET,
             uptime_s=now - self.started_at if is_known else msgspec.UNSET,
@@ -117,8 +120,13 @@
                 status = peer_messages.decode(response.body, PeerStatus)
             except (RequestNotSentError, NoResponseError, InvalidPeerMessageError):
                 continue
+            newest_token = status.newest_token
             contact = ReceivedStatus(
-                self.clock(), status.state_contact_age_s, status.heartbeat_age_s, status.leader
+                self.clock(),
+                status.state_contact_age_s,
+                status.heartbeat_age_s,
+                status.leader,
+                0 if newest_token is msgspec.UNSET else newest_token,
             )
             self.contacts_by_peer[peer] = contact
             if contact.has_state_contact and status.leader != self.name:
@@ -153,7 +161,7 @@
         A controller without contact with the state service may only know an earlier leader. If that
         one redirects the worker back here, the worker alternates between two controllers that do
         not lead until its lease expires. Therefore peers in contact with the state service take
-        precedence, and a leader with a lower token than the worker's is never returned.
+        precedence, and a leader whose tokens are all below the worker's is never returned.
         """
         leader = self.election.leader
         if self.lacks_state_contact():
@@ -162,10 +170,17 @@
                 leader = max(
                     contacts, key=lambda contact: contact.received_at - contact.state_contact_age_s
                 ).leader
-            elif fencing_token > self.election.leader_key_version:
+            elif fencing_token > self._newest_token_of(leader):
                 leader = None
         return None if leader == self.name else leader
 
+    def _newest_token_of(self, leader: ControllerName | None) -> int:
+        """The highest fencing token that the leader known here is known to use."""
+        contact = self.contacts_by_peer.get(str(leader))
+        if contact is None or not contact.is_valid(self.clock()):
+            return self.election.leader_key_version
+        return max(self.election.leader_key_version, contact.newest_token)
+
     async def peers_receive_heartbeats(self) -> bool:
         """Query all peers: whether one in contact with the state service receives heartbeats.
 
--- a/umberward/control/peer_messages.py
+++ b/umberward/control/peer_messages.py
@@ -38,6 +38,7 @@
         "name": "label",
         "state_contact_age_s": "contact_age",
         "leader_key_version": "stamp",
+        "newest_token": "token",
         "heartbeat_age_s": "heard_age",
         "uptime_s": "uptime",
     },
@@ -47,6 +48,8 @@
     `state_contact_age_s` is the time in seconds since it sent the latest lease renewal that the
     state service granted.
     `leader` and `leader_key_version` are the current leader and the version of the leader's key.
+    `newest_token` is the highest fencing token that it may use; omitted unless it leads, and by
+    earlier versions.
     `heartbeat_age_s` is the time in seconds since a worker last sent it a heartbeat; earlier
     versions omit it.
     `build` and `uptime_s` say which process it is, for the log only; they are omitted if the build
@@ -60,6 +63,7 @@
     heartbeat_age_s: float = math.inf
     build: object = msgspec.UNSET
     uptime_s: object = msgspec.UNSET
+    newest_token: int | msgspec.UnsetType = msgspec.UNSET
 
 
 class CancelledJobs(msgspec.Struct):
--- a/umberward/leader/leader_election.py
+++ b/umberward/leader/leader_election.py
@@ -93,7 +93,8 @@
         self.term = 0  # the number of fencing tokens obtained in this term
         self.lease: LeaseId | None = None
         self.renewal_sent_at = Instant(0.0)  # when the latest successful renewal was sent
-        self.fencing_token: FencingToken | None = None  # None: not the leader
+        # The highest token that this leader may use; None: not the leader.
+        self.fencing_token: FencingToken | None = None
         self.leader: ControllerName | None = None  # None: unknown or none
         # Of the leader key, and so also the first fencing token of the leader that wrote it.
         self.leader_key_version = Version(0)
@@ -177,8 +178,13 @@
             [self.leadership_condition()],
             [transactions.put(self.record_key, self.controller_record())],
         )
-        self.fencing_token = FencingToken(revision)
-        return self.fencing_token
+        self.commit_confirmed(FencingToken(revision))
+        return FencingToken(revision)
+
+    def commit_confirmed(self, revision: FencingToken) -> None:
+        """Record that a transaction on the `leadership_condition` was committed."""
+        if self.fencing_token is not None:
+            self.fencing_token = max(self.fencing_token, revision)
 
     async def step_down(self, reason: str) -> None:
         """Give up the leadership so that another controller can win; no-op if it was lost already.
--- a/umberward/leader/snapshot_store.py
+++ b/umberward/leader/snapshot_store.py
@@ -6,7 +6,7 @@
 
 from umberward.clients import state_client
 from umberward.core.log import logger
-from umberward.core.types import Key
+from umberward.core.types import FencingToken, Key
 from umberward.leader import failover_snapshot
 from umberward.leader.clock import monotonic_now
 from umberward.leader.failover_snapshot import FailoverSnapshot
@@ -65,7 +65,7 @@
         if without_token == self._stored.get(key):
             return
         try:
-            await self.context.store.commit(
+            revision = await self.context.store.commit(
                 [self.context.election.leadership_condition()],
                 [transactions.put(key, part)],
                 priority=transactions.BACKGROUND,
@@ -80,6 +80,8 @@
             log.debug("snapshot_not_stored", error=error)
         else:
             self._stored[key] = without_token
+            self.context.election.commit_confirmed(FencingToken(revision))
+            self.context.scheduler.commit_confirmed(FencingToken(revision))
 
     def _parts(self) -> list[FailoverSnapshot]:
         scheduler = self.context.scheduler
--- a/umberward/leader/transaction_writer.py
+++ b/umberward/leader/transaction_writer.py
@@ -6,7 +6,7 @@
 
 from umberward.clients import state_client
 from umberward.core.log import logger
-from umberward.core.types import Version
+from umberward.core.types import FencingToken, Version
 from umberward.leader.clock import monotonic_now
 from umberward.leader.leader_context import LeaderContext
 from umberward.leader.messages import TransactionCompleted
@@ -80,6 +80,7 @@
         ):
             await self._reconcile(transaction)
             return False
+        self.context.election.commit_confirmed(FencingToken(revision))
         self.context.scheduler.transaction_committed(
             transaction, Version(revision), monotonic_now()
         )
--- a/umberward/scheduling/cluster_state.py
+++ b/umberward/scheduling/cluster_state.py
@@ -16,6 +16,7 @@
 from umberward.core.settings import Settings
 from umberward.core.types import (
     NO_RESOURCES,
+    Attempt,
     FencingToken,
     Incarnation,
     Instant,
@@ -102,8 +103,10 @@
 
     def _init_term(self, fencing_token: FencingToken, now: Instant) -> None:
         """Initialize the fencing tokens and the times, which are monotonic."""
-        self.fencing_token = fencing_token  # current token; increases with each rotation
-        self.initial_token = fencing_token  # token at the start of the term
+        self.initial_token = fencing_token  # the revision at which this leader was elected
+        # The highest revision at which this leader is known to have led. Each machine has a token
+        # of its own between these two (docs/commands.md).
+        self.newest_token = fencing_token
         self.higher_token_seen = FencingToken(0)  # higher token that a worker has reported
         self.token_rotation = TokenRotation()
         self.started_at = now
@@ -248,12 +251,42 @@
                 now,
                 self.schedulable_index.changed,
             )
+            machine.fencing_token = self.initial_token
             self.machines_without_check.append(machine)
             if machine.offer not in self.offers:
                 self.offers.add(machine.offer)
                 self.offers_version += 1
         return machine
 
+    # ---- fencing tokens ------------------------------------------------------------------
+
+    def commit_confirmed(self, revision: FencingToken) -> None:
+        """Record that a transaction on the condition of this leadership was committed.
+
+        No other leader was elected before `revision`, which is therefore a valid token.
+        """
+        self.newest_token = max(self.newest_token, revision)
+
+    def fencing_token_for(self, machine_id: MachineId) -> FencingToken:
+        """Return the token for commands and responses to this machine's worker."""
+        machine = self.machines.get(machine_id)
+        return self.newest_token if machine is None else machine.fencing_token
+
+    def void_starts(self, machine: Machine, task_id: TaskId, attempt: Attempt) -> bool:
+        """Make the worker refuse each direct start of the attempt, with the next response to it.
+
+        Raises the machine's token if it has to and can; returns whether it is high enough. It
+        can't if no higher token is known. It does not while a start awaits its response, which the
+        worker would refuse under a lower token.
+        """
+        starts = machine.inflight_starts
+        if starts.is_void_under(task_id, attempt, machine.fencing_token):
+            return True
+        if starts.awaits_response or not starts.is_void_under(task_id, attempt, self.newest_token):
+            return False
+        machine.fencing_token = self.newest_token
+        return True
+
     def heartbeat_timeout_s(self) -> float:
         """Return the seconds without a message after which a machine is probed."""
         return max(self.operator.silence_seconds, self.worker_times.report_s * 1.25 + 1.0)
@@ -362,7 +395,11 @@
                 return
         self.outbox.append(
             CommandMessage(
-                machine.id, machine.address, self.fencing_token, machine.incarnation, list(commands)
+                machine.id,
+                machine.address,
+                machine.fencing_token,
+                machine.incarnation,
+                list(commands),
             )
         )
 
--- a/umberward/scheduling/command_queue.py
+++ b/umberward/scheduling/command_queue.py
@@ -68,7 +68,7 @@
         self._inflight.add(command.machine)
         return command._replace(
             commands=valid_commands,
-            fencing_token=self.cluster.fencing_token,
+            fencing_token=machine.fencing_token,
             address=machine.address,
         )
 
@@ -77,7 +77,7 @@
         """Record that a start for the current session is certain not to be sent."""
         started = task_command.started_attempt
         if started is not None and machine.incarnation == command.incarnation:
-            machine.inflight_starts.answered(*started)
+            machine.inflight_starts.not_sent(*started)
 
     def _still_valid(
         self, task_command: TaskCommand, command: CommandMessage, machine: Machine
--- a/umberward/scheduling/command_results.py
+++ b/umberward/scheduling/command_results.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from umberward.core.log import logger
-from umberward.core.types import Instant, parse_task_id
+from umberward.core.types import Instant, MachineId, parse_task_id
 from umberward.protocol.wire import Heartbeat
 from umberward.scheduling.cluster_state import ClusterState, CommandMessage, Probe
 from umberward.scheduling.heartbeats import HeartbeatHandler, HeartbeatSource
@@ -43,8 +43,12 @@
         machine = self.cluster.machines.get(command.machine)
         if machine is None:
             return
+        certainly_not_received = heartbeat is None and not outcome_unknown
+        if heartbeat is not None and heartbeat.machine_id != command.machine:
+            certainly_not_received = True
+            self._record_starts_of_other_machine(command, heartbeat)
         if command.incarnation == machine.incarnation:
-            self._record_start_outcomes(machine, command, outcome_unknown=outcome_unknown)
+            self._record_start_outcomes(machine, command, received=not certainly_not_received)
         if heartbeat is None:
             self.reachability.suspect_unreachable(machine, now)
             return
@@ -85,19 +89,34 @@
 
     @staticmethod
     def _record_start_outcomes(
-        machine: Machine, command: CommandMessage, *, outcome_unknown: bool
+        machine: Machine, command: CommandMessage, *, received: bool
     ) -> None:
-        """Record the outcome of the starts in a direct command of the current session."""
+        """Record the outcome of the starts in a direct command of the current session.
+
+        `received`: the worker may have received it. Even if it has answered, a copy may arrive.
+        """
         for task_command in command.commands:
             if task_command.started_attempt is None:
                 continue
             task_id, attempt = task_command.started_attempt
-            if outcome_unknown:
-                machine.inflight_starts.timed_out(
+            if received:
+                machine.inflight_starts.completed(
                     task_id, attempt, command.fencing_token, machine.token_seen
                 )
             else:
-                machine.inflight_starts.answered(task_id, attempt)
+                machine.inflight_starts.not_sent(task_id, attempt)
+
+    def _record_starts_of_other_machine(
+        self, command: CommandMessage, heartbeat: Heartbeat
+    ) -> None:
+        """Record the starts in a command that another machine has answered."""
+        machine = self.cluster.machines.get(MachineId(heartbeat.machine_id))
+        if machine is None or machine.incarnation != command.incarnation:
+            return
+        for task_command in command.commands:
+            if task_command.started_attempt is not None:
+                machine.inflight_starts.sent(*task_command.started_attempt)
+        self._record_start_outcomes(machine, command, received=True)
 
     def _address_reused(
         self, machine: Machine, command: CommandMessage, heartbeat: Heartbeat, now: Instant
--- a/umberward/scheduling/failure_detector.py
+++ b/umberward/scheduling/failure_detector.py
@@ -181,7 +181,11 @@
                 machine_ids.append(str(machine.id))
         jobs_read_age_s = max(0.0, now - self.cluster.jobs_read_requested_at)
         return Delegation(
-            self.cluster.fencing_token, delegation_sequence, jobs_read_age_s, machine_ids
+            self.cluster.initial_token,
+            delegation_sequence,
+            jobs_read_age_s,
+            machine_ids,
+            self.cluster.newest_token,
         )
 
     def _check_reconciliation_completed(self, now: Instant) -> None:
@@ -335,7 +339,7 @@
         """
         return (
             machine.reconciled
-            and machine.token_seen == self.cluster.fencing_token
+            and machine.token_seen == machine.fencing_token
             and now - machine.last_message_at < self.cluster.heartbeat_timeout_s()
             and not (machine.tasks_without_placement or machine.draining or machine.lease_expired)
             and not (machine.has_stopping_tasks or self.cluster.has_unwanted_start(machine))
--- a/umberward/scheduling/heartbeats.py
+++ b/umberward/scheduling/heartbeats.py
@@ -110,7 +110,7 @@
     ) -> HeartbeatOutcome:
         """Process a decoded heartbeat from either source; `now` is monotonic time."""
         self.cluster.now = now
-        if heartbeat.fencing_token > self.cluster.fencing_token:
+        if heartbeat.fencing_token > self.cluster.newest_token:
             self._note_higher_token(FencingToken(heartbeat.fencing_token))
             return _refused()
         if heartbeat.machine_id in self.cluster.deleted_machines:
@@ -145,7 +145,7 @@
             or machine.settled_task_list is None
             or header.incarnation != machine.incarnation
             or header.sequence <= machine.sequence
-            or header.fencing_token != self.cluster.fencing_token
+            or header.fencing_token != machine.fencing_token
             or header.preemption_notice_s is not None
             or machine.draining
             or machine.silent
@@ -277,7 +277,7 @@
         if heartbeat.incarnation > machine.incarnation:
             self._begin_incarnation(machine, heartbeat, now, source)
         first_saw_current_token = (
-            machine.token_seen < heartbeat.fencing_token == self.cluster.fencing_token
+            machine.token_seen < heartbeat.fencing_token >= machine.fencing_token
         )
         if not periodic or first_saw_current_token:
             self.reachability.confirm_reachable(machine, now)
@@ -286,6 +286,7 @@
         machine.sequence = SequenceNumber(heartbeat.sequence)
         if heartbeat.fencing_token > machine.token_seen:
             machine.token_seen = FencingToken(heartbeat.fencing_token)
+            machine.fencing_token = max(machine.fencing_token, machine.token_seen)
             machine.inflight_starts.token_seen(machine.token_seen)
         if heartbeat.preemption_notice_s is not None:
             self._apply_preemption_notice(machine, heartbeat.preemption_notice_s, now)
@@ -344,7 +345,7 @@
                 CommandMessage(
                     machine.id,
                     machine.address,
-                    self.cluster.fencing_token,
+                    machine.fencing_token,
                     machine.incarnation,
                     [],
                 )
--- a/umberward/scheduling/invariants.py
+++ b/umberward/scheduling/invariants.py
@@ -75,8 +75,8 @@
         return True
 
     def may_forget(self, machine: Machine, task_id: TaskId, attempt: Attempt) -> bool:
-        """Whether the worker may be told to forget the attempt."""
-        if not machine.inflight_starts.may_arrive(task_id, attempt):
+        """Whether the worker may be told to forget the attempt, under the machine's token."""
+        if machine.inflight_starts.is_void_under(task_id, attempt, machine.fencing_token):
             return True
         return self._refuse(
             Invariant.FORGOTTEN_FOR_GOOD,
@@ -84,6 +84,7 @@
             attempt=attempt,
             machine=machine.id,
             token_seen=machine.token_seen,
+            token=machine.fencing_token,
             session=machine.incarnation,
         )
 
--- a/umberward/scheduling/lease_delegation.py
+++ b/umberward/scheduling/lease_delegation.py
@@ -32,20 +32,27 @@
 
 class Delegation(
     msgspec.Struct,
-    rename={"fencing_token": "epoch", "jobs_read_age_s": "age", "machine_ids": "hosts"},
+    rename={
+        "initial_token": "epoch",
+        "jobs_read_age_s": "age",
+        "machine_ids": "hosts",
+        "newest_token": "newest",
+    },
 ):
     """The leader's response to a controller that requests the delegation of its zone's machines.
 
-    `fencing_token` is the leader's; `serial` is the delegation's sequence number, which the
-    controller returns with its next request; `jobs_read_age_s` is how many seconds ago the leader
-    knew of all cancellations; `machine_ids` are the machines whose heartbeats the controller may
-    answer.
+    `initial_token` and `newest_token` are the lowest and the highest fencing token that the leader
+    has used in its term; earlier versions, which use one for all machines, omit `newest_token`.
+    `serial` is the delegation's sequence number, which the controller returns with its next
+    request; `jobs_read_age_s` is how many seconds ago the leader knew of all cancellations;
+    `machine_ids` are the machines whose heartbeats the controller may answer.
     """
 
-    fencing_token: int
+    initial_token: int
     serial: int
     jobs_read_age_s: float
     machine_ids: list[str]
+    newest_token: int | msgspec.UnsetType = msgspec.UNSET
 
 
 class _IssuedDelegation(NamedTuple):
@@ -144,7 +151,8 @@
         """Start without a delegation."""
         self.bounds = LeaseBounds(workers)
         self.serial = 0  # sequence number of the current delegation
-        self.fencing_token = FencingToken(0)  # that of the leader that issued it
+        # The lowest and the highest fencing token that the leader which issued it has used.
+        self.initial_token = self.newest_token = FencingToken(0)
         self.machine_ids: frozenset[str] = frozenset()  # whose heartbeats may be answered
         # The leader knew of all cancellations up to then.
         self.jobs_read_requested_at = Instant(0.0)
@@ -164,7 +172,13 @@
         later, so durations counted from the request are on the safe side.
         """
         self.serial = delegation.serial
-        self.fencing_token = FencingToken(delegation.fencing_token)
+        newest_token = delegation.newest_token
+        self.initial_token = FencingToken(delegation.initial_token)
+        self.newest_token = (
+            self.initial_token
+            if newest_token is msgspec.UNSET
+            else FencingToken(max(delegation.initial_token, newest_token))
+        )
         self.machine_ids = frozenset(delegation.machine_ids)
         self.jobs_read_requested_at = Instant(requested_at - delegation.jobs_read_age_s)
         self.requested_at = requested_at
@@ -173,11 +187,12 @@
     def claim_answer(self, machine_id: MachineId, fencing_token: int, now: Instant) -> bool:
         """Whether a worker's heartbeat may be answered; if so, the delegation counts as used.
 
-        `fencing_token` is the highest that the worker has seen; a delegation is valid only for the
-        token under which it was issued. To be called once the response is ready to be sent.
+        `fencing_token` is the highest that the worker has seen; a delegation is valid only for
+        tokens of the term in which it was issued. To be called when the response is about to be
+        sent.
         """
         if (
-            fencing_token != self.fencing_token
+            not self.initial_token <= fencing_token <= self.newest_token
             or not self.bounds.may_answer_heartbeat(
                 self.jobs_read_requested_at, self.requested_at, now
             )
--- a/umberward/scheduling/machines.py
+++ b/umberward/scheduling/machines.py
@@ -80,6 +80,8 @@
     # When another controller was last allowed to answer its heartbeats (`lease_delegation`).
     delegated_at: Instant | None = field(init=False, default=None)
     token_seen: FencingToken = field(init=False, default=FencingToken(0))
+    # For commands and responses to its worker: at least `token_seen`, once that is of this term.
+    fencing_token: FencingToken = field(init=False, default=FencingToken(0))
     # False while its only heartbeat may be an old duplicate of a machine that was deleted so long
     # ago that the leader no longer knows it. `confirmed_in_term` guards against old duplicates of
     # machines that exist.
@@ -116,7 +118,7 @@
     placements: dict[TaskId, Placement] = field(init=False, default_factory=dict)
     inflight_starts: InflightStarts = field(init=False, default_factory=InflightStarts)
     exited_tasks: set[TaskId] = field(init=False, default_factory=set)  # exited but still listed
-    # Time from which an exited attempt has stayed listed because a start of it may still arrive.
+    # Time from which an exited attempt has stayed listed for lack of a token that voids its starts.
     forget_deferred_since: Instant | None = field(init=False, default=None)
     # Tasks listed as running without a placement; they are to be stopped.
     tasks_without_placement: set[TaskId] = field(init=False, default_factory=set)
--- a/umberward/scheduling/placement_pass.py
+++ b/umberward/scheduling/placement_pass.py
@@ -315,10 +315,21 @@
     def _record_trials(
         self, job: Job, trials: list[TrialMachine], state: PassState, now: Instant
     ) -> None:
-        """Record the trials that were given to a job; the machines get no others in this pass."""
-        state.trials.remove({trial.machine.id for trial in trials}, job.id)
-        for trial in trials:
-            self.quarantines.trial_placed(trial.machine, job.id, now)
+        """Record the trials that were given to a job; the machines get no others in this pass.
+
+        A machine that still lists an earlier attempt of the only task left has got none.
+        """
+        machines = [
+            trial.machine
+            for trial in trials
+            if any(
+                placement.is_trial and placement.task.job == job.id
+                for placement in trial.machine.placements.values()
+            )
+        ]
+        state.trials.remove({machine.id for machine in machines}, job.id)
+        for machine in machines:
+            self.quarantines.trial_placed(machine, job.id, now)
 
     def _place_tasks(
         self, job: Job, chosen: list[MachineId], free: dict[MachineId, Resources], now: Instant
--- a/umberward/scheduling/reconciliation.py
+++ b/umberward/scheduling/reconciliation.py
@@ -1,7 +1,8 @@
 """Reconciliation of the tasks that a worker lists with the leader's placements. No I/O.
 
 A placement ends only when the worker's list shows that its attempt is gone and no start of it may
-still arrive (`inflight_commands`). A task that runs without a placement is adopted or stopped.
+still arrive (`inflight_commands`). An attempt is forgotten only with a response under a token that
+voids its direct starts. A task that runs without a placement is adopted or stopped.
 """
 
 from __future__ import annotations
@@ -9,7 +10,6 @@
 from dataclasses import dataclass, field
 
 from umberward.core.log import logger
-from umberward.core.rate_limited_log import RateLimitedLog
 from umberward.core.types import Attempt, Instant, TaskId, parse_task_id
 from umberward.protocol import wire
 from umberward.protocol.wire import FORGET, KILL, START, Heartbeat, TaskCommand, TaskStatus
@@ -23,7 +23,8 @@
 from umberward.scheduling.task_progress import TaskProgress
 
 log = logger(__name__)
-rate_limited_log = RateLimitedLog(log)
+
+DEFERRAL_LOG_INTERVAL_S = 60.0
 
 
 @dataclass(slots=True)
@@ -36,7 +37,7 @@
     periodic: bool  # a periodic heartbeat, whose response carries `commands`
     commands: list[TaskCommand] = field(default_factory=list)
     listed_tasks: set[TaskId] = field(default_factory=set)
-    must_defer_forget: bool = False  # a start of an exited attempt may arrive: it must stay listed
+    must_defer_forget: bool = False  # a token that voids an exited attempt's starts is missing
 
     def add_command(self, verb: str, status: TaskStatus, grace_s: float | None = None) -> None:
         """Add a command about a listed attempt to the response."""
@@ -59,6 +60,7 @@
         self.progress = TaskProgress(cluster, failure_attribution, writer)
         self.adoption = TaskAdoption(cluster)
         self.deferred_forget_count = 0  # times that forgetting had to be deferred
+        self._next_deferral_log_at = cluster.started_at
 
     def reconcile(
         self, machine: Machine, heartbeat: Heartbeat, now: Instant, *, periodic: bool
@@ -104,15 +106,15 @@
         machine, attempt = context.machine, Attempt(status.attempt)
         machine.exited_tasks.add(task_id)
         self.progress.task_exited(machine, task_id, status, placement, context.now)
-        context.must_defer_forget |= machine.inflight_starts.timed_out_start_valid_under(
-            task_id, attempt, self.cluster.fencing_token
-        )
-        if (
+        if not (
             context.periodic
             and self.cluster.loaded
-            and self._may_forget(machine, task_id, status)
-            and self.cluster.invariants.may_forget(machine, task_id, attempt)
+            and self._is_end_settled(machine, task_id, status)
         ):
+            return
+        if not self.cluster.void_starts(machine, task_id, attempt):
+            context.must_defer_forget = True
+        elif self.cluster.invariants.may_forget(machine, task_id, attempt):
             log.debug("task_forgotten", task=task_id, attempt=attempt, machine=machine.id)
             context.add_command(FORGET, status)
 
@@ -144,25 +146,22 @@
     ) -> None:
         """Handle a placed attempt whose start was sent but that the worker does not list."""
         machine = context.machine
-        may_arrive = machine.inflight_starts.may_arrive(task_id, placement.attempt)
-        if placement.seen_on_worker and not may_arrive:
-            self.cluster.release(machine, placement)
-        elif placement.stop_grace_s is None:
+        if placement.stop_grace_s is None and not placement.seen_on_worker:
             # The start may be lost. Repeating it has no effect if it was executed.
             if context.periodic:
                 self._repeat_start(context, placement)
-        elif not may_arrive:
-            # No direct start is in flight, and a heartbeat newer than the last one whose response
-            # carried the start does not list the task.
-            if context.periodic and context.heartbeat.sequence > placement.start_sent_sequence:
-                self.cluster.release(machine, placement)
-        elif machine.inflight_starts.timed_out_start_valid_under(
-            task_id, placement.attempt, self.cluster.fencing_token
+        elif machine.inflight_starts.may_arrive(task_id, placement.attempt):
+            # A start may be executed at any time; only a higher token prevents that.
+            voided = self.cluster.void_starts(machine, task_id, placement.attempt)
+            if not voided and not machine.inflight_starts.awaits_response:
+                self.cluster.token_rotation.note_missing_token(
+                    placement.stop_requested_at, context.now
+                )
+        elif placement.seen_on_worker or (
+            # A heartbeat newer than the last one whose response carried the start does not list it.
+            context.periodic and context.heartbeat.sequence > placement.start_sent_sequence
         ):
-            # An unanswered start may be executed at any time; only a higher token prevents that.
-            self.cluster.token_rotation.note_unwanted_start(
-                placement.stop_requested_at, context.now
-            )
+            self.cluster.release(machine, placement)
 
     def _repeat_start(self, context: _ReconciliationContext, placement: Placement) -> None:
         """Send the start again with the response, if the invariants allow it."""
@@ -184,25 +183,33 @@
         if machine.forget_deferred_since is None:
             machine.forget_deferred_since = context.now
             self.deferred_forget_count += 1
-            rate_limited_log.info(
-                "forget_deferred",
-                machine=machine.id,
-                token_seen=machine.token_seen,
-                starts_may_arrive=len(machine.inflight_starts),
+            self._log_deferral(machine, context.now)
+        if not machine.inflight_starts.awaits_response:
+            self.cluster.token_rotation.note_missing_token(
+                machine.forget_deferred_since, context.now
             )
-        self.cluster.token_rotation.note_deferred_forget(machine.forget_deferred_since, context.now)
 
-    def _may_forget(self, machine: Machine, task_id: TaskId, status: TaskStatus) -> bool:
-        """Whether the worker may drop an exited attempt from its list.
+    def _log_deferral(self, machine: Machine, now: Instant) -> None:
+        """Log that forgetting had to be deferred, at a low rate: `inflight_starts` counts them."""
+        if now < self._next_deferral_log_at:
+            return
+        self._next_deferral_log_at = Instant(now + DEFERRAL_LOG_INTERVAL_S)
+        log.info(
+            "forget_deferred",
+            machine=machine.id,
+            token_seen=machine.token_seen,
+            token=machine.fencing_token,
+            starts_may_arrive=len(machine.inflight_starts),
+        )
 
-        After a FORGET, a start that is still in flight would run the task again. A completion must
-        be stored first, as the list is the only other record of it.
+    def _is_end_settled(self, machine: Machine, task_id: TaskId, status: TaskStatus) -> bool:
+        """Whether nothing depends on the worker's listing an exited attempt any longer.
+
+        A completion must be stored first, as the list is the only other record of it.
         """
         placement = machine.placements.get(task_id)
         if placement is not None and placement.attempt == status.attempt:
             return False
-        if machine.inflight_starts.may_arrive(task_id, Attempt(status.attempt)):
-            return False
         job = self.cluster.jobs.get(task_id.job)
         if job is None or status.cause != wire.DONE:
             return True
--- a/umberward/scheduling/scheduler.py
+++ b/umberward/scheduling/scheduler.py
@@ -184,6 +184,7 @@
         self, transaction: Transaction, version: Version, now: Instant
     ) -> None:
         """Apply the effects of a committed transaction of this leader."""
+        self.commit_confirmed(FencingToken(version))
         for job, final in self.state_writer.transaction_committed(transaction, version, now):
             log.info("job_ended", job=job.id, phase=final.phase)
             self.apply_job_end(job.id, final, final.ended_at or self.wall_clock())
@@ -195,8 +196,8 @@
             self.remove_job(job_id)
 
     def token_rotated(self, fencing_token: FencingToken) -> None:
-        """Use a higher fencing token that was committed for the current term."""
-        self.fencing_token = fencing_token
+        """Record that a higher fencing token was committed for the current term."""
+        self.commit_confirmed(fencing_token)
         self.token_rotation.completed(self.now)
 
     # ---- failover ----------------------------------------------------------------------
@@ -229,7 +230,7 @@
         self.scheduling_pass_needed = True
         log.info(
             "failover_completed",
-            epoch=self.fencing_token,
+            epoch=self.initial_token,
             machines=len(self.machines),
             jobs=len(self.jobs),
         )
--- a/umberward/scheduling/summaries.py
+++ b/umberward/scheduling/summaries.py
@@ -94,6 +94,9 @@
         "may_arrive": sum(inflight_counts),
         "machines": sum(1 for count in inflight_counts if count),
         "forgets_put_off": deferred_forget_count,
+        "forgets_waiting": sum(
+            1 for machine in cluster.machines.values() if machine.forget_deferred_since is not None
+        ),
         "token_raises": cluster.token_rotation.count,
         "violations": sum(cluster.invariants.violations.values()),
     }
--- a/umberward/scheduling/token_rotation.py
+++ b/umberward/scheduling/token_rotation.py
@@ -1,7 +1,7 @@
-"""Rotation of the leader's fencing token, which voids delayed commands under the old one. No I/O.
+"""Rotation of the leader's fencing token, for machines whose direct starts no known token voids.
 
-A rotation costs one write, and a heartbeat of each worker when it first sees the new token. So it
-needs a reason, and each reason has a minimum interval between rotations.
+Each of the leader's transactions yields a higher token, so this is needed only while there are none
+and costs one write. No I/O.
 """
 
 from __future__ import annotations
@@ -10,15 +10,9 @@
 
 from umberward.core.types import Instant
 
-# For each reason: the age from which it causes a rotation, and the minimum time since the last
-# rotation.
-#
-# A start that is no longer wanted but may still be executed would waste resources.
-UNWANTED_START_MIN_AGE_S = 2.0  # how long the sender waits for a response
-UNWANTED_START_ROTATION_INTERVAL_S = 2.0
-# An exited attempt that cannot be forgotten does no harm, but lengthens its worker's heartbeats.
-DEFERRED_FORGET_MIN_AGE_S = 15.0
-DEFERRED_FORGET_ROTATION_INTERVAL_S = 60.0
+# How long a start has to lack a token that voids it, and the minimum time between two rotations.
+MISSING_TOKEN_MIN_AGE_S = 1.0
+ROTATION_INTERVAL_S = 2.0
 
 
 class TokenRotation:
@@ -31,17 +25,12 @@
         self._in_progress = False
         self._rotated_at = Instant(-math.inf)
 
-    def note_unwanted_start(self, since: Instant, now: Instant) -> None:
-        """Record that a start may still be executed although its task was stopped at `since`."""
-        self._request_after(
-            since, now, UNWANTED_START_MIN_AGE_S, UNWANTED_START_ROTATION_INTERVAL_S
-        )
-
-    def note_deferred_forget(self, since: Instant, now: Instant) -> None:
-        """Record that an exited attempt could not be forgotten since `since`."""
-        self._request_after(
-            since, now, DEFERRED_FORGET_MIN_AGE_S, DEFERRED_FORGET_ROTATION_INTERVAL_S
-        )
+    def note_missing_token(self, since: Instant, now: Instant) -> None:
+        """Record that no known token voids a start that is not wanted any more since `since`."""
+        if self._in_progress:
+            return
+        if now - since > MISSING_TOKEN_MIN_AGE_S and now - self._rotated_at > ROTATION_INTERVAL_S:
+            self.requested = True
 
     def started(self) -> None:
         """Record that the write of the new token begins."""
@@ -57,12 +46,3 @@
         self.requested = self._in_progress = False
         self.count += 1
         self._rotated_at = now
-
-    def _request_after(
-        self, since: Instant, now: Instant, min_age_s: float, min_interval_s: float
-    ) -> None:
-        """Request a rotation if the reason is old enough and the last one long enough ago."""
-        if self._in_progress:
-            return
-        if now - since > min_age_s and now - self._rotated_at > min_interval_s:
-            self.requested = True
--- a/umberward/soak/memory.py
+++ b/umberward/soak/memory.py
@@ -29,7 +29,8 @@
     Response,
 )
 from umberward.soak import plan
-from umberward.soak.cluster import HarnessError, SoakCluster, SoakWorker
+from umberward.soak.cluster import HarnessError, SoakCluster
+from umberward.soak.worker import SoakWorker
 
 MAX_GROWTH = 0.05  # of the memory after the warm-up
 WARM_UP_SHARE = 0.4  # of the time of a run, the most that the warm-up takes
--- a/umberward/soak/runner.py
+++ b/umberward/soak/runner.py
@@ -37,8 +37,9 @@
 
     `processor_s`: of all controller processes together; `memory_mb`: of the largest one;
     `late_in_flight`, `late_sent_after`: starts after a confirmed cancellation, sent before it and
-    after it; `builds`: those of the controllers, the first one first; `broken_by_build`: the number
-    of violations by the build that answered or acted.
+    after it; `late_copies`: direct commands delivered once more; `builds`: those of the
+    controllers, the first one first; `broken_by_build`: the number of violations by the build that
+    answered or acted.
     """
 
     seed: int
@@ -51,6 +52,7 @@
     takeovers: int
     late_in_flight: int
     late_sent_after: int
+    late_copies: int
     unfinished: int
     broken: list[Violation]
     builds: list[str]
@@ -192,6 +194,7 @@
             takeovers=cluster.takeovers,
             late_in_flight=self.checker.late_in_flight,
             late_sent_after=self.checker.late_sent_after,
+            late_copies=cluster.late_copies.count,
             unfinished=self.unfinished,
             broken=self.checker.violations,
             builds=[build.name for build in self.builds or [current_build()]],
