--- a/tests/test_peer_monitor.py
+++ b/tests/test_peer_monitor.py
@@ -7,6 +7,7 @@
 import cbor2
 import curio
 import pytest
+from log_lines import Lines
 from simulated_controllers import SimulatedControllers
 
 from umberward.control import peer_monitor
@@ -20,20 +21,6 @@
 ADDRESS = Address("127.0.0.1", 9)
 
 
-class Lines:
-    """Collects the lines of a logger."""
-
-    def __init__(self) -> None:
-        self.lines: list[dict[str, Any]] = []
-
-    def info(self, event: str, **fields: Any) -> None:
-        self.lines.append({"event": event, **fields})
-
-    def take(self) -> list[dict[str, Any]]:
-        taken, self.lines = self.lines, []
-        return taken
-
-
 class OnePeer:
     """A monitor whose one peer, k1, answers `body`, or not at all if that is None."""
 
--- a/tests/test_rejection_log.py
+++ b/tests/test_rejection_log.py
@@ -7,6 +7,7 @@
 
 import pytest
 from cluster_settings import job_spec
+from log_lines import Lines
 from simulated_job_api import SimulatedJobApis
 
 from umberward.control import rejection_log
@@ -18,19 +19,6 @@
 EVIDENCE = {"looked_up_s", "refreshed_s", "listed_s", "revision", "uptime_s"}
 
 
-class Lines:
-    """Collects the lines of a logger."""
-
-    def __init__(self) -> None:
-        self.lines: list[dict[str, Any]] = []
-
-    def info(self, event: str, **fields: Any) -> None:
-        self.lines.append({"event": event, **fields})
-
-    def of(self, event: str) -> list[dict[str, Any]]:
-        return [line for line in self.lines if line["event"] == event]
-
-
 @pytest.fixture
 def lines(monkeypatch: pytest.MonkeyPatch) -> Lines:
     collected = Lines()
--- a/umberward/control/controller.py
+++ b/umberward/control/controller.py
@@ -117,6 +117,7 @@
             self._issue_delegation,
             self._serve_forwarded_heartbeat,
             self._report_peer_cancellations,
+            self.job_states.known_phase,
         )
         return PeerLink(self.settings, self.election, self.client, self.rng, callbacks)
 
@@ -130,7 +131,11 @@
             self.job_states,
             self.machine_types,
             _wall_now,
-            JobApiCallbacks(readiness.is_state_reachable, self.peers.cancellations.announce),
+            JobApiCallbacks(
+                readiness.is_state_reachable,
+                self.peers.cancellations.announce,
+                self.peers.unknown_jobs.report,
+            ),
         )
         return RequestRouter(self.heartbeat_api, job_api, self._create_graph_api(), readiness)
 
@@ -155,6 +160,7 @@
             self.peers.run,
             self.peers.delegation.run,
             self.peers.cancellations.run,
+            self.peers.unknown_jobs.run,
         ]
         if self.election.build != UNKNOWN_BUILD:
             parts += [self.builds.run, self.peers.monitor.run]
--- a/umberward/control/job_api.py
+++ b/umberward/control/job_api.py
@@ -65,11 +65,13 @@
 
     `is_state_reachable` returns whether the state service can be reached; if not, requests that
     need it are rejected immediately. `announce_cancellation` is called with each job whose
-    cancellation is confirmed to a user.
+    cancellation is confirmed to a user, and `report_unknown` with each job that a user is told is
+    unknown.
     """
 
     is_state_reachable: Callable[[], bool] = lambda: True
     announce_cancellation: Callable[[JobId], None] = lambda _: None
+    report_unknown: Callable[[JobId], None] = lambda _: None
 
 
 NO_CALLBACKS = JobApiCallbacks()
@@ -315,6 +317,7 @@
         return self._live_response(job_id, state)
 
     def _unknown_job_response(self, request: JobRequest, job_id: JobId) -> Response:
+        self.callbacks.report_unknown(job_id)
         return self.rejections.record(request, job_id, Response(404))
 
     def _refused_response(self, job_id: JobId | None, status: int, reason: str) -> Response:
--- a/umberward/control/job_state_cache.py
+++ b/umberward/control/job_state_cache.py
@@ -50,6 +50,7 @@
 # The changes after a listing complete what it may have missed, so a job's live record is not read
 # again unless the listing is older than this.
 RECENT_LISTING_S = 5.0
+LIVE_PHASE = "live"  # of a job without a final record
 NO_DELAY_S = 0.0  # the state service responds immediately, even without changes
 STALE_ANSWER = "the job state that was read is out of date"
 
@@ -128,6 +129,13 @@
         await self._request_refresh(urgent=True)
         return {job_id: await self._lookup(job_id) for job_id in job_ids}
 
+    def known_phase(self, job_id: JobId) -> str | None:
+        """What was last read of the job, without a new read: its final phase, or `live`."""
+        final = self.final_records.get(job_id)
+        if final is not None:
+            return final.phase
+        return LIVE_PHASE if job_id in self.live_jobs else None
+
     def dependencies_of(self, job_id: JobId) -> list[JobId]:
         """The jobs that this one still waits for, as of the latest refresh."""
         return sorted(self.dependency_graph.dependencies.get(job_id, ()))
--- a/umberward/control/peer_link.py
+++ b/umberward/control/peer_link.py
@@ -16,6 +16,7 @@
 from umberward.control.peer_messages import DelegationRequest, InvalidPeerMessageError
 from umberward.control.peer_monitor import PeerMonitor
 from umberward.control.snapshot_exchange import FETCH_INTERVAL_S, SnapshotExchange
+from umberward.control.unknown_jobs import UnknownJobReporter
 from umberward.core.settings import Settings
 from umberward.core.types import JobId
 from umberward.leader.failover_snapshot import FailoverSnapshot
@@ -33,13 +34,14 @@
     `take_snapshot` returns the snapshot of a leader, and `issue_delegation` answers a request for a
     delegation; both return None if this controller does not lead. `answer_heartbeat` answers a
     heartbeat forwarded by a peer. `on_cancelled` is called with jobs whose cancellation a peer has
-    announced.
+    announced. `known_phase` returns what this controller has read of a job, or None.
     """
 
     take_snapshot: Callable[[], FailoverSnapshot | None]
     issue_delegation: Callable[[DelegationRequest], Awaitable[Delegation | None]]
     answer_heartbeat: Callable[[bytes], Awaitable[Response]]
     on_cancelled: Callable[[list[JobId]], Awaitable[None]]
+    known_phase: Callable[[JobId], str | None] = lambda _: None
 
 
 class PeerLink:
@@ -68,6 +70,13 @@
         self.cancellations = CancellationAnnouncer(
             settings.platform.label, addresses, client, callbacks.on_cancelled
         )
+        self.unknown_jobs = UnknownJobReporter(
+            settings.platform.label,
+            lambda: election.build,
+            addresses,
+            client,
+            callbacks.known_phase,
+        )
         self.snapshots = SnapshotExchange(addresses, election, client, callbacks.take_snapshot)
 
     async def run(self) -> None:
@@ -97,6 +106,8 @@
             return await self.callbacks.answer_heartbeat(request.body)
         if path == peer_messages.CANCELLATIONS_PATH and request.method == "POST":
             return await self.cancellations.receive(request.body)
+        if path == peer_messages.UNKNOWN_JOBS_PATH and request.method == "POST":
+            return self.unknown_jobs.receive(request.body)
         if self.election.is_leader():
             return await self._serve_as_leader(request)
         return Response(404)
--- a/umberward/control/peer_messages.py
+++ b/umberward/control/peer_messages.py
@@ -20,6 +20,7 @@
 STATUS_PATH = "/peer"
 FORWARDED_HEARTBEAT_PATH = "/peer/hello"
 CANCELLATIONS_PATH = "/peer/cancelled"
+UNKNOWN_JOBS_PATH = "/peer/unknown"
 DELEGATION_PATH = "/peer/loan"
 SNAPSHOT_PATH = "/peer/hints"
 
@@ -73,6 +74,20 @@
     cancelled: list[str] = []
 
 
+class UnknownJobs(msgspec.Struct):
+    """Jobs that the sender has just called unknown to users, and the build of its process."""
+
+    sender: str = msgspec.field(name="from")
+    build: str = ""
+    jobs: list[str] = []
+
+
+class KnownJobs(msgspec.Struct):
+    """The response to `UnknownJobs`: those that the receiver knows, with their phases."""
+
+    known: dict[str, str] = {}
+
+
 class DelegationRequest(NamedTuple):
     """The query with which a controller requests a delegation from the leader.
 
