--- a/tests/test_job_api_states.py
+++ b/tests/test_job_api_states.py
@@ -286,3 +286,32 @@
         assert not machine.apis.broken
     finally:
         machine.open.close()
+
+
+# Reads of a controller that are slow, or fail at first, while a job ends elsewhere.
+SLOW_READS = {
+    "job archived between two pages of a listing": ("state", "k0", "late", "/kv?prefix=", 0.2, 0.2),
+    "first listing in progress": ("state", "k0", "hold", "/kv?prefix="),
+    "refresh of a follower fails": ("state", "k0", "lost", "/watch"),
+}
+
+
+@pytest.mark.parametrize("what", ["poll", "cancel", "submit", "submit infeasible"])
+@pytest.mark.parametrize("situation", SLOW_READS)
+def test_job_that_ends_while_reads_are_slow_is_not_unknown(situation: str, what: str) -> None:
+    with SimulatedJobApis().running() as apis:
+        for number in range(6):  # three pages
+            apis.store_job(f"req-{number:06d}")
+        apis.ask("cancel", "req-000001", "k1")
+        apis.run(1.0)
+        apis.restart("k0")
+        apis.set_fault(situation, *SLOW_READS[situation])
+        for job_id in ("req-000001", "req-000003", "req-000005") * 4:
+            body = job_spec(job_id, cores=1e6) if what == "submit infeasible" else None
+            apis.ask(what.split()[0] if what != "cancel" else "poll", job_id, "k0", body)
+            apis.run(0.11)
+            if job_id != "req-000001":
+                apis.ask("cancel", job_id, "k1" if what != "cancel" else "k0")
+        apis.heal()
+        apis.run(3.0)
+        assert not apis.broken and apis.answers
