--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -42,6 +42,7 @@
 from umberward.scheduling.dependencies import NO_DEMAND, BlockedJobs, DependencyGraph
 from umberward.scheduling.failure_attribution import FailureAttribution
 from umberward.scheduling.failure_detector import FailureDetector
+from umberward.scheduling.fencing_tokens import FencingTokens
 from umberward.scheduling.gang_reservation import GangReservations
 from umberward.scheduling.heartbeats import HeartbeatHandler
 from umberward.scheduling.inflight_commands import InflightStarts
@@ -148,7 +149,7 @@
 
     def init(self: Scheduler, *args: Any) -> None:
         original(self, *args)
-        self.initial_token = 0  # type: ignore[assignment]
+        self.tokens.initial = 0  # type: ignore[assignment]
 
     patch.setattr(Scheduler, "__init__", init)
 
@@ -159,10 +160,10 @@
 
 
 def _never_raise_tokens(patch: pytest.MonkeyPatch) -> None:
-    def void_starts(self: Scheduler, machine: Machine, task: Any, attempt: Any) -> bool:
+    def void_starts(self: FencingTokens, machine: Machine, task: Any, attempt: Any) -> bool:
         return machine.inflight_starts.is_void_under(task, attempt, machine.fencing_token)
 
-    patch.setattr(Scheduler, "void_starts", void_starts)
+    patch.setattr(FencingTokens, "void_starts", void_starts)
 
 
 def unanswered_start(patch: pytest.MonkeyPatch) -> None:
--- a/tests/test_inflight_commands.py
+++ b/tests/test_inflight_commands.py
@@ -16,6 +16,7 @@
     TaskId,
 )
 from umberward.scheduling import token_rotation
+from umberward.scheduling.fencing_tokens import FencingTokens
 from umberward.scheduling.inflight_commands import InflightStarts
 from umberward.scheduling.token_rotation import TokenRotation
 
@@ -139,3 +140,31 @@
     assert not any(usable())
     machine.inflight_starts.token_seen(FencingToken(machine.token_seen + 1))
     assert all(usable())
+
+
+def test_a_machines_token_rises_only_to_void_a_start_and_not_while_one_awaits_its_answer() -> None:
+    player = ScenarioPlayer()
+    player.do_machine("m1", "small", "a")
+    player.do_lead()
+    player.do_run("3")
+    assert player.cluster.scheduler is not None
+    machine = player.cluster.scheduler.machines[MachineId("m1")]
+    tokens = FencingTokens(FencingToken(10))
+    machine.fencing_token = machine.token_seen = FencingToken(10)
+    starts = machine.inflight_starts
+    assert tokens.void_starts(machine, TASK, ATTEMPT) and machine.fencing_token == 10
+    starts.sent(TASK, ATTEMPT)
+    tokens.commit_confirmed(FencingToken(12))
+    assert not tokens.void_starts(machine, TASK, ATTEMPT)  # it awaits its answer
+    starts.completed(TASK, ATTEMPT, FencingToken(10), machine.token_seen)
+    other = Attempt(ATTEMPT + 1)
+    starts.sent(TASK, other)
+    assert not tokens.void_starts(machine, TASK, ATTEMPT)  # another one does
+    starts.not_sent(TASK, other)
+    assert machine.fencing_token == 10
+    tokens.commit_confirmed(FencingToken(11))  # answered late
+    assert tokens.void_starts(machine, TASK, ATTEMPT) and machine.fencing_token == 12
+    starts.sent(TASK, other)
+    starts.completed(TASK, other, FencingToken(12), machine.token_seen)
+    assert not tokens.void_starts(machine, TASK, other)  # no higher token is known
+    assert tokens.void_starts(machine, TASK, ATTEMPT) and machine.fencing_token == 12
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -10,6 +10,7 @@
 
 from umberward.core.types import Attempt, Instant, JobId, MachineId, TaskId
 from umberward.scheduling import invariants
+from umberward.scheduling.fencing_tokens import FencingTokens
 from umberward.scheduling.invariants import Invariant, Invariants, InvariantViolationError
 from umberward.scheduling.jobs import Job, Placement
 from umberward.scheduling.scheduler import Scheduler
@@ -100,7 +101,7 @@
 
 
 def test_a_forget_that_was_decided_wrongly_does_not_leave(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(Scheduler, "void_starts", lambda *_: True)
+    monkeypatch.setattr(FencingTokens, "void_starts", lambda *_: True)
     path = next(path for path in FILES if path.stem == "no_forget_while_start_in_flight")
     with pytest.raises(InvariantViolationError, match=Invariant.FORGOTTEN_FOR_GOOD.value):
         play(path)
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -571,7 +571,7 @@
         """Whether the workers have seen tokens that differ, above the leader's first one."""
         assert self.cluster.scheduler is not None
         tokens = {worker.fencing_token for worker in self.cluster.workers.values()}
-        return len(tokens) > 1 and max(tokens) > self.cluster.scheduler.initial_token
+        return len(tokens) > 1 and max(tokens) > self.cluster.scheduler.tokens.initial
 
     def see_starts(self, task: str) -> int:
         return self.cluster.starts.get(task, 0)
--- a/umberward/leader/failover_snapshot.py
+++ b/umberward/leader/failover_snapshot.py
@@ -122,7 +122,7 @@
     """Return the leader's knowledge at `now`, a reading of its monotonic clock."""
     images, machine_images = _index_images(scheduler)
     return FailoverSnapshot(
-        fencing_token=scheduler.initial_token,
+        fencing_token=scheduler.tokens.initial,
         images=images,
         machine_images=machine_images,
         runtime_ratio=dict(scheduler.runtime_ratios),
--- a/umberward/leader/snapshot_store.py
+++ b/umberward/leader/snapshot_store.py
@@ -81,7 +81,7 @@
         else:
             self._stored[key] = without_token
             self.context.election.commit_confirmed(FencingToken(revision))
-            self.context.scheduler.commit_confirmed(FencingToken(revision))
+            self.context.scheduler.tokens.commit_confirmed(FencingToken(revision))
 
     def _parts(self) -> list[FailoverSnapshot]:
         scheduler = self.context.scheduler
--- a/umberward/scheduling/cluster_state.py
+++ b/umberward/scheduling/cluster_state.py
@@ -16,7 +16,6 @@
 from umberward.core.settings import Settings
 from umberward.core.types import (
     NO_RESOURCES,
-    Attempt,
     FencingToken,
     Incarnation,
     Instant,
@@ -30,6 +29,7 @@
     ZoneName,
 )
 from umberward.protocol.wire import KILL, START, MachineType, TaskCommand
+from umberward.scheduling.fencing_tokens import FencingTokens
 from umberward.scheduling.headroom import Headroom
 from umberward.scheduling.invariants import Invariants
 from umberward.scheduling.job_timing import DEFAULT_START_WITHIN_S, JobTiming
@@ -103,10 +103,7 @@
 
     def _init_term(self, fencing_token: FencingToken, now: Instant) -> None:
         """Initialize the fencing tokens and the times, which are monotonic."""
-        self.initial_token = fencing_token  # the revision at which this leader was elected
-        # The highest revision at which this leader is known to have led. Each machine has a token
-        # of its own between these two (docs/commands.md).
-        self.newest_token = fencing_token
+        self.tokens = FencingTokens(fencing_token)
         self.higher_token_seen = FencingToken(0)  # higher token that a worker has reported
         self.token_rotation = TokenRotation()
         self.started_at = now
@@ -251,41 +248,17 @@
                 now,
                 self.schedulable_index.changed,
             )
-            machine.fencing_token = self.initial_token
+            machine.fencing_token = self.tokens.initial
             self.machines_without_check.append(machine)
             if machine.offer not in self.offers:
                 self.offers.add(machine.offer)
                 self.offers_version += 1
         return machine
 
-    # ---- fencing tokens ------------------------------------------------------------------
-
-    def commit_confirmed(self, revision: FencingToken) -> None:
-        """Record that a transaction on the condition of this leadership was committed.
-
-        No other leader was elected before `revision`, which is therefore a valid token.
-        """
-        self.newest_token = max(self.newest_token, revision)
-
     def fencing_token_for(self, machine_id: MachineId) -> FencingToken:
         """Return the token for commands and responses to this machine's worker."""
         machine = self.machines.get(machine_id)
-        return self.newest_token if machine is None else machine.fencing_token
-
-    def void_starts(self, machine: Machine, task_id: TaskId, attempt: Attempt) -> bool:
-        """Make the worker refuse each direct start of the attempt, with the next response to it.
-
-        Raises the machine's token if it has to and can; returns whether it is high enough. It
-        can't if no higher token is known. It does not while a start awaits its response, which the
-        worker would refuse under a lower token.
-        """
-        starts = machine.inflight_starts
-        if starts.is_void_under(task_id, attempt, machine.fencing_token):
-            return True
-        if starts.awaits_response or not starts.is_void_under(task_id, attempt, self.newest_token):
-            return False
-        machine.fencing_token = self.newest_token
-        return True
+        return self.tokens.newest if machine is None else machine.fencing_token
 
     def heartbeat_timeout_s(self) -> float:
         """Return the seconds without a message after which a machine is probed."""
--- a/umberward/scheduling/failure_detector.py
+++ b/umberward/scheduling/failure_detector.py
@@ -181,11 +181,11 @@
                 machine_ids.append(str(machine.id))
         jobs_read_age_s = max(0.0, now - self.cluster.jobs_read_requested_at)
         return Delegation(
-            self.cluster.initial_token,
+            self.cluster.tokens.initial,
             delegation_sequence,
             jobs_read_age_s,
             machine_ids,
-            self.cluster.newest_token,
+            self.cluster.tokens.newest,
         )
 
     def _check_reconciliation_completed(self, now: Instant) -> None:
--- a/umberward/scheduling/heartbeats.py
+++ b/umberward/scheduling/heartbeats.py
@@ -110,7 +110,7 @@
     ) -> HeartbeatOutcome:
         """Process a decoded heartbeat from either source; `now` is monotonic time."""
         self.cluster.now = now
-        if heartbeat.fencing_token > self.cluster.newest_token:
+        if heartbeat.fencing_token > self.cluster.tokens.newest:
             self._note_higher_token(FencingToken(heartbeat.fencing_token))
             return _refused()
         if heartbeat.machine_id in self.cluster.deleted_machines:
@@ -338,7 +338,7 @@
         If so, mark the machine as reconciled; if not, add the command or probe that must come
         first to the outbox.
         """
-        if heartbeat.fencing_token < self.cluster.initial_token:
+        if heartbeat.fencing_token < self.cluster.tokens.initial:
             # The worker could still execute a delayed command of a previous leader. An empty
             # command first raises the worker's token.
             self.cluster.outbox.append(
--- a/umberward/scheduling/placement_pass.py
+++ b/umberward/scheduling/placement_pass.py
@@ -338,7 +338,9 @@
         if not chosen:
             return
         self.attempt_count += 1
-        attempt = Attempt((self.cluster.initial_token << ATTEMPT_COUNTER_BITS) + self.attempt_count)
+        attempt = Attempt(
+            (self.cluster.tokens.initial << ATTEMPT_COUNTER_BITS) + self.attempt_count
+        )
         for index, machine_id in self._assign_tasks(job, chosen):
             machine = self.cluster.machines[machine_id]
             task = TaskId(job.id, index)
--- a/umberward/scheduling/reconciliation.py
+++ b/umberward/scheduling/reconciliation.py
@@ -112,7 +112,7 @@
             and self._is_end_settled(machine, task_id, status)
         ):
             return
-        if not self.cluster.void_starts(machine, task_id, attempt):
+        if not self.cluster.tokens.void_starts(machine, task_id, attempt):
             context.must_defer_forget = True
         elif self.cluster.invariants.may_forget(machine, task_id, attempt):
             log.debug("task_forgotten", task=task_id, attempt=attempt, machine=machine.id)
@@ -152,7 +152,7 @@
                 self._repeat_start(context, placement)
         elif machine.inflight_starts.may_arrive(task_id, placement.attempt):
             # A start may be executed at any time; only a higher token prevents that.
-            voided = self.cluster.void_starts(machine, task_id, placement.attempt)
+            voided = self.cluster.tokens.void_starts(machine, task_id, placement.attempt)
             if not voided and not machine.inflight_starts.awaits_response:
                 self.cluster.token_rotation.note_missing_token(
                     placement.stop_requested_at, context.now
--- a/umberward/scheduling/scheduler.py
+++ b/umberward/scheduling/scheduler.py
@@ -184,7 +184,7 @@
         self, transaction: Transaction, version: Version, now: Instant
     ) -> None:
         """Apply the effects of a committed transaction of this leader."""
-        self.commit_confirmed(FencingToken(version))
+        self.tokens.commit_confirmed(FencingToken(version))
         for job, final in self.state_writer.transaction_committed(transaction, version, now):
             log.info("job_ended", job=job.id, phase=final.phase)
             self.apply_job_end(job.id, final, final.ended_at or self.wall_clock())
@@ -197,7 +197,7 @@
 
     def token_rotated(self, fencing_token: FencingToken) -> None:
         """Record that a higher fencing token was committed for the current term."""
-        self.commit_confirmed(fencing_token)
+        self.tokens.commit_confirmed(fencing_token)
         self.token_rotation.completed(self.now)
 
     # ---- failover ----------------------------------------------------------------------
@@ -230,7 +230,7 @@
         self.scheduling_pass_needed = True
         log.info(
             "failover_completed",
-            epoch=self.initial_token,
+            epoch=self.tokens.initial,
             machines=len(self.machines),
             jobs=len(self.jobs),
         )
