A zone's delegate renews machines whose token has just risen

Cause: the delegate answers tokens up to the newest that it was told, and a machine was delegated only once its worker had seen its own.

Change: a machine's token rises to one that was announced with a delegation, if that voids the starts; a machine is delegated under the token that its worker knows, as a start that is not wanted keeps it from being delegated anyway.

Test: zone_delegated_while_tokens_rise fails with the former rule (mutation unannounced-tokens).

--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -772,6 +772,22 @@
     patch.setattr(Delegate, "accept", accept)
 
 
+def unannounced_tokens(patch: pytest.MonkeyPatch) -> None:
+    """A machine's token rises to the newest one, whether other controllers know it or not, and it
+    is delegated only once its worker has seen that."""
+    original = FailureDetector._may_delegate
+
+    def announce(self: FencingTokens) -> Any:
+        return self.newest
+
+    def may_delegate(self: FailureDetector, machine: Machine, now: Any) -> bool:
+        seen = machine.token_seen == machine.fencing_token
+        return seen and original(self, machine, now)
+
+    patch.setattr(FencingTokens, "announce", announce)
+    patch.setattr(FailureDetector, "_may_delegate", may_delegate)
+
+
 def exited_raise(patch: pytest.MonkeyPatch) -> None:
     """The token is not rotated for exited attempts that can't be forgotten."""
     patch.setattr(TokenRotation, "note_missing_token", lambda *_: None)
@@ -849,6 +865,7 @@
     "late-start": late_start,
     "answered-start": answered_start,
     "one-token": one_token,
+    "unannounced-tokens": unannounced_tokens,
     "exited-raise": exited_raise,
     "unwanted-start": unwanted_start,
     "tells-others": tells_others,
--- a/umberward/scheduling/failure_detector.py
+++ b/umberward/scheduling/failure_detector.py
@@ -185,7 +185,7 @@
             delegation_sequence,
             jobs_read_age_s,
             machine_ids,
-            self.cluster.tokens.newest,
+            self.cluster.tokens.announce(),
         )
 
     def _check_reconciliation_completed(self, now: Instant) -> None:
@@ -339,7 +339,6 @@
         """
         return (
             machine.reconciled
-            and machine.token_seen == machine.fencing_token
             and now - machine.last_message_at < self.cluster.heartbeat_timeout_s()
             and not (machine.tasks_without_placement or machine.draining or machine.lease_expired)
             and not (machine.has_stopping_tasks or self.cluster.has_unwanted_start(machine))
