--- a/tests/test_build_identity.py
+++ b/tests/test_build_identity.py
@@ -140,7 +140,20 @@
     page = wire.KeyValuePage([wire.KeyValue("controllers/n0", record, Version(1), None)], 1)
     monkeypatch.setattr(cli, "ask", lambda *_: Response(200, wire.encode(page)))
     result = CliRunner().invoke(cli.main, ["builds", "--config", str(config)])
-    assert (result.exit_code, result.output) == (0, "n0 0.5.0+ab\nn1 unknown\n")
+    assert result.exit_code == cli.EXIT_KNOWN_FAULT
+    first, second = result.output.splitlines()
+    assert first == "n0 0.5.0+ab"
+    assert second.startswith("n1 unknown (unless it is 0.1.1 or later, has the known fault ")
+    assert second.endswith("; mended in 0.1.1; see docs/operators/upgrades.md)")
+    known = [
+        wire.KeyValue(f"controllers/{name}", {"build": "0.5.0+ab"}, Version(1), None)
+        for name in ("n0", "n1")
+    ]
+    monkeypatch.setattr(
+        cli, "ask", lambda *_: Response(200, wire.encode(wire.KeyValuePage(known, 1)))
+    )
+    result = CliRunner().invoke(cli.main, ["builds", "--config", str(config)])
+    assert (result.exit_code, result.output) == (0, "n0 0.5.0+ab\nn1 0.5.0+ab\n")
     monkeypatch.setattr(cli, "ask", lambda *_: Response(503))
     assert CliRunner().invoke(cli.main, ["builds", "--config", str(config)]).exit_code == 1
     assert __version__ in CliRunner().invoke(cli.main, ["--version"]).output
--- a/tests/test_peer_monitor.py
+++ b/tests/test_peer_monitor.py
@@ -10,8 +10,9 @@
 from log_lines import Lines
 from simulated_controllers import SimulatedControllers
 
-from umberward.control import peer_monitor
+from umberward.control import known_fault_log, peer_monitor
 from umberward.control.controller import Controller
+from umberward.control.known_fault_log import KnownFaultLog
 from umberward.control.peer_messages import PeerStatus, decode
 from umberward.control.peer_monitor import CHECK_INTERVAL_S, PeerMonitor
 from umberward.core.build_identity import UNKNOWN_BUILD
@@ -34,6 +35,7 @@
             {"k1": ADDRESS},
             self,  # type: ignore[arg-type]
             lambda: self.now,
+            KnownFaultLog(["k1"]),
         )
 
     async def request(self, *_: Any) -> Response:
@@ -70,7 +72,12 @@
         "uptime_s": 1.0,
         "first_answer": True,
     }
-    assert builds == {"event": "peer_builds", "mixed": False, "builds": "k0:0.5,k1:0.5"}
+    assert builds == {
+        "event": "peer_builds",
+        "mixed": False,
+        "peers_with_known_faults": 0,
+        "builds": "k0:0.5,k1:0.5",
+    }
     peer.check({"build": "0.5", "uptime": 3.0})
     assert events(lines) == []
 
@@ -107,6 +114,26 @@
     assert reachable["silent_s"] == 2 * CHECK_INTERVAL_S
 
 
+def test_peer_that_names_no_build_is_named_at_each_start_as_possibly_faulty(
+    lines: Lines, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    faults = Lines()
+    monkeypatch.setattr(known_fault_log, "log", faults)
+    peer = OnePeer()
+    production = {"label": "k1", "contact_age": 0.1, "leader": "k0"}
+    for _ in range(3):
+        peer.check(production)
+    assert lines.of("peer_builds")[0]["peers_with_known_faults"] == 1
+    assert [line["unless"] for line in faults.take()] == ["0.1.1 or later"]
+    peer.check(None)
+    peer.check(production)  # perhaps another process
+    assert [line["occasion"] for line in faults.take()] == ["peer_started"]
+    peer.check({**production, "heard_age": 1.0, "build": "0.5", "uptime": 1.0})
+    peer.check(None)
+    peer.check({**production, "heard_age": 1.0})  # a version after the mend that names no build
+    assert faults.take() == [] and peer.monitor.known_faults.affected_peers == 0
+
+
 def test_peer_behind_a_cut_is_the_same_process_afterwards(lines: Lines) -> None:
     peer = OnePeer()
     peer.check({"build": "0.5", "uptime": 50.0})
--- a/tests/test_unknown_jobs.py
+++ b/tests/test_unknown_jobs.py
@@ -23,6 +23,7 @@
     def __init__(self) -> None:
         self.reporters: dict[Address, UnknownJobReporter] = {}
         self.sent = 0
+        self.wrong: list[str] = []  # controllers that called a job unknown that a peer knows
 
     async def request(self, address: Address, _: str, __: str, body: bytes, *___: Any) -> Response:
         self.sent += 1
@@ -42,9 +43,11 @@
     """A controller calls the jobs unknown; of its two peers one is down."""
     addresses = {"k1": Address("127.0.0.1", 11), "k2": Address("127.0.0.1", 12)}
     client: Any = peers
-    reporter = UnknownJobReporter("k0", lambda: BUILD, addresses, client, lambda _: None)
+    reporter = UnknownJobReporter(
+        "k0", lambda: BUILD, addresses, client, lambda _: None, peers.wrong.append
+    )
     peers.reporters[addresses["k1"]] = UnknownJobReporter(
-        "k1", lambda: "other", {}, client, known_to_peer.get
+        "k1", lambda: "other", {}, client, known_to_peer.get, peers.wrong.append
     )
 
     async def run() -> None:
@@ -58,7 +61,9 @@
 
 
 def test_both_logs_name_a_job_that_one_called_unknown_and_the_other_knows(lines: Lines) -> None:
-    report_to_peers([UNKNOWN, KNOWN], {KNOWN: "cancelled"}, Peers())
+    peers = Peers()
+    report_to_peers([UNKNOWN, KNOWN], {KNOWN: "cancelled"}, peers)
+    assert peers.wrong == ["k0"]
     about = {"job": KNOWN, "phase": "cancelled"}
     assert lines.of("peer_called_job_unknown") == [
         {"event": "peer_called_job_unknown", "peer": "k0", "build": BUILD, **about}
@@ -72,6 +77,7 @@
     peers = Peers()
     report_to_peers([UNKNOWN, UNKNOWN], {}, peers)
     assert peers.sent == 2  # one for each peer
+    assert peers.wrong == []
     assert not lines.of("peer_called_job_unknown") and not lines.of("unknown_job_known_to_peer")
 
 
@@ -85,6 +91,9 @@
 
 @pytest.mark.parametrize("body", [b"", b"\xa0", b"\xa1ejobs\x07", b"\xff"])
 def test_a_malformed_message_is_refused(body: bytes) -> None:
-    client: Any = Peers()
-    reporter = UnknownJobReporter("k1", lambda: BUILD, {}, client, lambda _: "done")
-    assert reporter.receive(body).status == 400
+    peers = Peers()
+    client: Any = peers
+    reporter = UnknownJobReporter(
+        "k1", lambda: BUILD, {}, client, lambda _: "done", peers.wrong.append
+    )
+    assert reporter.receive(body).status == 400 and peers.wrong == []
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import itertools
+import subprocess
+import sys
 from http import HTTPStatus
 from pathlib import Path
 from typing import Any, NamedTuple
@@ -11,6 +13,7 @@
 import msgspec
 import pytest
 
+from umberward.cli.main import EXIT_KNOWN_FAULT
 from umberward.core import event_loop
 from umberward.local.builds import (
     ControllerBuild,
@@ -31,6 +34,9 @@
 REQUEST_TIMEOUT_S = 5.0
 READY_TIMEOUT_S = 30.0
 READY_POLL_S = 0.05
+NOTICE_TIMEOUT_S = 15.0  # for the logs of the peers to name a controller's build
+
+PATCH_RELEASE_COMMIT = "0fcfe804504e75ed3a700572259f04cfae41ee30"
 
 # A version that takes a lookup in progress for its result, and the changes that mend it.
 FAULTY_COMMIT = "e3e27d45fba9c421791ba7becade9d7c9039dc79"
@@ -55,6 +61,14 @@
         return self.found == [(HTTPStatus.OK, wire.CANCELLED)] * 2
 
 
+class FaultNotices(NamedTuple):
+    """What this version says of the one controller that runs another build."""
+
+    by_peers: list[list[str]]  # log lines with a known fault, of each other controller
+    builds_exit_code: int
+    builds_output: list[str]  # of `umberward builds`
+
+
 class UpgradedCluster:
     """Controllers of this version, but for the one that is asked."""
 
@@ -85,6 +99,41 @@
         finally:
             self.cluster._stop_processes()
 
+    async def read_fault_notices(self) -> FaultNotices:
+        """What peers and the command line say of the controllers' builds."""
+        try:
+            async with self.cluster.task_scope:
+                await self.cluster._start()
+                await self._builds_heard()
+                result = await curio.run_in_thread(self._show_builds)
+                by_peers = [
+                    [line for line in lines if "peer_build_has_known_fault" in line]
+                    for lines in self._lines_of_peers()
+                ]
+                return FaultNotices(by_peers, result.returncode, result.stdout.splitlines())
+        finally:
+            self.cluster._stop_processes()
+
+    def _lines_of_peers(self) -> list[list[str]]:
+        names = self.cluster.controller_names[OTHER:]
+        return [(self.cluster.folder / f"{name}.log").read_text().splitlines() for name in names]
+
+    async def _builds_heard(self) -> None:
+        """Wait until the controllers of this version have logged the builds of all."""
+
+        def heard(lines: list[str]) -> bool:
+            builds = [line for line in lines if " peer_builds " in line]
+            return bool(builds) and "not_heard" not in builds[-1]
+
+        async with curio.timeout_after(NOTICE_TIMEOUT_S):
+            while not all(map(heard, self._lines_of_peers())):
+                await curio.sleep(READY_POLL_S)
+
+    def _show_builds(self) -> subprocess.CompletedProcess[str]:
+        config = self.cluster.folder / f"{self.cluster.controller_names[OTHER]}.toml"
+        command = [sys.executable, "-m", "umberward", "builds", "--config", str(config)]
+        return subprocess.run(command, capture_output=True, text=True, check=False)
+
     async def _restart(self) -> None:
         process = self.cluster.controller_processes[ASKED]
         self.cluster.kill_controller(ASKED, 0.0)
@@ -134,6 +183,16 @@
     return export_build(production_commit(repository), repository, folder)
 
 
+@pytest.fixture(scope="module")
+def faulty_build(tmp_path_factory: pytest.TempPathFactory) -> ControllerBuild:
+    return export_build(FAULTY_COMMIT, repository_root(), tmp_path_factory.mktemp("faulty"))
+
+
+@pytest.fixture(scope="module")
+def patch_release(tmp_path_factory: pytest.TempPathFactory) -> ControllerBuild:
+    return export_build(PATCH_RELEASE_COMMIT, repository_root(), tmp_path_factory.mktemp("patch"))
+
+
 @pytest.fixture(scope="module")
 def mended_build(tmp_path_factory: pytest.TempPathFactory) -> ControllerBuild:
     build = export_build(FAULTY_COMMIT, repository_root(), tmp_path_factory.mktemp("mended"))
@@ -167,3 +226,33 @@
 
 def test_this_version_forgets_no_ended_job(tmp_path: Path) -> None:
     assert wrong_answers(current_build(), tmp_path) == []
+
+
+def fault_notices(build: ControllerBuild, folder: Path) -> FaultNotices:
+    notices: FaultNotices = event_loop.run(UpgradedCluster(build, folder).read_fault_notices)
+    return notices
+
+
+@pytest.mark.parametrize("version", ["faulty_build", "patch_release"])
+def test_peers_and_command_line_name_the_known_fault_of_a_build_that_names_none(
+    version: str, tmp_path: Path, request: pytest.FixtureRequest
+) -> None:
+    """The patch release can't be told from the version with the fault: the line says so."""
+    notices = fault_notices(request.getfixturevalue(version), tmp_path)
+    for lines in notices.by_peers:
+        (line,) = lines
+        assert "WARNING" in line and "peer=keeper-0 build=unknown occasion=peer_started" in line
+        assert "mended_in=0.1.1 unless='0.1.1 or later'" in line
+    assert len(notices.by_peers) == 2
+    assert notices.builds_exit_code == EXIT_KNOWN_FAULT
+    (described,) = [line for line in notices.builds_output if "known fault" in line]
+    assert described.startswith("keeper-0 unknown (unless it is 0.1.1 or later, has ")
+
+
+def test_peers_and_command_line_name_no_known_fault_of_this_version(tmp_path: Path) -> None:
+    notices = fault_notices(current_build(), tmp_path)
+    assert notices.by_peers == [[], []]
+    assert notices.builds_exit_code == 0
+    assert notices.builds_output == [
+        f"keeper-{number} {current_build().name}" for number in range(3)
+    ]
--- a/umberward/cli/main.py
+++ b/umberward/cli/main.py
@@ -19,12 +19,14 @@
 from umberward.cli.soak import soak
 from umberward.cli.soak_memory import soak_memory
 from umberward.core.build_identity import read_build
+from umberward.core.known_faults import find_faults
 from umberward.core.settings import Settings, SettingsError, load
 from umberward.core.types import Address
 from umberward.protocol import wire
 
 GC_THRESHOLD_OBJECTS = 10_000  # allocations that trigger a collection of the youngest generation
 EXIT_INVALID_SETTINGS = 2
+EXIT_KNOWN_FAULT = 3
 
 _config = click.option(
     "--config",
@@ -101,7 +103,10 @@
 @_config
 @_properties
 def builds(config: Path, properties: Path | None) -> None:
-    """Show the build that each controller has stored, "unknown" for versions before 0.5."""
+    """Show the build that each controller has stored, "unknown" for versions before 0.5.
+
+    Exits with status 3 if one of them has a known fault, or may have one.
+    """
     from umberward.control.controller_builds import builds_by_controller
     from umberward.leader.leader_election import CONTROLLER_KEY_PREFIX
 
@@ -111,8 +116,14 @@
         print_response(response)
     page = wire.decoder(wire.KeyValuePage)(response.body)
     names = [settings.platform.label, *settings.peers]
+    has_fault = False
     for name, build in builds_by_controller(page.entries, names).items():
-        click.echo(f"{name} {build}")
+        faults = find_faults(build)
+        has_fault = has_fault or bool(faults)
+        notes = "".join(f" ({match.describe()})" for match in faults)
+        click.echo(f"{name} {build}{notes}")
+    if has_fault:
+        sys.exit(EXIT_KNOWN_FAULT)
 
 
 @main.command()
--- a/umberward/control/controller.py
+++ b/umberward/control/controller.py
@@ -94,10 +94,13 @@
             settings, self.store, self.rng, self._start_leading, self._stop_leading, clock
         )
         self.election.build = build
+        self.peers = self._create_peer_link()
         self.builds = ControllerBuilds(
-            self.election, self.store, [settings.platform.label, *settings.peers]
+            self.election,
+            self.store,
+            [settings.platform.label, *settings.peers],
+            self.peers.known_faults,
         )
-        self.peers = self._create_peer_link()
         self.heartbeat_api = HeartbeatApi(
             self, self.election, self.peers, self._set_client_name, clock
         )
--- a/umberward/control/controller_builds.py
+++ b/umberward/control/controller_builds.py
@@ -12,6 +12,7 @@
 
 from umberward.clients import state_client
 from umberward.clients.state_client import StateClient
+from umberward.control.known_fault_log import KnownFaultLog
 from umberward.core.build_identity import UNKNOWN_BUILD, parse_build
 from umberward.core.log import logger
 from umberward.leader.leader_election import CONTROLLER_KEY_PREFIX, LeaderElection
@@ -42,12 +43,17 @@
     """Stores the build of this controller; while it leads, logs the builds of all controllers."""
 
     def __init__(
-        self, election: LeaderElection, store: StateClient, controllers: Iterable[str]
+        self,
+        election: LeaderElection,
+        store: StateClient,
+        controllers: Iterable[str],
+        known_faults: KnownFaultLog,
     ) -> None:
         """`controllers`: the names of all controllers."""
         self.election = election
         self.store = store
         self.controllers = list(controllers)
+        self.known_faults = known_faults
         self.logged_builds: dict[str, str] = {}
 
     async def run(self) -> None:
@@ -86,3 +92,4 @@
             self.logged_builds = builds
             text = ",".join(f"{name}:{build}" for name, build in builds.items())
             log.info("controller_builds", mixed=len(set(builds.values())) > 1, builds=text)
+            self.known_faults.note_stored_builds(builds)
--- a/umberward/control/peer_link.py
+++ b/umberward/control/peer_link.py
@@ -11,6 +11,7 @@
 from umberward.control import peer_messages
 from umberward.control.cancellation_announcer import CancellationAnnouncer
 from umberward.control.heartbeat_forwarder import HeartbeatForwarder
+from umberward.control.known_fault_log import KnownFaultLog
 from umberward.control.peer_contacts import PeerContacts
 from umberward.control.peer_delegation import PeerDelegation
 from umberward.control.peer_messages import DelegationRequest, InvalidPeerMessageError
@@ -62,8 +63,14 @@
         self.rng = rng
         self.callbacks = callbacks
         self.contacts = PeerContacts(settings, election, client)
+        self.known_faults = KnownFaultLog(addresses)
         self.monitor = PeerMonitor(
-            settings.platform.label, lambda: election.build, addresses, client, election.clock
+            settings.platform.label,
+            lambda: election.build,
+            addresses,
+            client,
+            election.clock,
+            self.known_faults,
         )
         self.forwarder = HeartbeatForwarder(addresses, client, election.clock)
         self.delegation = PeerDelegation(settings, self.contacts, client, rng)
@@ -76,6 +83,7 @@
             addresses,
             client,
             callbacks.known_phase,
+            self.known_faults.note_wrong_answer,
         )
         self.snapshots = SnapshotExchange(addresses, election, client, callbacks.take_snapshot)
 
--- a/umberward/control/peer_monitor.py
+++ b/umberward/control/peer_monitor.py
@@ -14,6 +14,7 @@
 import cbor2
 import curio
 
+from umberward.control.known_fault_log import KnownFaultLog
 from umberward.control.peer_contacts import PEER_TIMEOUT_S
 from umberward.control.peer_messages import STATUS_PATH
 from umberward.core.build_identity import parse_build
@@ -37,10 +38,14 @@
 
 
 class PeerProcess(NamedTuple):
-    """What a peer says of its process; `uptime_s` is None for versions that do not say it."""
+    """What a peer says of its process; `uptime_s` is None for versions that do not say it.
+
+    `status_fields` are the names of all fields of its status.
+    """
 
     build: str
     uptime_s: float | None
+    status_fields: frozenset[object]
 
     @classmethod
     def decode(cls, body: bytes) -> PeerProcess:
@@ -56,7 +61,11 @@
             raise InvalidStatusError(type(status).__name__)
         uptime_s = status.get("uptime")
         is_duration = isinstance(uptime_s, float) and math.isfinite(uptime_s) and uptime_s >= 0.0
-        return cls(parse_build(status.get("build")), uptime_s if is_duration else None)
+        return cls(
+            parse_build(status.get("build")),
+            uptime_s if is_duration else None,
+            frozenset(status),
+        )
 
 
 @dataclass
@@ -78,6 +87,7 @@
         addresses: Mapping[str, Address],
         client: Client,
         clock: Callable[[], float],
+        known_faults: KnownFaultLog,
     ) -> None:
         """`name` and `build`: of this controller; `clock`: monotonic, in seconds."""
         self.name = name
@@ -85,6 +95,7 @@
         self.addresses = addresses
         self.client = client
         self.clock = clock
+        self.known_faults = known_faults
         self.peers: dict[str, ObservedPeer] = {}
         self.logged_builds: dict[str, str] = {}
         self.invalid_status_log = RateLimitedLog(log, INVALID_STATUS_LINES_PER_S, clock)
@@ -136,6 +147,7 @@
                 uptime_s=None if process.uptime_s is None else round(process.uptime_s, 3),
                 first_answer=former is None,
             )
+            self.known_faults.note_start(peer, process.build, process.status_fields)
         elif former.silent_since is not None:
             # A version that does not say its uptime may have been restarted in the meantime.
             log.info(
@@ -145,6 +157,8 @@
                 silent_s=round(now - former.silent_since, 3),
                 same_process=None if started_at is None else True,
             )
+            if started_at is None:
+                self.known_faults.note_start(peer, process.build, process.status_fields)
 
     def _log_builds(self) -> None:
         builds = {self.name: self.build()}
@@ -156,7 +170,12 @@
         self.logged_builds = builds
         text = ",".join(f"{name}:{build}" for name, build in sorted(builds.items()))
         heard = set(builds.values()) - {NOT_HEARD}
-        log.info("peer_builds", mixed=len(heard) > 1, builds=text)
+        log.info(
+            "peer_builds",
+            mixed=len(heard) > 1,
+            peers_with_known_faults=self.known_faults.affected_peers,
+            builds=text,
+        )
 
 
 def _is_restarted(former: ObservedPeer, latest: ObservedPeer) -> bool:
--- a/umberward/control/unknown_jobs.py
+++ b/umberward/control/unknown_jobs.py
@@ -42,17 +42,20 @@
         addresses: Mapping[str, Address],
         client: Client,
         known_phase: Callable[[JobId], str | None],
+        on_wrong_answer: Callable[[str], None],
     ) -> None:
         """Create the reporter of the controller `name`.
 
         `build` returns the build of this process; `known_phase(job_id)` returns what this
-        controller has read of the job, without a new read; None: nothing.
+        controller has read of the job, without a new read; None: nothing. `on_wrong_answer(peer)`
+        is called when a peer has called a job unknown that this controller knows.
         """
         self.name = name
         self.build = build
         self.addresses = addresses
         self.client = client
         self.known_phase = known_phase
+        self.on_wrong_answer = on_wrong_answer
         self.log = RateLimitedLog(log)
         self._unsent: dict[JobId, None] = {}  # an ordered set
 
@@ -106,4 +109,6 @@
                 build=message.build,
                 phase=phase,
             )
+        if known:
+            self.on_wrong_answer(message.sender)
         return Response(200, peer_messages.encode(KnownJobs(known)))
