A live job that the cache had missed is answered but not cached; every order of reads and commits is explored

What callers would have seen: a job called running after it was called done, if the cache had missed it, it ended during its lookup and its final record was evicted; and 404 from a process that had just told another user that the job was accepted, if it was accepted during the lookup. Neither was seen in service; no known path makes the cache miss a job.

Change: such a live record is answered and the jobs are listed anew; a lookup that finds nothing answers what is known by then.

Evidence: the cache's own code in every order of its steps (requests read and answered at separate steps, commits elsewhere, pages, compaction, eviction, failing reads). Not explored: the graphs' reader.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -23,3 +23,10 @@
         metavar="DAYS",
         help="Run tests/test_fault_days.py on this number of randomly drawn days.",
     )
+    parser.addoption(
+        "--more-users",
+        type=int,
+        default=0,
+        metavar="USERS",
+        help="Add so many users to each scenario of tests/test_job_state_exploration.py.",
+    )
--- /dev/null
+++ b/tests/explorer.py
@@ -0,0 +1,226 @@
+"""Runs coroutines in every order that they may take, without a clock or an event loop.
+
+Every wait of a task is a choice of who goes on. The explorer goes through all choices depth first:
+it plays a run from its start to each choice again, and stops where the state was seen before.
+"""
+
+from __future__ import annotations
+
+import inspect
+import types
+from collections.abc import Callable, Coroutine, Generator, Hashable
+from typing import Any, NamedTuple, Protocol
+
+
+class Wait(NamedTuple):
+    """Why a task waits: it may go on when `ready()`; `may_fail`: its request may fail instead."""
+
+    ready: Callable[[], bool]
+    may_fail: bool = False
+
+
+class RequestFailed(Exception):
+    """Raised in a task whose request was chosen to fail."""
+
+
+def _always() -> bool:
+    return True
+
+
+@types.coroutine
+def wait_until(ready: Callable[[], bool] = _always, may_fail: bool = False) -> Generator[Wait]:
+    """Let others go on until `ready()`, or for as long as the explorer chooses."""
+    yield Wait(ready, may_fail)
+
+
+class Event:
+    """Stands in for `curio.Event`."""
+
+    def __init__(self) -> None:
+        self._set = False
+
+    async def set(self) -> None:
+        self._set = True
+
+    def clear(self) -> None:
+        self._set = False
+
+    async def wait(self) -> None:
+        if not self._set:
+            await wait_until(lambda: self._set)
+
+
+class Queue:
+    """Stands in for `curio.Queue`."""
+
+    def __init__(self) -> None:
+        self.items: list[Any] = []
+
+    def empty(self) -> bool:
+        return not self.items
+
+    async def put(self, item: object) -> None:
+        self.items.append(item)
+
+    async def get(self) -> Any:
+        if not self.items:
+            await wait_until(lambda: bool(self.items))
+        return self.items.pop(0)
+
+
+class FakeCurio:
+    """Stands in for the module `curio`.
+
+    `may_time_out(seconds)` tells whether a wait may end by its time, and `time_out` that one did.
+    """
+
+    Event, Queue = Event, Queue
+    CancelledError = type("CancelledError", (BaseException,), {})
+
+    def __init__(
+        self, may_time_out: Callable[[float], bool], time_out: Callable[[float], None]
+    ) -> None:
+        self.may_time_out = may_time_out
+        self.time_out = time_out
+
+    async def sleep(self, _: float) -> None:
+        await wait_until()
+
+    @types.coroutine
+    def ignore_after(
+        self, seconds: float, function: Callable[[], Any]
+    ) -> Generator[Wait, Any, Any]:
+        waiting = function()
+        try:
+            inner: Wait = waiting.send(None)
+            yield Wait(lambda: inner.ready() or self.may_time_out(seconds))
+            if inner.ready():
+                waiting.send(None)
+        except StopIteration as stop:
+            return stop.value
+        waiting.close()
+        self.time_out(seconds)
+        return None
+
+
+class Task:
+    """A coroutine that the explorer runs; `observed` is what it has read so far."""
+
+    def __init__(self, name: str, coroutine: Coroutine[Any, Any, Any]) -> None:
+        self.name = name
+        self.coroutine = coroutine
+        self.wait: Wait | None = Wait(_always)  # None: it has ended
+        self.observed: list[Hashable] = []
+
+    def frames(self) -> list[types.FrameType]:
+        """The frames it is suspended in, outermost first."""
+        frames = []
+        awaited: Any = self.coroutine
+        while awaited is not None:
+            is_generator = inspect.isgenerator(awaited)
+            frame = awaited.gi_frame if is_generator else getattr(awaited, "cr_frame", None)
+            if frame is None:
+                break
+            frames.append(frame)
+            awaited = awaited.gi_yieldfrom if is_generator else awaited.cr_await
+        return frames
+
+
+class Choice(NamedTuple):
+    """What goes on next: a task, one whose request fails, or a step of the world."""
+
+    name: str
+    act: Callable[[], None]
+
+
+class World(Protocol):
+    """What the explorer runs; made anew for each run."""
+
+    tasks: list[Task]
+    current: Task
+    broken: list[str]
+
+    def steps(self) -> list[Choice]:
+        """What may happen now besides the tasks."""
+
+    def failed(self) -> None:
+        """A request was chosen to fail."""
+
+    def failures_left(self) -> bool:
+        """Whether a request may fail."""
+
+    def fingerprint(self) -> Hashable:
+        """All that the further course depends on."""
+
+    def close(self) -> None:
+        """End all tasks."""
+
+
+class Exploration(NamedTuple):
+    """How many states and runs an exploration has seen, and the first broken rule with its run."""
+
+    states: int
+    runs: int
+    broken: str | None
+    schedule: list[str]
+    complete: bool  # every order was run; otherwise some were cut at the depth
+
+
+def _resume(world: World, task: Task, fails: bool) -> None:
+    world.current = task
+    try:
+        if fails:
+            world.failed()
+            task.wait = task.coroutine.throw(RequestFailed())
+        else:
+            task.wait = task.coroutine.send(None)
+    except StopIteration:
+        task.wait = None
+
+
+def _choices(world: World) -> list[Choice]:
+    choices = []
+    for task in world.tasks:
+        wait = task.wait
+        if wait is None or not wait.ready():
+            continue
+        choices.append(Choice(task.name, lambda task=task: _resume(world, task, False)))  # type: ignore[misc]
+        if wait.may_fail and world.failures_left():
+            failure = Choice(f"{task.name} fails", lambda task=task: _resume(world, task, True))  # type: ignore[misc]
+            choices.append(failure)
+    return choices + world.steps()
+
+
+def explore(make_world: Callable[[], World], max_depth: int) -> Exploration:
+    """Run every order of at most `max_depth` steps, until one breaks a rule."""
+    seen: set[Hashable] = set()
+    pending: list[list[int]] = [[]]  # the choices that lead to what is still to be run
+    runs = 0
+    complete = True
+    while pending:
+        path = pending.pop()
+        runs += 1
+        world = make_world()
+        schedule = []
+        try:
+            for depth in range(max_depth):
+                choices = _choices(world)
+                if not choices:
+                    break
+                if depth >= len(path):
+                    fingerprint = world.fingerprint()
+                    if fingerprint in seen:
+                        break
+                    seen.add(fingerprint)
+                    pending += [[*path, number] for number in range(1, len(choices))]
+                    path = [*path, 0]
+                choice = choices[path[depth]]
+                schedule.append(choice.name)
+                choice.act()
+                if world.broken:
+                    return Exploration(len(seen), runs, world.broken[0], schedule, complete)
+            else:
+                complete = complete and not _choices(world)
+        finally:
+            world.close()
+    return Exploration(len(seen), runs, None, [], complete)
--- a/umberward/control/job_state_cache.py
+++ b/umberward/control/job_state_cache.py
@@ -92,6 +92,7 @@
         self.max_final_records = settings.operator.poll_cache
         self.absent_jobs = AbsentJobCache(self.max_final_records)
         self.watched_revision: Revision | None = None  # None: the live jobs must be listed
+        self.must_list = False  # a change was missed: list them although there is a revision
         self.listed_at = 0.0
         self.refresh_sent_at = 0.0
         takeover_s = LeaseBounds(cluster.workers).takeover_s
@@ -218,11 +219,14 @@
         if stored_live is not None:
             # The cache has missed a job that was accepted: polls must not report it as unknown.
             log.warning("job_missing_from_cache", job=job_id)
-            self._apply_live(live_key(job_id), stored_live.data)
-            return self.live_jobs[job_id]
+            self.absent_jobs.discard(job_id)
+            # Not cached: the job may have ended since this record was read.
+            self.must_list = True
+            return _decode_live(live_key(job_id), stored_live.data).state
         # Confirm only now: concurrent requests must not take an unfinished lookup for a result.
         self.absent_jobs.confirm(job_id, lookup, self.clock())
-        return None
+        # It may have been accepted during the lookup, and another request answered accordingly.
+        return self.final_records.get(job_id) or self.live_jobs.get(job_id)
 
     def _add_stored_final(self, job_id: JobId, data: object) -> FinalJobRecord:
         """Add a stored final record. Raises StateUnavailableError if it can't be decoded."""
@@ -285,13 +289,14 @@
 
     async def _read_changes(self) -> None:
         """Apply the changes since the latest refresh, or list all live jobs if they are lost."""
-        if self.watched_revision is not None:
+        if self.watched_revision is not None and not self.must_list:
             try:
                 await self._apply_changes_after(self.watched_revision)
             except state_client.RevisionCompactedError:
                 self.watched_revision = None
             else:
                 return
+        self.must_list = False
         self.listed_at = self.clock()
         entries, listed_revision = await self.store.list_all(LIVE_JOBS_PREFIX)
         self.live_jobs.clear()
@@ -333,26 +338,40 @@
         job_id = JobId(key[len(LIVE_JOBS_PREFIX) :])
         self.absent_jobs.discard(job_id)
         self.dependency_graph.note_live(job_id)
-        try:
-            record = wire.convert(data, JobRecord)
-            done_count = done_task_count(record)
-            packed = record.dependencies
-            dependencies = wire.unpack_dependencies(packed) if packed else []
-        except (wire.MalformedMessageError, ValueError) as error:
-            # The job was accepted nevertheless, so polls must find it.
-            _log_malformed_record(key, error)
-            self.live_jobs[job_id] = LiveJobState(0, 0, service=False, has_dependencies=False)
+        decoded = _decode_live(key, data)
+        self.live_jobs[job_id] = decoded.state
+        if decoded.dependencies is None:
             return
-        is_service = record.spec.kind == wire.SERVICE
-        self.live_jobs[job_id] = LiveJobState(
-            record.placed_below, done_count, is_service, bool(dependencies)
-        )
-        if dependencies:
-            self.dependency_graph.add(job_id, dependencies)
+        if decoded.dependencies:
+            self.dependency_graph.add(job_id, decoded.dependencies)
         else:
             self.dependency_graph.note_not_waiting(job_id)
 
 
+class DecodedLiveJob(NamedTuple):
+    """A live job's state and the jobs that it waits for; None if its record is malformed."""
+
+    state: LiveJobState
+    dependencies: list[JobId] | None
+
+
+def _decode_live(key: str, data: object) -> DecodedLiveJob:
+    """Decode a live job's record; a malformed one gives a job that nothing is known of."""
+    try:
+        record = wire.convert(data, JobRecord)
+        done_count = done_task_count(record)
+        packed = record.dependencies
+        dependencies = wire.unpack_dependencies(packed) if packed else []
+    except (wire.MalformedMessageError, ValueError) as error:
+        # The job was accepted nevertheless, so polls must find it.
+        _log_malformed_record(key, error)
+        state = LiveJobState(0, 0, service=False, has_dependencies=False)
+        return DecodedLiveJob(state, None)
+    is_service = record.spec.kind == wire.SERVICE
+    state = LiveJobState(record.placed_below, done_count, is_service, bool(dependencies))
+    return DecodedLiveJob(state, dependencies)
+
+
 def _decode_final(data: object, key: str) -> FinalJobRecord | None:
     """The final record, or just its phase if it is malformed; None if that is invalid too."""
     try:
