Simulated workers: the tasks of a gang advance, stop and complete together; a soak reserves its network

The leader had freed a gang's cores at 'done' of one task; the other task's worker went on for 1.04 s, since its machine had hung for 1.0 s before. By PROTOCOL all tasks of a gang are done at one moment, at the speed of the slowest, so the simulated worker was wrong and the scheduler right. No takeover is needed for it.

--- a/umberward/local/workercore.py
+++ b/umberward/local/workercore.py
@@ -15,6 +15,7 @@
 
 from umberward.core.settings import WorkerTimes
 from umberward.core.types import NO_RESOURCES, Resources
+from umberward.local.gangs import Gang, GangAttempt
 from umberward.protocol import wire
 from umberward.protocol.wire import Heartbeat, JobSpec, MachineType, TaskCommand, TaskStatus
 
@@ -34,16 +35,11 @@
     cause: str = wire.DONE
 
 
-class GangAttempt(NamedTuple):
-    """Identifies an attempt of a gang; each new attempt starts all tasks of the gang again."""
-
-    job_id: str
-    attempt: int
-
-
 class TaskAttempt:
     """One attempt of a task on one machine."""
 
+    worker: WorkerCore  # that runs it, once it was admitted
+
     def __init__(self, name: str, attempt: int, spec: JobSpec | None, now: float) -> None:
         """Start with the fetch of the image. `spec`: None if the job is unknown."""
         self.name = name
@@ -54,6 +50,8 @@
         self.cause: str | None = None  # why it ended
         self.stored: bool | None = None  # whether a checkpoint was stored before it ended
         self.remaining_s = 0.0  # until the image fetch, the run or the checkpoint is complete
+        self.run_s = 0.0  # how long it has run in this attempt
+        self.advanced_at = now  # when its machine last executed it
         self.planned_cause = wire.DONE  # why it will end unless it is stopped
         self.peer_loss_noticed_at = math.inf  # when it notices that a task of its gang has ended
 
@@ -82,7 +80,17 @@
     @property
     def gang_attempt(self) -> GangAttempt:
         """The attempt of the gang that this attempt belongs to, if its job is a gang."""
-        return GangAttempt(self.name.rpartition("/")[0], self.attempt)
+        return GangAttempt(self.job_id, self.attempt)
+
+    @property
+    def job_id(self) -> str:
+        """The job that the task belongs to."""
+        return self.name.rpartition("/")[0]
+
+    @property
+    def checkpoint_id(self) -> str:
+        """What its checkpoints are stored under: the tasks of a gang have one in common."""
+        return self.job_id if self.is_gang_member else self.name
 
     def exit(self, cause: str, *, stored: bool | None = None) -> None:
         """End the attempt; `stored`: whether a checkpoint was stored, None if there was none."""
@@ -98,29 +106,57 @@
 
     def __init__(self) -> None:
         """Start without any tasks."""
-        self.gangs: dict[GangAttempt, dict[str, TaskAttempt]] = {}
-        self.saved_run_s: dict[str, float] = {}  # task -> run time saved by its checkpoint
+        self.gangs: dict[GangAttempt, Gang] = {}
+        self.saved_run_s: dict[str, float] = {}  # by checkpoint id: run time saved by a checkpoint
         self.done: set[str] = set()  # tasks that have completed on any machine
 
-    def join(self, task: TaskAttempt) -> None:
+    def join(self, task: TaskAttempt) -> Gang:
         """Add a task to its gang."""
-        self.gangs.setdefault(task.gang_attempt, {})[task.name] = task
+        if task.gang_attempt not in self.gangs:
+            self.gangs[task.gang_attempt] = Gang(self.saved_run_s.get(task.job_id, 0.0))
+        gang = self.gangs[task.gang_attempt]
+        gang.members[task.name] = task
+        return gang
+
+    def gang_of(self, task: TaskAttempt) -> Gang:
+        """The gang that an attempt belongs to until it has ended."""
+        return self.gangs[task.gang_attempt]
 
     def leave(self, task: TaskAttempt, now: float, notice_s: float) -> None:
-        """Remove a task that has ended early; the running ones notice that after `notice_s`."""
-        peers = self.gangs.get(task.gang_attempt, {})
-        peers.pop(task.name, None)
+        """Remove a task that has ended early; the running ones notice that after `notice_s`.
+
+        What the gang has done since its last checkpoint is lost, unless it was stopped in an
+        orderly way.
+        """
+        gang = self.gangs.get(task.gang_attempt)
+        if gang is None or gang.members.get(task.name) is not task:
+            return
+        started = task.phase in (wire.RUNNING, wire.CHECKPOINTING)
+        if started and not task.stored and not gang.failed:
+            gang.failed = True
+            interval_s = task.required_spec.checkpoint_interval_s
+            self.save_progress(task, gang.last_checkpoint_s(interval_s))
+        del gang.members[task.name]
         if task.phase == wire.RUNNING:
-            for peer in peers.values():
+            for peer in gang.members.values():
                 if peer.phase == wire.RUNNING:
                     peer.peer_loss_noticed_at = min(peer.peer_loss_noticed_at, now + notice_s)
+        if not gang.members:
+            del self.gangs[task.gang_attempt]
 
-    def is_complete(self, task: TaskAttempt) -> bool:
-        """Whether all tasks of the gang have started and fetched their image."""
-        peers = self.gangs.get(task.gang_attempt, {})
-        return len(peers) == task.required_spec.task_count and all(
-            peer.phase in (wire.WAITING_FOR_GANG, wire.RUNNING) for peer in peers.values()
-        )
+    def save_progress(self, task: TaskAttempt, run_s: float) -> None:
+        """Store a checkpoint; one of less progress has no effect."""
+        saved_s = self.saved_run_s.get(task.checkpoint_id, 0.0)
+        self.saved_run_s[task.checkpoint_id] = max(saved_s, run_s)
+
+    def complete(self, gang: Gang) -> None:
+        """End all tasks of a gang that has run for its time, on every machine."""
+        members = list(gang.members.values())
+        del self.gangs[members[0].gang_attempt]
+        for member in members:
+            self.done.add(member.name)
+        for member in members:
+            member.worker._exit(member, wire.DONE)  # noqa: SLF001 - the tasks end at one moment
 
 
 def _ignore_exit(_task_id: str, _cause: str) -> None:
@@ -190,7 +226,8 @@
     def end_session(self) -> None:
         """End all tasks without reporting them, and start the next session."""
         for task in self.running_tasks.values():
-            self.shared_tasks.leave(task, self.now, self.times.gang_peer_s)
+            if task.is_gang_member:
+                self.shared_tasks.leave(task, self.now, self.times.gang_peer_s)
         self.tasks.clear()
         self.running_tasks.clear()
         self.reserved = NO_RESOURCES
@@ -200,10 +237,16 @@
         self.changes += 1
 
     def _advance(self, task: TaskAttempt, elapsed_s: float) -> None:
+        task.advanced_at = self.now
+        if task.is_gang_member and task.gang_attempt not in self.shared_tasks.gangs:
+            # It ran twice, and the gang has ended without this one.
+            self._exit(task, wire.DONE if task.name in self.shared_tasks.done else GANG_PEER_LOST)
+            return
         if task.phase == wire.PULLING_IMAGE:
             self._pull_image(task, elapsed_s)
         elif task.phase == wire.WAITING_FOR_GANG:
-            if self.shared_tasks.is_complete(task):
+            gang = self.shared_tasks.gang_of(task)
+            if gang.is_complete(task.required_spec.task_count):
                 self._enter_phase(task, wire.RUNNING)
             elif self.now - task.phase_since > self.times.gang_wait_s:
                 self._exit(task, GANG_INCOMPLETE)
@@ -212,7 +255,7 @@
         elif task.phase == wire.CHECKPOINTING:
             task.remaining_s -= elapsed_s
             if task.remaining_s <= 0:
-                self._exit(task, STOPPED, stored=True)
+                self._finish_checkpoint(task)
 
     def _pull_image(self, task: TaskAttempt, elapsed_s: float) -> None:
         image = task.required_spec.image
@@ -229,13 +272,46 @@
         if self.now >= task.peer_loss_noticed_at:
             self._exit(task, GANG_PEER_LOST)
             return
+        if task.is_gang_member:
+            self._run_in_gang(task, elapsed_s)
+            return
         task.remaining_s -= elapsed_s
+        task.run_s += elapsed_s
         if task.remaining_s > 0:
             return
         if task.planned_cause == wire.DONE:
             self.shared_tasks.done.add(task.name)
         self._exit(task, task.planned_cause)
 
+    def _run_in_gang(self, task: TaskAttempt, elapsed_s: float) -> None:
+        gang = self.shared_tasks.gang_of(task)
+        notice_s = self.times.gang_peer_s
+        if gang.has_hanging_member(self.now - elapsed_s, notice_s):
+            self._exit(task, GANG_PEER_LOST)
+            return
+        if gang.is_stopping:
+            if self.now - gang.first_kill_at > notice_s:
+                self._exit(task, GANG_PEER_LOST)  # it was not told in time
+            return
+        task.remaining_s -= elapsed_s
+        task.run_s += elapsed_s
+        if task.remaining_s <= 0 and task.planned_cause != wire.DONE:
+            self._exit(task, task.planned_cause)
+        elif gang.is_done(task.required_spec.task_count):
+            self.shared_tasks.complete(gang)
+
+    def _finish_checkpoint(self, task: TaskAttempt) -> None:
+        """End a task that has saved; one of a gang waits until all others were told to stop."""
+        if not task.is_gang_member:
+            self._exit(task, STOPPED, stored=True)
+            return
+        gang = self.shared_tasks.gang_of(task)
+        if gang.all_told():
+            self.shared_tasks.save_progress(task, gang.stopped_progress_s)
+            self._exit(task, STOPPED, stored=True)
+        elif gang.failed or self.now - gang.first_kill_at > self.times.gang_peer_s:
+            self._exit(task, STOPPED, stored=False)
+
     def _enter_phase(self, task: TaskAttempt, phase: str) -> None:
         task.phase, task.phase_since = phase, self.now
         self.changes += 1
@@ -245,7 +321,9 @@
     def _begin_run(self, task: TaskAttempt) -> None:
         """Start the run and decide how it will end."""
         outcome = self.plan_outcome(task.name, task.required_spec)
-        task.remaining_s = outcome.seconds - self.shared_tasks.saved_run_s.get(task.name, 0.0)
+        task.remaining_s = outcome.seconds - self.shared_tasks.saved_run_s.get(
+            task.checkpoint_id, 0.0
+        )
         task.planned_cause = outcome.cause
         if task.remaining_s <= 0:
             self._run(task, 0.0)
@@ -257,7 +335,8 @@
         stored: bool | None = None,  # noqa: FBT001 - overriders pass it by position
     ) -> None:
         """End a task; subclasses override this to record it."""
-        if cause != wire.DONE:
+        if cause != wire.DONE and task.is_gang_member:
+            task.stored = stored
             self.shared_tasks.leave(task, self.now, self.times.gang_peer_s)
         task.exit(cause, stored=stored)
         del self.running_tasks[task.name]
@@ -346,6 +425,7 @@
             self._admit(task, spec)
 
     def _admit(self, task: TaskAttempt, spec: JobSpec) -> None:
+        task.worker = self
         self.running_tasks[task.name] = task
         self.reserved = self.reserved.plus(task.resources)
         task.remaining_s = spec.image_gb / self.machine_type.image_pull_gb_per_s / self.speed
@@ -362,14 +442,21 @@
         spec = task.required_spec
         can_checkpoint = spec.checkpoint_interval_s > 0 and grace_s >= spec.checkpoint_cost_s
         if task.phase == wire.RUNNING and can_checkpoint:
-            run_s = self.plan_outcome(task.name, spec).seconds
-            self.shared_tasks.saved_run_s[task.name] = max(0.0, run_s - task.remaining_s)
+            self._begin_checkpoint(task)
             task.remaining_s = spec.checkpoint_cost_s / self.speed
             task.phase = wire.CHECKPOINTING
             self.changes += 1
         elif task.phase != wire.CHECKPOINTING or grace_s <= 0:
             self._exit(task, STOPPED)
 
+    def _begin_checkpoint(self, task: TaskAttempt) -> None:
+        if task.is_gang_member:
+            gang = self.shared_tasks.gang_of(task)
+            gang.stop(self.now)
+        else:
+            saved_s = self.shared_tasks.saved_run_s.get(task.checkpoint_id, 0.0)
+            self.shared_tasks.save_progress(task, saved_s + task.run_s)
+
     def report(self) -> Heartbeat:
         """Make the next heartbeat, with the state of all attempts that were not forgotten."""
         self.sequence += 1
--- a/umberward/soak/cluster.py
+++ b/umberward/soak/cluster.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import os
 import random
 import signal
 import subprocess
@@ -34,14 +33,13 @@
 from umberward.soak import history, plan
 from umberward.soak.history import Event
 from umberward.soak.late_copies import LateCopies
+from umberward.soak.loopback_network import LoopbackNetwork
 from umberward.soak.worker import FaultInjectingClient, SoakWorker
 
 STATE, CLOUD = "state", "cloud"  # names of the services as ends of links
 WITHHELD_RESPONSE_S = 40.0  # longer than any client waits for a response
 RELAY_TIMEOUT_S = 60.0  # longer than a message can be held
 MAX_SERVER_SOCKETS = 200  # of each relay and of each worker
-# Loopback addresses of this process: 127.NETWORK.x.HOST.
-FIRST_NETWORK, NETWORK_COUNT, HOSTS_PER_NETWORK, PORT = 10, 240, 250, 9000
 SPEED = 4.0  # boots and image pulls are faster than specified by this factor
 RENTABLE_PER_POOL = 4  # per machine type, zone and spot or not; initial machines not counted
 RED_QUOTA_CORES = 8.0  # for each job a second; keeps the team at its quota all the time
@@ -65,7 +63,6 @@
     links: Links
     record: Callable[[Event], None]
     run_started_at: float
-    hosts_used = 0  # loopback addresses given out
 
     @staticmethod
     def local_plan(soak_plan: plan.Plan) -> LocalPlan:
@@ -83,6 +80,7 @@
 
     def __init__(self, local_plan: LocalPlan, folder: Path) -> None:
         """Start nothing yet. `folder`: for the controllers' settings and logs."""
+        self.network = LoopbackNetwork()
         super().__init__(local_plan, folder)
         self.links = Links(self.rng)
         self.late_copies = LateCopies(random.Random(f"late copies {local_plan.seed}"))
@@ -116,17 +114,8 @@
         }
 
     def _free_addresses(self, count: int) -> list[Address]:
-        """Loopback addresses that no other process uses.
-
-        An outgoing connection may take any port of 127.0.0.1 at any time.
-        """
-        network = FIRST_NETWORK + os.getpid() % NETWORK_COUNT
-        addresses = []
-        for _ in range(count):
-            self.hosts_used += 1
-            high, low = divmod(self.hosts_used, HOSTS_PER_NETWORK)
-            addresses.append(Address(f"127.{network}.{high}.{low + 1}", PORT))
-        return addresses
+        """Loopback addresses that no other process uses."""
+        return [self.network.next_address() for _ in range(count)]
 
     def now(self) -> float:
         """Seconds since the start of the run."""
@@ -276,6 +265,7 @@
     def _stop_processes(self) -> None:
         self.killed_controllers.update(range(len(self.controller_processes)))
         super()._stop_processes()
+        self.network.close()
 
     # ---- controllers ---------------------------------------------------------------------
 
