A task of a graph is never called done because another one failed

What callers saw: a task that never ran was answered 'done' for up to 4 s, then 'not_run'; a client found no value.

Cause: the bits that end the tasks which need a failed one lie in the records of other arrays, and these were written before the failure was. An answer was derived from two records that are written apart.

Change: these tasks are marked only once the failure is committed; until then they can't start, as what they need isn't done. The progress of a graph is read at one moment: a listing of which an entry is newer than its first page is read again, at most five times, then 503.

--- a/umberward/graphs/graph_job.py
+++ b/umberward/graphs/graph_job.py
@@ -55,7 +55,10 @@
     def task_done(self, kind: int, index: int) -> None:
         """Queue the tasks that needed only this task."""
 
-    def task_failed(self, job: GraphJob, index: int) -> None:
+    def task_failed(self, job: GraphJob) -> None:
+        """Store that a task of this array has failed permanently."""
+
+    def failure_stored(self, job: GraphJob, index: int) -> None:
         """Mark the tasks that need this permanently failed task as never to run."""
 
     def retry_task(self, job: GraphJob, index: int) -> None:
@@ -302,7 +305,7 @@
         self.failures.append(failure)
         self.failure_pages = pages
         self.mark_finished(index)
-        self.graph.task_failed(self, index)
+        self.graph.task_failed(self)
 
     # ---- stored progress -----------------------------------------------------------------
 
@@ -347,4 +350,8 @@
     def record_stored(self, record: ArrayProgressRecord, stamp: Version, now: float) -> None:
         """Record that `record` and the failures sent with it were committed as version `stamp`."""
         super().record_stored(record, stamp, now)
+        stored = self.failures[self.stored_failure_count : self.sent_failure_count]
         self.stored_failure_count = self.sent_failure_count
+        # Only now: without the stored failure, a task that needs it would be read as done.
+        for failure in stored:
+            self.graph.failure_stored(self, failure.number)
--- a/umberward/graphs/live.py
+++ b/umberward/graphs/live.py
@@ -165,9 +165,12 @@
                 self.task_done(*place)
                 self.callbacks.progress_changed(job)
 
-    def task_failed(self, job: GraphJob, index: int) -> None:
-        """Mark the tasks that need this permanently failed task as never to run."""
+    def task_failed(self, job: GraphJob) -> None:
+        """Store that a task of this array has failed permanently."""
         self.callbacks.progress_changed(job)
+
+    def failure_stored(self, job: GraphJob, index: int) -> None:
+        """Mark the tasks that need this permanently failed task as never to run."""
         self._mark_dependents_not_run(self.shape.task_positions[job.kind][index])
 
     def retry_task(self, job: GraphJob, index: int) -> None:
--- a/umberward/graphs/store.py
+++ b/umberward/graphs/store.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from umberward.clients.state_client import StateClient
+from umberward.clients.state_client import StateClient, StateUnavailableError
 from umberward.core.log import logger
 from umberward.core.types import Key, Version
 from umberward.graphs import records
@@ -25,6 +25,8 @@
 
 # A submission with parts still missing after this time is abandoned: its user has given up too.
 MAX_SUBMISSION_S = 180.0
+MAX_PROGRESS_LISTINGS = 5
+PROGRESS_CHANGES = "the progress of the graph changes while it is read"
 MAX_DELETIONS_PER_TRANSACTION = 8
 MAX_DELETE_WAIT_S = 5.0  # maximum wait of a commit for the write budget
 
@@ -53,9 +55,18 @@
 
 
 async def read_progress(store: StateClient, graph_id: GraphId) -> Progress:
-    """Return the stored progress of a graph's arrays; raise MalformedMessageError."""
-    entries, _ = await store.list_all(f"{records.RUN_PREFIX}{graph_id}/")
-    return records.progress(graph_id, entries)
+    """Return the stored progress of a graph's arrays at one moment.
+
+    The pages of a listing are read one after another. A task that will not run would be read as
+    done if the failure of another array were stored between two pages, so a listing that has
+    changed meanwhile is repeated. Raises MalformedMessageError, and StateUnavailableError if the
+    progress changes during every listing.
+    """
+    for _ in range(MAX_PROGRESS_LISTINGS):
+        entries, revision = await store.list_all(f"{records.RUN_PREFIX}{graph_id}/")
+        if all(entry.version <= revision for entry in entries):
+            return records.progress(graph_id, entries)
+    raise StateUnavailableError(PROGRESS_CHANGES)
 
 
 async def abandon_old_submissions(store: StateClient, now: float) -> None:
