--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -30,7 +30,7 @@
     dependencies,
     failure_attribution,
     failure_detector,
-    jobs,
+    job_failures,
     lease_bounds,
     machine_selection,
     placement_pass,
@@ -326,7 +326,7 @@
 
 def blame_tasks(patch: pytest.MonkeyPatch) -> None:
     """A single task never counts as faulty, on however many machines it fails."""
-    patch.setattr(jobs, "FAULTY_TASK_AFTER_MACHINES", 1 << 30)
+    patch.setattr(job_failures, "FAULTY_TASK_AFTER_MACHINES", 1 << 30)
 
 
 def gang_avoids(patch: pytest.MonkeyPatch) -> None:
--- a/umberward/control/peer_contacts.py
+++ b/umberward/control/peer_contacts.py
@@ -120,13 +120,12 @@
                 status = peer_messages.decode(response.body, PeerStatus)
             except (RequestNotSentError, NoResponseError, InvalidPeerMessageError):
                 continue
-            newest_token = status.newest_token
             contact = ReceivedStatus(
                 self.clock(),
                 status.state_contact_age_s,
                 status.heartbeat_age_s,
                 status.leader,
-                0 if newest_token is msgspec.UNSET else newest_token,
+                status.token_or_zero,
             )
             self.contacts_by_peer[peer] = contact
             if contact.has_state_contact and status.leader != self.name:
--- a/umberward/control/peer_messages.py
+++ b/umberward/control/peer_messages.py
@@ -66,6 +66,11 @@
     uptime_s: object = msgspec.UNSET
     newest_token: int | msgspec.UnsetType = msgspec.UNSET
 
+    @property
+    def token_or_zero(self) -> int:
+        """The highest fencing token that the sender may use; 0 if it says none."""
+        return 0 if self.newest_token is msgspec.UNSET else self.newest_token
+
 
 class CancelledJobs(msgspec.Struct):
     """Jobs whose cancellation the sender has confirmed to their users."""
--- a/umberward/scheduling/jobs.py
+++ b/umberward/scheduling/jobs.py
@@ -9,12 +9,10 @@
 
 import bisect
 import math
-from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
+from collections.abc import Iterable
 from typing import Any, NamedTuple
 
 from umberward.core.types import (
-    Instant,
     JobId,
     Key,
     MachineId,
@@ -26,6 +24,7 @@
 )
 from umberward.protocol import wire
 from umberward.protocol.wire import LIVE_JOBS_PREFIX, JobRecord, JobSpec, RemainingTasks
+from umberward.scheduling.job_failures import JobFailures
 from umberward.scheduling.placements import Placement
 from umberward.scheduling.preemption_key import PreemptionKey, may_preempt
 from umberward.scheduling.stored_progress import CompletedTasks, StoredProgressRecord
@@ -40,22 +39,12 @@
 ]
 
 RECORD_OVERHEAD_BYTES = 128  # reserved in a record for all fields besides the spec and the bitmap
-FAULTY_TASK_AFTER_MACHINES = 3  # a task that fails on that many machines is at fault itself
 TASKS_PER_BITMAP_BYTE = 4  # the bitmap is stored as hexadecimal digits, one byte each
 # Bounds of the task window: tasks from the first unfinished one to the last that may be started.
 MIN_TASK_WINDOW = 16
 MAX_TASK_WINDOW = 8192
 
 
-@dataclass(slots=True)
-class TaskFailures:
-    """The failures of one task that has not completed since."""
-
-    machines: set[MachineId] = field(default_factory=set)
-    retry_count: int = 0  # retries since the task was found at fault
-    retry_not_before: float = -math.inf  # monotonic time
-
-
 class DependentDemand(NamedTuple):
     """What the jobs that depend on a job require of it.
 
@@ -70,15 +59,13 @@
 NO_DEMAND = DependentDemand(max(wire.JOB_PRIORITIES.values()), math.inf)
 
 
-class Job:
+class Job(JobFailures):
     """An unfinished job. Its tasks are numbered from 0; `index` is the number of a task.
 
-    `attributes_failures_per_task`: whether the job itself decides for each task which failures
-    are the fault of machines. `conditions`: keys in the state service that must still have these
+    `conditions`: keys in the state service that must still have these
     versions when the job's record is written.
     """
 
-    attributes_failures_per_task = False
     conditions: tuple[tuple[Key, Version], ...] = ()
 
     def __init__(self, record: JobRecord, version: Version, max_value_bytes: int) -> None:
@@ -100,7 +87,7 @@
         self.ended = False
         self.record_unreadable = False  # the stored record cannot be decoded
         self._init_progress(record, max_value_bytes)
-        self._init_failures()
+        super().__init__()
         self._init_scheduling()
 
     def _init_progress(self, record: JobRecord, max_value_bytes: int) -> None:
@@ -127,25 +114,10 @@
             index for index in range(self.done_below, self.placed_below) if not self.is_done(index)
         }
 
-    def _init_failures(self) -> None:
-        """Initialize what is known of failed and successful runs."""
-        self.failed_machines: set[MachineId] = set()
-        # How often a machine on which it had failed proved sound by a task of another job.
-        self.failures_on_sound_machines = 0
-        self.failures_by_task: dict[int, TaskFailures] = {}
-        self.failed_under_previous_leader = False
-        self.delayed_tasks: set[int] = set()  # tasks at fault, to be queued again after a pause
-        self.faulty = False  # its tasks fail on every machine, so the job itself is at fault
-        self.retry_count = 0  # retries since the job was found faulty
-        self.longest_failed_run_s = 0.0
-        self.started_replicas: set[int] = set()  # tasks that have run; used for services
-        self.has_begun = False  # a task was reported as running
-        self.known_to_work = False  # a task succeeded, or ran much longer than those that failed
-        # Monotonic time at which room was last cleared or reserved for the job (`preemption`).
-        self.room_reserved_at = 0.0
-
     def _init_scheduling(self) -> None:
         """Initialize the state that the scheduling pass keeps about the job."""
+        # Monotonic time at which room was last cleared or reserved for the job (`preemption`).
+        self.room_reserved_at = 0.0
         self.retry_not_before = 0.0  # monotonic time before which no task is placed
         self.failed_passes = 0
         # Jobs of one placement class need the same kind of capacity: if one finds no room, the
@@ -349,80 +321,6 @@
         queued = self._requeued_at(position, index) or index in self.delayed_tasks
         return not (queued or index in self.placements or self.is_done(index))
 
-    # ---- failures ----------------------------------------------------------------------
-
-    def task_failed(self, index: int, machine: MachineId, now: Instant) -> None:
-        """Record a failure on a machine. Only for jobs that attribute failures per task."""
-        raise NotImplementedError
-
-    def attribute_failures(self, machines: Mapping[MachineId, Any], now: Instant) -> bool:
-        """Attribute the failures that are still open; return False if none are left.
-
-        Only for jobs that attribute failures per task.
-        """
-        raise NotImplementedError
-
-    def failures_blamed_on_job(self, index: int) -> bool:
-        """Return whether failures of this task must not count against machines."""
-        return self.faulty or self.task_at_fault(index)
-
-    def task_at_fault(self, index: int) -> bool:
-        """Return whether the task has failed on so many machines that it must be at fault itself.
-
-        Other tasks of the job may work.
-        """
-        return len(self.task_machines(index)) >= FAULTY_TASK_AFTER_MACHINES
-
-    def machine_at_fault(self, index: int) -> bool:
-        """Return whether failures of this task can only be the fault of the machines.
-
-        That is so if it completed elsewhere, or if the job works and the task failed nowhere else.
-        """
-        failed_once = len(self.task_machines(index)) <= 1
-        return self.is_done(index) or (self.known_to_work and failed_once)
-
-    def failed_elsewhere(self, index: int, machine: MachineId) -> bool:
-        """Return whether the task's failure on the machine may be the fault of the job or task.
-
-        That is so if the task, or any task of a job that is not known to work, has failed on
-        another machine as well.
-        """
-        machines = self.failed_machines if not self.known_to_work else self.task_machines(index)
-        return bool(machines - {machine})
-
-    def task_machines(self, index: int) -> set[MachineId]:
-        """Return the machines on which the task has failed."""
-        failures = self.failures_by_task.get(index)
-        return set() if failures is None else failures.machines
-
-    @property
-    def has_open_failures(self) -> bool:
-        """Whether tasks have failed that have not completed since, or the job may be at fault."""
-        failed = bool(self.failed_machines) or self.failed_under_previous_leader
-        return bool(self.failures_by_task) or (failed and not self.known_to_work)
-
-    def record_failure(self, index: int, machine: MachineId) -> None:
-        """Record that the task failed on the machine."""
-        self.failed_machines.add(machine)
-        self.failures_by_task.setdefault(index, TaskFailures()).machines.add(machine)
-
-    def delay_task(self, index: int, until: float) -> None:
-        """Take a task at fault from the queue until the monotonic time `until`."""
-        self.failures_by_task[index].retry_not_before = until
-        if self.remove_requeued(index):
-            self.delayed_tasks.add(index)
-
-    def requeue_delayed_tasks(self, now: Instant) -> bool:
-        """Queue the delayed tasks whose pause is over; return whether there was one."""
-        due = [
-            index
-            for index in self.delayed_tasks
-            if self.failures_by_task[index].retry_not_before <= now
-        ]
-        for index in due:
-            self.requeue_task(index)
-        return bool(due)
-
     # ---- the stored record -------------------------------------------------------------
 
     @property
