--- a/tests/test_worker_gangs.py
+++ b/tests/test_worker_gangs.py
@@ -288,6 +288,18 @@
     assert gang.task(0).cause == "in_use"
 
 
+def test_task_that_ran_twice_can_be_stopped_after_its_gang_has_ended() -> None:
+    gang = GangOfMachines(3, tasks=2)
+    gang.start(0, 1)
+    gang.run(1.0)
+    gang.command(2, TaskCommand(START, f"{GANG}/0", gang.attempt))
+    gang.hang(0, RUN_S * 2)
+    assert gang.shared_tasks.gangs == {}
+    gang.kill(0, 10.0)
+    gang.run(PEER_S)
+    assert all(task.has_ended for worker in gang.workers for task in worker.tasks.values())
+
+
 def test_task_that_ran_twice_ends_with_its_gang() -> None:
     gang = GangOfMachines(3, tasks=2)
     gang.start(0, 1)
--- a/umberward/local/workercore.py
+++ b/umberward/local/workercore.py
@@ -119,8 +119,8 @@
         return gang
 
     def gang_of(self, task: TaskAttempt) -> Gang:
-        """The gang that an attempt belongs to until it has ended."""
-        return self.gangs[task.gang_attempt]
+        """The gang of an attempt; one of its own if the task ran twice and its gang has ended."""
+        return self.gangs.get(task.gang_attempt) or self.join(task)
 
     def leave(self, task: TaskAttempt, now: float, notice_s: float) -> None:
         """Remove a task that has ended early; the running ones notice that after `notice_s`.
--- a/umberward/soak/loopback_network.py
+++ b/umberward/soak/loopback_network.py
@@ -19,6 +19,10 @@
 class NoFreeNetworkError(RuntimeError):
     """All networks are reserved by other processes, or all addresses of this one are given out."""
 
+    def __init__(self, what: str) -> None:
+        """`what`: networks or addresses."""
+        super().__init__(f"no loopback {what} is free")
+
 
 class LoopbackNetwork:
     """A network that this process has reserved until `close`, or until it ends."""
@@ -33,12 +37,12 @@
                 self.number = number
                 self._reservation = reservation
                 return
-        raise NoFreeNetworkError
+        raise NoFreeNetworkError("network")
 
     def next_address(self) -> Address:
         """An address that was not given out before. Raises NoFreeNetworkError."""
         if self.hosts_used >= MAX_HOSTS:
-            raise NoFreeNetworkError
+            raise NoFreeNetworkError("address")
         self.hosts_used += 1
         high, low = divmod(self.hosts_used, HOSTS_PER_NETWORK)
         return Address(f"127.{self.number}.{high}.{low + 1}", PORT)
