--- a/tests/explored_job_states.py
+++ b/tests/explored_job_states.py
@@ -9,7 +9,7 @@
 import functools
 import re
 from collections.abc import Callable, Hashable
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, Protocol
 from unittest import mock
 
 import msgspec
@@ -80,10 +80,18 @@
     ended: str | None = None
 
 
+class StoreWorld(Protocol):
+    """What the state service needs of the world that it is in."""
+
+    core: StateCore
+    current: Task
+    page_entries: int
+
+
 class ExploredStore:
     """The state service: what it returns is read at one step and arrives at a later one."""
 
-    def __init__(self, world: JobStateWorld) -> None:
+    def __init__(self, world: StoreWorld) -> None:
         self.world = world
 
     async def _exchange(self, read: Callable[[], Any]) -> Any:
@@ -92,7 +100,7 @@
         except RequestFailed:
             raise state_client.StateUnavailableError("chosen to fail") from None
         result = read()
-        self.world.current.observed.append(_canonical(result, {}))
+        self.world.current.observed.append(canonical(result, {}))
         await wait_until()
         return result
 
@@ -100,7 +108,7 @@
         return await self._exchange(lambda: self.world.core.keys.get(key))
 
     async def list_page(self, prefix: str, start: str = "") -> wire.KeyValuePage:
-        most = self.world.scenario.page_entries
+        most = self.world.page_entries
         page = await self._exchange(lambda: self.world.core.entries(prefix, start, most))
         assert isinstance(page, wire.KeyValuePage)
         return page
@@ -129,7 +137,7 @@
 
     async def _lookup(self, job_id: JobId) -> JobState | None:
         state = await super()._lookup(job_id)
-        self.world.current.observed.append(_canonical(state, {}))
+        self.world.current.observed.append(canonical(state, {}))
         return state
 
 
@@ -138,6 +146,7 @@
 
     def __init__(self, scenario: Scenario) -> None:
         self.scenario = scenario
+        self.page_entries = scenario.page_entries
         self.now = 100.0
         self.broken: list[str] = []
         self.told: dict[str, Told] = {}
@@ -248,7 +257,7 @@
 
     async def _ask(self, job_ids: tuple[str, ...]) -> None:
         known = {job_id: self.told.get(job_id, Told()) for job_id in job_ids}
-        self.current.observed.append(_canonical(known, {}))
+        self.current.observed.append(canonical(known, {}))
         ids = [JobId(job_id) for job_id in job_ids]
         try:
             if len(ids) == 1:
@@ -290,16 +299,16 @@
             self.commits_done,
             self.failures,
             self.idle_refreshes,
-            _canonical(self.told, names),
-            _canonical(self.told_here, names),
-            _canonical(cache.live_jobs, names),
-            _canonical(cache.final_records, names),
-            _canonical(cache.absent_jobs._lookups, names),
-            _canonical(
+            canonical(self.told, names),
+            canonical(self.told_here, names),
+            canonical(cache.live_jobs, names),
+            canonical(cache.final_records, names),
+            canonical(cache.absent_jobs._lookups, names),
+            canonical(
                 {k: v for k, v in vars(cache.dependency_graph).items() if k != "is_live"}, names
             ),
             (cache.watched_revision, cache.must_list, cache.listed_at, cache.refresh_sent_at),
-            _canonical(cache.mailbox.items, names),
+            canonical(cache.mailbox.items, names),
             cache.urgent_request._set,
             tuple(self._task_fingerprint(task, names) for task in self.tasks),
         )
@@ -312,7 +321,7 @@
                 frame.f_code.co_name,
                 frame.f_lasti,
                 tuple(
-                    (key, _canonical(value, names))
+                    (key, canonical(value, names))
                     for key, value in frame.f_locals.items()
                     if key != "self"
                 ),
@@ -343,16 +352,16 @@
     return settings_from_toml(raw_settings(), OperatorSettings(poll_cache=cached_records))
 
 
-def _canonical(value: Any, names: dict[int, str]) -> Hashable:
+def canonical(value: Any, names: dict[int, str]) -> Hashable:
     """A hashable form of a value that is equal for equal states of different runs."""
     if isinstance(value, PendingRequest):
         return (names.get(id(value)), value._done._set, repr(value.response))  # type: ignore[attr-defined]
     if isinstance(value, AbsenceLookup):
         return (names.get(id(value)), value.confirmed_at)
     if isinstance(value, dict):
-        return tuple((key, _canonical(item, names)) for key, item in value.items())
+        return tuple((key, canonical(item, names)) for key, item in value.items())
     if isinstance(value, set | frozenset):
         return tuple(sorted(map(str, value)))
     if isinstance(value, list | tuple):
-        return tuple(_canonical(item, names) for item in value)
+        return tuple(canonical(item, names) for item in value)
     return ADDRESS.sub("", repr(value))
