A listing in progress is not taken for a complete one when a missed job is looked up

What callers would have seen, since (not released): 404 to an accepted job that the cache had missed, if it ended while the jobs were listed anew for it.

Change: the time is set once the listing is complete, and whether it is recent is decided before the first read.

--- a/tests/explorer.py
+++ b/tests/explorer.py
@@ -224,3 +224,17 @@
         finally:
             world.close()
     return Exploration(len(seen), runs, None, [], complete)
+
+
+def replay(world: World, schedule: list[str]) -> list[str]:
+    """Run the steps of a schedule as far as they may happen, then the rest; the broken rules."""
+    try:
+        remaining = list(schedule)
+        while choices := _choices(world):
+            by_name = {choice.name: choice for choice in choices}
+            name = remaining.pop(0) if remaining else choices[0].name
+            if name in by_name:
+                by_name[name].act()
+        return world.broken
+    finally:
+        world.close()
--- a/tests/test_job_state_exploration.py
+++ b/tests/test_job_state_exploration.py
@@ -11,7 +11,7 @@
 
 import pytest
 from explored_job_states import Commit, JobStateWorld, Scenario
-from explorer import Exploration, explore
+from explorer import Exploration, explore, replay
 from mutations import MUTATIONS
 
 from umberward.control import job_state_cache
@@ -187,3 +187,18 @@
 
 def test_each_safeguard_is_needed_in_some_scenario() -> None:
     assert {guard for case in CASES.values() for guard in case.mutations} == set(TAKEN_OUT)
+
+
+# Found with three users. The second one looks the missed job up while the jobs are listed anew,
+# and it ends before that listing has reached it.
+MISSED_JOB_ENDS_DURING_A_LISTING = (
+    ["user 0", *["refresh"] * 5, *["user 0"] * 4, "user 1", *["refresh"] * 5, "user 0", "user 2"],
+    ["refresh", "refresh", "user 1", "user 1", f"done {FIRST}", "user 1"],
+)
+
+
+def test_missed_job_that_ends_while_the_jobs_are_listed_is_not_unknown() -> None:
+    scenario = CASES["live job missed"].scenario
+    world = JobStateWorld(scenario._replace(asks=scenario.asks[:1] + scenario.asks))
+    steps = [step for part in MISSED_JOB_ENDS_DURING_A_LISTING for step in part]
+    assert replay(world, steps) == []
--- a/umberward/control/job_state_cache.py
+++ b/umberward/control/job_state_cache.py
@@ -203,10 +203,12 @@
     async def _lookup_stored(self, job_id: JobId) -> JobState | None:
         """The stored state of a job that was not live as of the latest refresh."""
         lookup = self.absent_jobs.begin(job_id)
+        # Decided now: a listing during the read below may no longer have the job, if it ends.
+        is_listing_old = self.clock() - self.listed_at > RECENT_LISTING_S
         try:
             stored_final = await self.store.get(final_key(job_id))
             stored_live = None
-            if stored_final is None and self.clock() - self.listed_at > RECENT_LISTING_S:
+            if stored_final is None and is_listing_old:
                 stored_live = await self.store.get(live_key(job_id))
                 if stored_live is None:
                     # It may have ended between these reads.
@@ -297,8 +299,9 @@
             else:
                 return
         self.must_list = False
-        self.listed_at = self.clock()
+        started_at = self.clock()
         entries, listed_revision = await self.store.list_all(LIVE_JOBS_PREFIX)
+        self.listed_at = started_at
         self.live_jobs.clear()
         self.absent_jobs.clear()
         self.dependency_graph.clear()
