Tests: an exploration always runs to its end, and knows no idle refreshes; one set of repeatable settings

No scenario has used idle refreshes since the compaction needs none, so their state and callback are gone. Each run's end is checked in the explorer (RunTooLongError) and no longer beside each call. The settings of drawn graphs stood twice.

--- a/tests/explored_job_states.py
+++ b/tests/explored_job_states.py
@@ -8,7 +8,8 @@
 
 import functools
 import re
-from collections.abc import Callable, Hashable
+from collections.abc import Callable, Hashable, Mapping
+from types import MappingProxyType
 from typing import Any, NamedTuple, Protocol
 from unittest import mock
 
@@ -36,6 +37,7 @@
 from umberward.protocol import wire
 from umberward.protocol.wire import FINAL_JOBS_PREFIX, LIVE_JOBS_PREFIX, FinalJobRecord, JobRecord
 
+NO_NAMES: Mapping[int, str] = MappingProxyType({})
 ADDRESS = re.compile(r" at 0x[0-9a-f]+")
 LONG_AFTER_LISTING_S = RECENT_LISTING_S + 1.0
 
@@ -67,7 +69,6 @@
     asks: tuple[tuple[str, ...], ...] = ()
     by_answer_time: bool = False
     failures: int = 0
-    idle_refreshes: int = 0
     page_entries: int = 2
     retained_changes: int = 100
     cached_records: int = 10
@@ -100,7 +101,7 @@
         except RequestFailed:
             raise state_client.StateUnavailableError("chosen to fail") from None
         result = read()
-        self.world.current.observed.append(canonical(result, {}))
+        self.world.current.observed.append(canonical(result))
         await wait_until()
         return result
 
@@ -137,7 +138,7 @@
 
     async def _lookup(self, job_id: JobId) -> JobState | None:
         state = await super()._lookup(job_id)
-        self.world.current.observed.append(canonical(state, {}))
+        self.world.current.observed.append(canonical(state))
         return state
 
 
@@ -153,8 +154,8 @@
         self.told_here: dict[str, Told] = {}  # what this controller has answered
         self.cancelled: set[str] = set()  # jobs that a user has cancelled
         self.dependencies: dict[str, tuple[str, ...]] = {}
-        self.commits_done = self.failures = self.idle_refreshes = 0
-        curio = FakeCurio(self._may_time_out, self._time_out)
+        self.commits_done = self.failures = 0
+        curio = FakeCurio(lambda seconds: seconds < IDLE_REFRESH_S)
         self.patches = [
             mock.patch.object(statecore, "MAX_RETAINED_CHANGES", scenario.retained_changes),
             mock.patch.object(job_state_cache, "curio", curio),
@@ -196,15 +197,6 @@
 
     # ---- what may happen ---------------------------------------------------------------
 
-    def _may_time_out(self, seconds: float) -> bool:
-        if seconds < IDLE_REFRESH_S:
-            return True
-        return self.idle_refreshes < self.scenario.idle_refreshes
-
-    def _time_out(self, seconds: float) -> None:
-        if seconds >= IDLE_REFRESH_S:
-            self.idle_refreshes += 1
-
     def failures_left(self) -> bool:
         return self.failures < self.scenario.failures
 
@@ -257,7 +249,7 @@
 
     async def _ask(self, job_ids: tuple[str, ...]) -> None:
         known = {job_id: self.told.get(job_id, Told()) for job_id in job_ids}
-        self.current.observed.append(canonical(known, {}))
+        self.current.observed.append(canonical(known))
         ids = [JobId(job_id) for job_id in job_ids]
         try:
             if len(ids) == 1:
@@ -298,7 +290,6 @@
             self.now,
             self.commits_done,
             self.failures,
-            self.idle_refreshes,
             canonical(self.told, names),
             canonical(self.told_here, names),
             canonical(cache.live_jobs, names),
@@ -352,8 +343,11 @@
     return settings_from_toml(raw_settings(), OperatorSettings(poll_cache=cached_records))
 
 
-def canonical(value: Any, names: dict[int, str]) -> Hashable:
-    """A hashable form of a value that is equal for equal states of different runs."""
+def canonical(value: Any, names: Mapping[int, str] = NO_NAMES) -> Hashable:
+    """A hashable form of a value that is equal for equal states of different runs.
+
+    `names` are those of objects whose identity matters, by their `id`.
+    """
     if isinstance(value, PendingRequest):
         return (names.get(id(value)), value._done._set, repr(value.response))  # type: ignore[attr-defined]
     if isinstance(value, AbsenceLookup):
--- a/tests/explorer.py
+++ b/tests/explorer.py
@@ -19,6 +19,13 @@
     may_fail: bool = False
 
 
+MAX_STEPS = 400  # of one run
+
+
+class RunTooLongError(Exception):
+    """A run has not ended after MAX_STEPS steps, so not every order can be run to its end."""
+
+
 class RequestFailed(Exception):
     """Raised in a task whose request was chosen to fail."""
 
@@ -69,19 +76,13 @@
 
 
 class FakeCurio:
-    """Stands in for the module `curio`.
-
-    `may_time_out(seconds)` tells whether a wait may end by its time, and `time_out` that one did.
-    """
+    """Stands in for the module `curio`; `may_time_out` tells whether a wait may end by its time."""
 
     Event, Queue = Event, Queue
     CancelledError = type("CancelledError", (BaseException,), {})
 
-    def __init__(
-        self, may_time_out: Callable[[float], bool], time_out: Callable[[float], None]
-    ) -> None:
+    def __init__(self, may_time_out: Callable[[float], bool]) -> None:
         self.may_time_out = may_time_out
-        self.time_out = time_out
 
     async def sleep(self, _: float) -> None:
         await wait_until()
@@ -99,7 +100,6 @@
         except StopIteration as stop:
             return stop.value
         waiting.close()
-        self.time_out(seconds)
         return None
 
 
@@ -163,7 +163,6 @@
     runs: int
     broken: str | None
     schedule: list[str]
-    complete: bool  # every order was run; otherwise some were cut at the depth
 
 
 def _resume(world: World, task: Task, fails: bool) -> None:
@@ -191,19 +190,18 @@
     return choices + world.steps()
 
 
-def explore(make_world: Callable[[], World], max_depth: int) -> Exploration:
-    """Run every order of at most `max_depth` steps, until one breaks a rule."""
+def explore(make_world: Callable[[], World]) -> Exploration:
+    """Run every order to its end, until one breaks a rule. Raises RunTooLongError."""
     seen: set[Hashable] = set()
     pending: list[list[int]] = [[]]  # the choices that lead to what is still to be run
     runs = 0
-    complete = True
     while pending:
         path = pending.pop()
         runs += 1
         world = make_world()
         schedule = []
         try:
-            for depth in range(max_depth):
+            for depth in range(MAX_STEPS):
                 choices = _choices(world)
                 if not choices:
                     break
@@ -218,12 +216,12 @@
                 schedule.append(choice.name)
                 choice.act()
                 if world.broken:
-                    return Exploration(len(seen), runs, world.broken[0], schedule, complete)
+                    return Exploration(len(seen), runs, world.broken[0], schedule)
             else:
-                complete = complete and not _choices(world)
+                raise RunTooLongError(schedule)
         finally:
             world.close()
-    return Exploration(len(seen), runs, None, [], complete)
+    return Exploration(len(seen), runs, None, [])
 
 
 def replay(world: World, schedule: list[str]) -> list[str]:
--- a/tests/test_graph_final_answers.py
+++ b/tests/test_graph_final_answers.py
@@ -12,7 +12,7 @@
 import pytest
 from hypothesis import strategies
 from simulated_graphs import FINAL, SimulatedGraphCluster
-from test_graphs import GraphScenarioPlayer, graphs
+from test_graphs import REPEATABLE, GraphScenarioPlayer, graphs
 
 from umberward.clients.state_client import ListResult, StateUnavailableError
 from umberward.core.types import Revision
@@ -120,13 +120,7 @@
     assert _play(_scans_and_reports(), failing, "go_on", ends_after) == []
 
 
-@hypothesis.settings(
-    max_examples=150,
-    deadline=None,
-    derandomize=True,
-    database=None,
-    suppress_health_check=list(hypothesis.HealthCheck),
-)
+@hypothesis.settings(REPEATABLE, max_examples=150)
 @hypothesis.given(
     tasks=graphs(),
     failing=strategies.sets(strategies.integers(0, 13), min_size=1, max_size=3),
--- a/tests/test_graph_reader_exploration.py
+++ b/tests/test_graph_reader_exploration.py
@@ -11,7 +11,7 @@
 
 import pytest
 from explored_job_states import ExploredStore, canonical
-from explorer import Choice, Exploration, Task, Wait, explore
+from explorer import Choice, Task, Wait, explore
 
 from umberward.clients.state_client import ListResult, StateClient, StateUnavailableError
 from umberward.core.types import Revision
@@ -31,7 +31,6 @@
 from umberward.local.statecore import StateCore
 from umberward.protocol import wire
 
-MAX_STEPS = 200
 GRAPH = GraphId("graph-1")
 # The task that fails is of the first array, so that its record is read before that of the other.
 TASKS = [GraphTask("scan"), GraphTask("report", ["scan"], num_cpus=2.0)]
@@ -118,7 +117,7 @@
 
     async def _read(self) -> None:
         accepted, ended = self.done_commits >= 1, self.done_commits == len(self.commits)
-        self.current.observed.append((accepted, ended, canonical(self.told, {})))
+        self.current.observed.append((accepted, ended, canonical(self.told)))
         told = dict(self.told)
         try:
             stored = await self.reader.find(GRAPH)
@@ -146,8 +145,8 @@
     def fingerprint(self) -> Hashable:
         return (
             self.done_commits,
-            canonical(self.told, {}),
-            canonical(self.reader._ended_graphs, {}),
+            canonical(self.told),
+            canonical(self.reader._ended_graphs),
             tuple(self._task_fingerprint(task) for task in self.tasks),
         )
 
@@ -159,21 +158,15 @@
         return (tuple(frames), tuple(task.observed))
 
 
-def _explore(make_world: Callable[[], Any] = GraphReaderWorld) -> Exploration:
-    found = explore(make_world, MAX_STEPS)
-    assert found.broken or found.complete
-    return found
-
-
 def test_no_order_forgets_a_graph_or_calls_a_task_done_that_never_ran() -> None:
-    found = _explore()
+    found = explore(GraphReaderWorld)
     print(f"{found.states} states, {found.runs} runs")
     assert found.broken is None, found.schedule
 
 
 def test_some_order_fails_if_the_failure_is_stored_after_the_tasks_that_need_it() -> None:
     commits = (_accept, _place, _store_dependent, _store_failure, _end)
-    assert _explore(lambda: GraphReaderWorld(commits)).broken == "not done: report"
+    assert explore(lambda: GraphReaderWorld(commits)).broken == "not done: report"
 
 
 def test_some_order_fails_if_the_pages_of_a_listing_are_read_at_different_moments(
@@ -184,7 +177,7 @@
         return ListResult(found.entries, Revision(1 << 40))
 
     monkeypatch.setattr(ExploredStore, "list_all", list_all)
-    assert _explore().broken == "not done: report"
+    assert explore(GraphReaderWorld).broken == "not done: report"
 
 
 def test_some_order_fails_if_the_past_record_is_read_first(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -196,4 +189,4 @@
         return None if live is None else wire.convert(live.data, GraphRecord)
 
     monkeypatch.setattr(GraphReader, "read_record", read_record)
-    assert _explore().broken == "forgotten"
+    assert explore(GraphReaderWorld).broken == "forgotten"
--- a/tests/test_graphs.py
+++ b/tests/test_graphs.py
@@ -366,13 +366,15 @@
     return tasks
 
 
-@hypothesis.settings(
-    max_examples=40,
+REPEATABLE = hypothesis.settings(
     deadline=None,
     derandomize=True,
     database=None,
     suppress_health_check=list(hypothesis.HealthCheck),
 )
+
+
+@hypothesis.settings(REPEATABLE, max_examples=40)
 @hypothesis.given(
     tasks=graphs(),
     bad=strategies.sets(strategies.integers(0, 13), max_size=2),
--- a/tests/test_job_state_exploration.py
+++ b/tests/test_job_state_exploration.py
@@ -20,7 +20,6 @@
 from umberward.core.types import JobId, Revision
 from umberward.protocol import wire
 
-MAX_STEPS = 400  # no run of these scenarios is as long
 FIRST, SECOND, THIRD = "req-000001", "req-000002", "req-000003"
 
 
@@ -161,9 +160,7 @@
 
 
 def _explore(scenario: Scenario) -> Exploration:
-    found = explore(lambda: JobStateWorld(scenario), MAX_STEPS)
-    assert found.broken or found.complete
-    return found
+    return explore(lambda: JobStateWorld(scenario))
 
 
 @pytest.mark.parametrize("name", CASES)
