--- a/review/7/case.py
+++ b/review/7/case.py
@@ -3,14 +3,11 @@
 from __future__ import annotations
 
 import sys
-import time
 from pathlib import Path
 
-import curio
-
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "standins-2"))
 
-from harness import BAYANIHAN, LARGE, Cluster, batch, decoded, run_case, trouble
+from harness import BAYANIHAN, LARGE, Cluster, LeftWaiting, batch, run_case, trouble
 
 TEAM = "payroll-ops-00"
 JOB = "req-000001"
@@ -18,7 +15,6 @@
 CORES, MEMORY_GB = 0.02, 0.01  # 2,000 tasks take 40 of the 64 cores of a machine
 RUN_S = 5.0
 WAIT_S = 90.0
-POLL_S = 5.0
 
 
 async def case(cluster: Cluster) -> bool:
@@ -27,27 +23,7 @@
     job["mem_gb"] = MEMORY_GB
     everybody = list(range(PLAN.controllers))
     await cluster.insist(everybody, "POST", "/v1/jobs", job)
-    began = False
-
-    def note_begin() -> None:
-        nonlocal began
-        began = (
-            began
-            or bool(cluster.running(JOB))
-            or any(name.startswith(f"{JOB}/") for name in cluster.shared_tasks.done)
-        )
-
-    cluster.on_tick = note_begin
-    deadline = time.monotonic() + WAIT_S
-    while time.monotonic() < deadline:
-        await curio.sleep(POLL_S)
-        answer = await cluster.ask(0, "GET", f"/v1/jobs/{JOB}")
-        if answer is not None and answer.body:
-            state = decoded(answer)
-            if isinstance(state, dict) and state.get("phase") == "done":
-                return True
-    cluster.record.write("waited", seconds=WAIT_S, began=began)
-    return began
+    return await LeftWaiting(cluster, JOB, CORES).watch(WAIT_S)
 
 
 if __name__ == "__main__":
--- a/review/standins-2/harness.py
+++ b/review/standins-2/harness.py
@@ -59,6 +59,8 @@
 TOO_LARGE = 413
 MAX_BODY_BYTES = 64 * 1024
 SOCKETS = 400
+POLL_S = 5.0
+LATEST_BREAK_S = 8.0  # a case gives up if the job began to wait later than this
 CASE_S = 110.0  # the longest run of a case
 PORTS = (12_000, 32_000)
 
@@ -549,6 +551,13 @@
                 used[team] = used.get(team, 0.0) + cores
         return used
 
+    def tasks_that_fit(self, cores: float) -> int:
+        """How many tasks of so many cores fit on the machines that are up, beside what runs."""
+        return sum(
+            int((worker.core.machine_type.cores - worker.core.reserved.cores + 1e-6) / cores)
+            for worker, _ in self.workers.values()
+        )
+
     # ---- users -------------------------------------------------------------------------
 
     async def ask(
@@ -691,6 +700,49 @@
     return code
 
 
+class LeftWaiting:
+    """For how long a job has been left waiting without a break while there was room for it."""
+
+    def __init__(self, cluster: Cluster, job_id: str, cores: float, *, whole: int = 1) -> None:
+        """Watch from now on; there is room if `whole` tasks of so many cores fit at once."""
+        self.cluster = cluster
+        self.job_id = job_id
+        self.cores = cores
+        self.whole = whole
+        self.began = False
+        self.since = time.monotonic()
+        cluster.on_tick = self._note
+
+    @property
+    def seconds(self) -> float:
+        """The seconds without a break, up to now; 0 once the job has begun."""
+        return 0.0 if self.began else time.monotonic() - self.since
+
+    def _note(self) -> None:
+        prefix = f"{self.job_id}/"
+        self.began = (
+            self.began
+            or bool(self.cluster.running(self.job_id))
+            or any(name.startswith(prefix) for name in self.cluster.shared_tasks.done)
+        )
+        if self.cluster.tasks_that_fit(self.cores) < self.whole:
+            if self.seconds > TICK_S * 2:
+                self.cluster.record.write("no_room", waited=round(self.seconds, 1))
+            self.since = time.monotonic()
+
+    async def watch(self, seconds: float) -> bool:
+        """Watch until the job has begun or waited for so long; returns whether it has begun."""
+        deadline = time.monotonic() + seconds + LATEST_BREAK_S
+        while not self.began and self.seconds < seconds:
+            if time.monotonic() > deadline:
+                reason = "there was not always room"
+                raise CaseNotRunError(reason)
+            await curio.sleep(POLL_S)
+            await self.cluster.ask(0, "GET", f"/v1/jobs/{self.job_id}")
+        self.cluster.record.write("waited", seconds=round(self.seconds, 1), began=self.began)
+        return self.began
+
+
 def _end(_number: int, _frame: object) -> None:
     """End the case early: its processes are ended on the way."""
     sys.exit(NOT_RUN)
