--- a/review/standins-2/harness.py
+++ b/review/standins-2/harness.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import json
+import math
 import os
 import random
 import shutil
@@ -669,7 +670,9 @@
 
 
 def _run_as_expected(_host: str, _name: str, spec: JobSpec) -> TaskOutcome:
-    """A task runs as long as its owner expects."""
+    """A task runs as long as its owner expects, a replica until it is stopped."""
+    if spec.kind == wire.SERVICE:
+        return TaskOutcome(math.inf)
     return TaskOutcome(spec.expected_runtime_s or 5.0)
 
 
