--- a/review/standins-2/harness.py
+++ b/review/standins-2/harness.py
@@ -63,7 +63,7 @@
 POLL_S = 5.0
 LATEST_BREAK_S = 8.0  # a case gives up if the job began to wait later than this
 CASE_S = 110.0  # the longest run of a case
-PORTS = (12_000, 32_000)
+FIRST_PORT, PORT_RANGES, PORTS_PER_RANGE = 12_000, 100, 200  # a range for each process
 
 SMALL = MachineType("sampaguita", 8.0, 32.0, 0.55, 15.0, ["luzon", "visayas"], spot_price=0.18)
 LARGE = MachineType("narra", 64.0, 128.0, 3.98, 30.0, ["luzon", "visayas"], spot_price=1.4)
@@ -761,11 +761,12 @@
 
 def _free_ports(count: int) -> list[Address]:
     """Different ports of the loopback that nobody uses now, below those of outgoing connections."""
+    first = FIRST_PORT + os.getpid() % PORT_RANGES * PORTS_PER_RANGE
     probes: list[socket.socket] = []
     while len(probes) < count:
         probe = socket.socket()
         try:
-            probe.bind((HOST, random.randrange(*PORTS)))
+            probe.bind((HOST, random.randrange(first, first + PORTS_PER_RANGE)))
         except OSError:
             probe.close()
         else:
