--- a/review/standins-2/harness.py
+++ b/review/standins-2/harness.py
@@ -759,17 +759,24 @@
 _OWN_VARIABLES = ("TROUBLE", "KEEP_LOGS", "PYTHONPATH")
 
 
+_ports_given: set[int] = set()
+
+
 def _free_ports(count: int) -> list[Address]:
     """Different ports of the loopback that nobody uses now, below those of outgoing connections."""
     first = FIRST_PORT + os.getpid() % PORT_RANGES * PORTS_PER_RANGE
     probes: list[socket.socket] = []
     while len(probes) < count:
+        port = random.randrange(first, first + PORTS_PER_RANGE)
+        if port in _ports_given:  # to a process that may not listen on it yet
+            continue
         probe = socket.socket()
         try:
-            probe.bind((HOST, random.randrange(first, first + PORTS_PER_RANGE)))
+            probe.bind((HOST, port))
         except OSError:
             probe.close()
         else:
+            _ports_given.add(port)
             probes.append(probe)
     found = [Address(HOST, probe.getsockname()[1]) for probe in probes]
     for probe in probes:
