--- a/umberward/leader/command_sender.py
+++ b/umberward/leader/command_sender.py
@@ -123,6 +123,14 @@
         heartbeat = None
         if response.status in HEARTBEAT_STATUSES:
             heartbeat = wire.decode_heartbeat(response.body)
+        else:
+            rate_limited_log.info(
+                "command_rejected",
+                machine=command.machine,
+                status=response.status,
+                json_bytes=wire.json_size(body),
+                orders=_describe_commands(command.commands),
+            )
         return CommandCompleted(
             command, heartbeat, outcome_unknown=response.status not in KNOWN_OUTCOME_STATUSES
         )
