--- a/tests/rules.py
+++ b/tests/rules.py
@@ -253,7 +253,7 @@
                         self.broken.append(f"ran_cancelled: {name}")
         usage_by_team = self.usage_by_team()
         for team in self.cluster.teams:
-            cores, accelerators, _ = usage_by_team.get(team.name, NO_RESOURCES)
+            cores, accelerators, *_ = usage_by_team.get(team.name, NO_RESOURCES)
             if 0 < team.cpus_max < cores - 1e-6:
                 self.broken.append(f"quota: {team.name} uses {cores} cores")
             if 0 < team.gpus_max < accelerators - 1e-6:
--- a/umberward/core/types.py
+++ b/umberward/core/types.py
@@ -85,20 +85,27 @@
 
 
 class Resources(NamedTuple):
-    """The resources that a task needs or that a machine has."""
+    """The resources that a task needs or that a machine has.
+
+    `heartbeat_bytes` bounds the number of tasks on a machine: its worker lists each of them in one
+    heartbeat of limited size (`umberward.protocol.message_sizes`). It is 0 where only what a task
+    consumes counts.
+    """
 
     cores: float
     accelerators: float
     mem_gb: float
+    heartbeat_bytes: int = 0
 
     def plus(self, other: Resources, times: int = 1) -> Resources:
         """Return the sum of these resources and `times` times `other`."""
-        cores, accelerators, mem_gb = other
+        cores, accelerators, mem_gb, heartbeat_bytes = other
         return _make_resources(
             (
                 self[0] + times * cores,
                 self[1] + times * accelerators,
                 self[2] + times * mem_gb,
+                self[3] + times * heartbeat_bytes,
             )
         )
 
@@ -108,7 +115,12 @@
 
     def elementwise_min(self, other: Resources) -> Resources:
         """Return the smaller amount of each resource."""
-        return Resources(*map(min, self, other))
+        return Resources(
+            min(self.cores, other.cores),
+            min(self.accelerators, other.accelerators),
+            min(self.mem_gb, other.mem_gb),
+            min(self.heartbeat_bytes, other.heartbeat_bytes),
+        )
 
     def fits(self, room: Resources) -> bool:
         """Whether these resources fit into `room`, tolerating rounding errors."""
@@ -116,21 +128,27 @@
             self[0] <= room[0] + ROUNDING_TOLERANCE
             and self[1] <= room[1] + ROUNDING_TOLERANCE
             and self[2] <= room[2] + ROUNDING_TOLERANCE
+            and self[3] <= room[3]
         )
 
     def count_within(self, room: Resources) -> int:
         """Return how many tasks of this size fit into `room`."""
         count = MAX_TASKS_PER_JOB
         for needed, free in zip(self, room, strict=True):
-            if needed > 0:
-                count = min(count, int((free + ROUNDING_TOLERANCE) / needed))
-        return max(count, 0)
+            if needed <= 0:
+                continue
+            quotient = (free + ROUNDING_TOLERANCE) / needed
+            if quotient < 1:
+                return 0
+            if quotient < count:  # not for an infinite quotient, if hardly anything is needed
+                count = int(quotient)
+        return count
 
 
 # Bypasses `Resources.__new__`, as the fastest way to create one: a scheduling pass creates more of
 # these than of any other object.
 _make_resources = partial(tuple.__new__, Resources)
-NO_RESOURCES = Resources(0.0, 0.0, 0.0)
+NO_RESOURCES = Resources(0.0, 0.0, 0.0, 0)
 
 
 class MachineOffer(NamedTuple):
--- a/umberward/scheduling/schedulable_machines.py
+++ b/umberward/scheduling/schedulable_machines.py
@@ -60,11 +60,14 @@
     if smallest is None:
         return []
     # Inlined `smallest.fits(...)`, as it is evaluated for each machine in each pass.
-    cores, accelerators, mem_gb = (part - ROUNDING_TOLERANCE for part in smallest)
+    cores, accelerators, mem_gb, heartbeat_bytes = (part - ROUNDING_TOLERANCE for part in smallest)
     return [
         m
         for m in machines
-        if (room := free[m.id])[0] >= cores and room[1] >= accelerators and room[2] >= mem_gb
+        if (room := free[m.id])[0] >= cores
+        and room[1] >= accelerators
+        and room[2] >= mem_gb
+        and room[3] >= heartbeat_bytes
     ]
 
 
