--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -22,11 +22,13 @@
 from umberward.graphs.live import LiveGraph
 from umberward.leader import failover_snapshot, leader_loop
 from umberward.leader.leader_election import LeaderElection
+from umberward.protocol import cloud_messages
 from umberward.protocol.http import Client
 from umberward.protocol.wire import DONE, FinalJobRecord, JobRecord
 from umberward.scheduling import (
     autoscaler,
     best_fit,
+    cluster_state,
     dependencies,
     failure_attribution,
     failure_detector,
@@ -858,6 +860,21 @@
     patch.setattr(CancellationAnnouncer, "announce", lambda *_: None)
 
 
+def heartbeat_limit(patch: pytest.MonkeyPatch) -> None:
+    """Let the tasks of a machine grow beyond what a heartbeat can list."""
+    patch.setattr(cloud_messages, "HEARTBEAT_TASK_BYTES", 1 << 40)
+
+
+def exits_listed(patch: pytest.MonkeyPatch) -> None:
+    """Do not count listed attempts without a placement against the limit of heartbeats."""
+    patch.setattr(Machine, "set_unplaced_heartbeat_bytes", lambda _self, _bytes: None)
+
+
+def room_for_larger(patch: pytest.MonkeyPatch) -> None:
+    """Let small tasks take all the room in heartbeats."""
+    patch.setattr(cluster_state, "is_small", lambda _need, _capacity: False)
+
+
 MUTATIONS: dict[str, Patch] = {
     "lease-let-go": lease_let_go,
     "longest-bound": longest_bound,
@@ -951,4 +968,7 @@
     "ended-jobs-count": ended_jobs_count,
     "trials-first": trials_first,
     "eager-trials": eager_trials,
+    "heartbeat-limit": heartbeat_limit,
+    "exits-listed": exits_listed,
+    "room-for-larger": room_for_larger,
 }
--- a/tests/network.py
+++ b/tests/network.py
@@ -23,8 +23,12 @@
 from umberward.core.types import Address
 from umberward.local.links import Links
 from umberward.protocol.http import Handler, NoResponseError, Request, RequestNotSentError, Response
+from umberward.protocol.message_sizes import exceeds_body_limit
+from umberward.protocol.wire import MAX_BODY_BYTES
 
 MESSAGE_DELAY_S = 0.001
+# Responses of these services have limits of their own, or none.
+UNLIMITED_RESPONSES = ("/kv", "/watch", "/hosts", "/flavors", "/peer")
 MAX_KEPT_HEARTBEATS = 60
 
 
@@ -73,6 +77,13 @@
         self.kept_share = 0.0  # of all heartbeats: a copy is kept for the next leader
         self.kept_heartbeats: deque[Request] = deque(maxlen=MAX_KEPT_HEARTBEATS)
         self.messages = TaskScope()  # owns the messages in flight
+        self.oversized: list[str] = []  # messages above the limit, which a receiver may refuse
+
+    def check_size(self, sender: str, target: str, body: bytes) -> None:
+        """Note a message above the limit of the protocol."""
+        is_cbor = target.startswith("/peer")
+        if len(body) > MAX_BODY_BYTES if is_cbor else exceeds_body_limit(body):
+            self.oversized.append(f"{sender} {target}: {len(body)} bytes encoded")
 
     def client(self, _: Any = None) -> Client:
         return Client(self, self.client_owner)
@@ -137,6 +148,7 @@
         if self.ended or may_send is not None and not may_send():
             raise RequestNotSentError(f"{method} {address}: its sender has ended or withdrawn it")
         sent = network.clock()
+        network.check_size(self.owner, target, body)
         record_message(self.owner, receiver, method, target, body, sent)
         answered = curio.Event()
         answers: list[Response] = []
@@ -149,6 +161,8 @@
                 network.sent[receiver] = sent
                 response = await server.handler(Request(method, path, query, body))
                 network.sent.pop(receiver, None)
+                if not target.startswith(UNLIMITED_RESPONSES):
+                    network.check_size(receiver, target, response.body)
                 answer = (response.status, response.body, response.retry_after)
                 record_message(receiver, self.owner, target, *answer, network.clock())
                 # A process that has ended meanwhile sends no response.
--- a/tests/simulated_cluster.py
+++ b/tests/simulated_cluster.py
@@ -34,6 +34,7 @@
 from umberward.local.workercore import TaskAttempt, TaskOutcome, WorkerCore
 from umberward.protocol import transactions, wire
 from umberward.protocol.http import Response
+from umberward.protocol.message_sizes import exceeds_body_limit
 from umberward.protocol.transactions import VersionedValue
 from umberward.protocol.wire import (
     BLOCKS_PREFIX,
@@ -513,11 +514,27 @@
                 # The response is lost too, so the leader can't know whether the command arrived.
                 self.lost_commands.append(HeldCommand(command, scheduler, gives_up_at))
                 return
+            body = {
+                "epoch": command.fencing_token,
+                "tenure": command.incarnation,
+                "orders": command.commands,
+            }
+            if self._is_oversized("command", wire.encode(body)):
+                scheduler.command_completed(command, None, True, now)
+                command = self.commands.finish_and_take_next(command.machine)
+                continue
             unreachable = worker is None or worker.dead or worker.cut
             report = None if unreachable else self._execute(worker, command)  # type: ignore[arg-type]
             scheduler.command_completed(command, report, False, now)
             command = self.commands.finish_and_take_next(command.machine)
 
+    def _is_oversized(self, what: str, body: bytes) -> bool:
+        """Whether a message is above the limit; the receiver refuses it, and that is an error."""
+        if not exceeds_body_limit(body):
+            return False
+        self.broken.append(f"a {what} above the limit on messages, {len(body)} bytes encoded")
+        return True
+
     def _time_out_commands(self, scheduler: Scheduler, now: Instant) -> None:
         """Time out the commands that were not answered in time."""
         held = [
@@ -609,11 +626,15 @@
         ):
             leader = self.former_leaders[-1]  # it still answers, as it knows of no other leader
         assert leader is not None
+        if self._is_oversized("heartbeat", body):
+            return
         orders = leader.receive_heartbeat(
             wire.decode_heartbeat_header(body), body, Instant(self.now)
         )
         token = leader.fencing_token_for(MachineId(worker.host))
         record_message("report", body, token, orders, self.now)
+        if self._is_oversized("response", wire.encode({"epoch": token, "orders": orders})):
+            return
         if orders is None and leader is not self.scheduler:
             worker.astray = False  # refused, the worker looks for another controller
         if orders is None or worker.deaf or worker.oneway or self.now - sent > 4.0:
--- a/tests/simulated_controllers.py
+++ b/tests/simulated_controllers.py
@@ -203,6 +203,8 @@
             if node.leader_loop is not None and node.leader_loop.scheduler.invariants.violations:
                 found = node.leader_loop.scheduler.invariants.violations
                 self.broken.append(f"invariants of {name}: {', '.join(found)}")
+        self.broken += [f"message above the limit: {found}" for found in self.network.oversized]
+        self.network.oversized.clear()
 
     def run(self, seconds: float) -> None:
         self.kernel.run(curio.sleep, seconds)
--- a/umberward/control/heartbeat_api.py
+++ b/umberward/control/heartbeat_api.py
@@ -13,13 +13,17 @@
 
 from umberward.control.peer_link import PeerLink
 from umberward.control.responses import error_response
+from umberward.core.log import logger
 from umberward.core.types import ControllerName, Instant, MachineId
 from umberward.leader.leader_election import LeaderElection
 from umberward.leader.leader_loop import LeaderLoop
 from umberward.protocol import wire
 from umberward.protocol.http import Connection, Request, Response
+from umberward.protocol.message_sizes import exceeds_body_limit
 from umberward.scheduling.heartbeat_forwarding import DuplicateFilter, HeartbeatForwarding
 
+log = logger(__name__)
+
 
 class LocalLeader(Protocol):
     """Access to the event loop of this controller's leader, if it leads."""
@@ -148,7 +152,13 @@
 
 
 def _session_response(fencing_token: int, commands: list[wire.TaskCommand]) -> Response:
-    return Response(200, wire.encode(HeartbeatResponse(fencing_token, commands)))
+    body = wire.encode(HeartbeatResponse(fencing_token, commands))
+    if exceeds_body_limit(body):
+        # The leader selects commands that fit, so this is a bug. The worker would drop the
+        # response, and its lease would expire.
+        log.error("message_too_large", commands=len(commands), bytes=len(body))
+        body = wire.encode(HeartbeatResponse(fencing_token, []))
+    return Response(200, body)
 
 
 def _try_another_response() -> Response:
--- a/umberward/control/job_admission.py
+++ b/umberward/control/job_admission.py
@@ -11,13 +11,13 @@
 from umberward.core.types import (
     JobId,
     MachineTypeName,
-    Resources,
     TeamName,
     WallTime,
     parse_job_id,
 )
 from umberward.graphs.model import parse_graph_job_id
 from umberward.protocol import wire
+from umberward.protocol.message_sizes import task_need
 from umberward.protocol.wire import FinalJobRecord, JobRecord, JobSpec, MachineType
 from umberward.scheduling.quota import Quota
 
@@ -157,7 +157,7 @@
         team = TeamName(spec.team)
         if team not in self.quota.teams:
             raise UnknownTeamError(spec.team)
-        need = Resources(spec.cores, spec.accelerators, spec.mem_gb)
+        need = task_need(spec)
         if not any(
             need.fits(machine_type.capacity) for machine_type in self._allowed_machine_types(spec)
         ):
--- a/umberward/leader/command_sender.py
+++ b/umberward/leader/command_sender.py
@@ -13,6 +13,7 @@
 from umberward.leader.messages import CommandCompleted, ProbeCompleted
 from umberward.protocol import wire
 from umberward.protocol.http import Client, NoResponseError, RequestNotSentError
+from umberward.protocol.message_sizes import exceeds_body_limit
 from umberward.scheduling.cluster_state import CommandMessage, Probe
 from umberward.scheduling.command_queue import CommandQueue
 
@@ -21,6 +22,7 @@
 
 COMMAND_TIMEOUT_S = 2.0
 PROBE_TIMEOUT_S = 1.0
+OVERSIZED_COMMAND = "the command is above the limit on messages"
 MAX_LOGGED_COMMANDS = 4  # task commands listed in a log line about one direct command
 
 # A worker responds to a direct command with a heartbeat if it executed the command (200) or
@@ -112,11 +114,16 @@
             "tenure": command.incarnation,
             "orders": command.commands,
         }
+        encoded = wire.encode(body)
+        if exceeds_body_limit(encoded):
+            # The command queue splits what is larger, so this is a bug.
+            log.error("message_too_large", machine=command.machine, bytes=len(encoded))
+            raise RequestNotSentError(OVERSIZED_COMMAND)
         response = await self.client.request(
             parse_address(command.address),
             "POST",
             "/do",
-            wire.encode(body),
+            encoded,
             COMMAND_TIMEOUT_S,
             may_send=self._send_condition(command),
         )
--- a/umberward/leader/failover_snapshot.py
+++ b/umberward/leader/failover_snapshot.py
@@ -24,10 +24,10 @@
     MachineId,
     MachineOffer,
     MachineTypeName,
-    Resources,
     ZoneName,
 )
 from umberward.protocol import wire
+from umberward.protocol.message_sizes import task_need
 from umberward.scheduling.autoscaler import Autoscaler, RequestedMachine
 from umberward.scheduling.machines import Quarantine
 from umberward.scheduling.quarantine import FIRST_TRIAL_PAUSE_S
@@ -242,9 +242,7 @@
     scheduler.runtime_ratios = {**snapshot.runtime_ratio, **scheduler.runtime_ratios}
     spec = snapshot.latest_accelerated_spec
     if spec is not None:
-        scheduler.headroom.restore(
-            spec, Resources(spec.cores, spec.accelerators, spec.mem_gb), snapshot.headroom_peak
-        )
+        scheduler.headroom.restore(spec, task_need(spec), snapshot.headroom_peak)
     _restore_failures(snapshot, age_s, scheduler, now)
     _restore_pending_machines(snapshot, age_s, scheduler, autoscaler, now)
     for backoff in snapshot.no_capacity:
--- a/umberward/local/http_requests.py
+++ b/umberward/local/http_requests.py
@@ -9,6 +9,7 @@
 
 from umberward.protocol import wire
 from umberward.protocol.http import Request, Response
+from umberward.protocol.message_sizes import exceeds_body_limit
 
 
 def query_parameters(request: Request) -> dict[str, str]:
@@ -24,11 +25,21 @@
         super().__init__("not a map")
 
 
+class BodyTooLargeError(ValueError):
+    """A request's body is above the limit of the protocol."""
+
+    def __init__(self) -> None:
+        """The client gets this text in the response."""
+        super().__init__("the body is too large")
+
+
 def decode_body(request: Request) -> dict[str, Any]:
     """Decode a request's body; a missing body counts as an empty map.
 
-    Raises msgspec.DecodeError or BodyNotMapError.
+    Raises msgspec.DecodeError, BodyNotMapError or BodyTooLargeError.
     """
+    if exceeds_body_limit(request.body):
+        raise BodyTooLargeError
     decoded = msgspec.msgpack.decode(request.body) if request.body else {}
     if not isinstance(decoded, dict):
         raise BodyNotMapError
--- a/umberward/local/statecore.py
+++ b/umberward/local/statecore.py
@@ -58,7 +58,7 @@
     """The written values of a transaction are too large in total."""
 
     def __init__(self, size_bytes: int) -> None:
-        """`size_bytes`: the total size of the written values."""
+        """`size_bytes`: the size of the whole transaction."""
         super().__init__(f"{size_bytes} bytes together")
 
 
@@ -156,8 +156,14 @@
             raise WritesTooLargeError(len(writes), value_sizes)
         if len(conditions) > MAX_CONDITIONS_PER_WRITE * self.txn_ops:
             raise TooManyConditionsError(len(conditions))
-        if sum(value_sizes) > MAX_TRANSACTION_BYTES:
-            raise TransactionTooLargeError(sum(value_sizes))
+        body_bytes = wire.json_size(
+            {
+                "if": [{"path": key, "stamp": version} for key, version in conditions],
+                "writes": writes,
+            }
+        )
+        if body_bytes > MAX_TRANSACTION_BYTES:
+            raise TransactionTooLargeError(body_bytes)
         for write in writes:
             key = write.get("write", write.get("delete"))
             if not _is_valid_key(key):
--- a/umberward/local/worker_server.py
+++ b/umberward/local/worker_server.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from umberward.core.types import Address, parse_address
-from umberward.local.http_requests import decode_body, error_response
+from umberward.local.http_requests import BodyTooLargeError, decode_body, error_response
 from umberward.local.workercore import WorkerCore
 from umberward.protocol import wire
 from umberward.protocol.http import (
@@ -21,12 +21,15 @@
     Response,
     Server,
 )
+from umberward.protocol.message_sizes import exceeds_body_limit
 
 WORKER_SOCKETS = 16
 HEARTBEAT_INTERVAL_SPREAD = 0.25  # the interval varies by up to this fraction, both ways
 MIN_HEARTBEAT_GAP_S = 0.5  # between two heartbeats, even if there are changes to report
 HEARTBEAT_TIMEOUT_S = 4.0
 RETRY_NEXT_CONTROLLER_S = 1.0
+OVERSIZED_HEARTBEAT = "the heartbeat is too large"
+OVERSIZED_RESPONSE = "the response is too large"
 CHANGE_POLL_S = 0.05  # how often a worker checks for changes to report
 
 
@@ -65,6 +68,8 @@
             return Response(HTTPStatus.NOT_FOUND)
         try:
             body = msgspec.convert(decode_body(request), _CommandRequest)
+        except BodyTooLargeError as error:
+            return error_response(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, str(error))
         except (msgspec.DecodeError, msgspec.ValidationError, TypeError) as error:
             return error_response(HTTPStatus.BAD_REQUEST, str(error))
         executed = core.handle_direct_commands(body.fencing_token, body.incarnation, body.commands)
@@ -96,13 +101,7 @@
         incarnation, sent_at = self.core.incarnation, time.monotonic()
         leader = None
         try:
-            response = await self.client.request(
-                self.controller_addresses[self.node],
-                "POST",
-                "/hello",
-                wire.encode(self.core.report()),
-                HEARTBEAT_TIMEOUT_S,
-            )
+            response = await self._request_within_limit(wire.encode(self.core.report()))
             if response.status == HTTPStatus.OK:
                 body = msgspec.msgpack.decode(response.body, type=_HeartbeatResponse)
                 self.core.handle_heartbeat_response(
@@ -115,6 +114,21 @@
             pass
         await self._switch_controller(leader)
 
+    async def _request_within_limit(self, heartbeat: bytes) -> Response:
+        """Send a heartbeat and return the response.
+
+        A heartbeat above the limit of the protocol is not sent, and such a response is dropped.
+        Raises RequestNotSentError or NoResponseError.
+        """
+        if exceeds_body_limit(heartbeat):
+            raise RequestNotSentError(OVERSIZED_HEARTBEAT)
+        response = await self.client.request(
+            self.controller_addresses[self.node], "POST", "/hello", heartbeat, HEARTBEAT_TIMEOUT_S
+        )
+        if exceeds_body_limit(response.body):
+            raise NoResponseError(OVERSIZED_RESPONSE)
+        return response
+
     async def _switch_controller(self, leader: str | None) -> None:
         if leader is not None and leader in self.controller_addresses and leader != self.node:
             self.node = leader
--- a/umberward/protocol/cloud_messages.py
+++ b/umberward/protocol/cloud_messages.py
@@ -10,6 +10,7 @@
 
 from umberward.core.types import Resources
 from umberward.protocol.job_spec import Name, NonNegative, Positive
+from umberward.protocol.message_sizes import HEARTBEAT_TASK_BYTES
 
 
 class MachineType(
@@ -38,8 +39,8 @@
 
     @property
     def capacity(self) -> Resources:
-        """The resources of an empty machine."""
-        return Resources(self.cores, self.accelerators, self.mem_gb)
+        """The resources of an empty machine, and what its heartbeat can spend on tasks."""
+        return Resources(self.cores, self.accelerators, self.mem_gb, HEARTBEAT_TASK_BYTES)
 
 
 class MachineTypeList(msgspec.Struct, rename={"machine_types": "flavors"}):
--- a/umberward/scheduling/cluster_state.py
+++ b/umberward/scheduling/cluster_state.py
@@ -31,6 +31,7 @@
 from umberward.protocol.wire import KILL, START, MachineType, TaskCommand
 from umberward.scheduling.fencing_tokens import FencingTokens
 from umberward.scheduling.headroom import Headroom
+from umberward.scheduling.heartbeat_room import RESERVED_FOR_LARGER_TASKS, is_small
 from umberward.scheduling.invariants import Invariants
 from umberward.scheduling.job_timing import DEFAULT_START_WITHIN_S, JobTiming
 from umberward.scheduling.jobs import Job, Placement, PreemptionKey
@@ -200,6 +201,26 @@
             job.suitable_offers = (self.offers_version, suitable)
         return job.suitable_offers[1]
 
+    def types_with_small_tasks(self, job: Job) -> frozenset[MachineTypeName]:
+        """Return the machine types on which the job's tasks are small (`heartbeat_room`)."""
+        if (
+            job.types_with_small_tasks is None
+            or job.types_with_small_tasks[0] != self.offers_version
+        ):
+            types = frozenset(
+                name
+                for name, machine_type in self.machine_types.items()
+                if is_small(job.need, machine_type.capacity)
+            )
+            job.types_with_small_tasks = (self.offers_version, types)
+        return job.types_with_small_tasks[1]
+
+    def room_for_job(self, job: Job, machine_type: MachineTypeName, room: Resources) -> Resources:
+        """Return the part of the free `room` of such a machine that the job's tasks may use."""
+        if machine_type not in self.types_with_small_tasks(job):
+            return room
+        return room.minus(RESERVED_FOR_LARGER_TASKS)
+
     def schedulable_room(self) -> tuple[list[Machine], dict[MachineId, Resources]]:
         """Return the schedulable machines and a copy of the free resources on each."""
         self.schedulable_index.refresh(self.machines, self.machine_types)
@@ -326,6 +347,7 @@
         for placement in list(machine.placements.values()):
             self.release(machine, placement)
         machine.exited_tasks.clear()
+        machine.set_unplaced_heartbeat_bytes(0)
         machine.forget_deferred_since = None
         self.clear_tasks_without_placement(machine)
 
--- a/umberward/scheduling/command_queue.py
+++ b/umberward/scheduling/command_queue.py
@@ -1,7 +1,8 @@
 """Queue of direct commands, with at most one in flight to each machine. No I/O.
 
 A queued command is validated again before it is sent: meanwhile the worker's session may have
-changed, its tasks may have been stopped, or the leader may have lost the right to start tasks.
+changed, its tasks may have been stopped, or the leader may have lost the right to start tasks. What
+exceeds the size of one message stays in the queue: stops are sent first, then starts by age.
 """
 
 from __future__ import annotations
@@ -9,6 +10,7 @@
 from collections.abc import Callable
 
 from umberward.core.types import MachineId
+from umberward.protocol.message_sizes import commands_that_fit
 from umberward.protocol.wire import START, TaskCommand
 from umberward.scheduling.cluster_state import ClusterState, CommandMessage
 from umberward.scheduling.machines import Machine
@@ -46,7 +48,7 @@
             prepared = self._prepare(command)
             if prepared is not None:
                 if waiting:
-                    self._waiting[machine_id] = waiting
+                    self._waiting.setdefault(machine_id, []).extend(waiting)
                 return prepared
         return None
 
@@ -67,11 +69,26 @@
             return None
         self._inflight.add(command.machine)
         return command._replace(
-            commands=valid_commands,
+            commands=self._take_message(command, valid_commands),
             fencing_token=machine.fencing_token,
             address=machine.address,
         )
 
+    def _take_message(
+        self, command: CommandMessage, valid_commands: list[TaskCommand]
+    ) -> list[TaskCommand]:
+        """Return the commands of the next message, and queue those that exceed its size."""
+        fitting = commands_that_fit(valid_commands)
+        if fitting == len(valid_commands):
+            return valid_commands
+        # A start of a task that is being stopped is not valid, so the order of a task's commands
+        # does not matter.
+        valid_commands.sort(key=lambda task_command: task_command.verb == START)
+        fitting = commands_that_fit(valid_commands)
+        rest = command._replace(commands=valid_commands[fitting:])
+        self._waiting[command.machine] = [rest]
+        return valid_commands[:fitting]
+
     @staticmethod
     def _drop(task_command: TaskCommand, command: CommandMessage, machine: Machine) -> None:
         """Record that a start for the current session is certain not to be sent."""
--- a/umberward/scheduling/gang_preemption.py
+++ b/umberward/scheduling/gang_preemption.py
@@ -81,7 +81,7 @@
     preemptable_by_machine: dict[MachineId, tuple[Machine, Resources]],
 ) -> GangStep | None:
     """Return a step for free room, else for one task by preemption; None: neither is possible."""
-    free = work.free[machine.id]
+    free = cluster.room_for_job(job, machine.machine_type, work.free[machine.id])
     ready_in_s = _image_pull_s(cluster, job, machine)
     task_count = job.need.count_within(free)
     if task_count:
--- a/umberward/scheduling/gang_reservation.py
+++ b/umberward/scheduling/gang_reservation.py
@@ -169,6 +169,7 @@
         for other, load in machine.preemptable_by_key().items():
             if may_preempt(key, other):
                 room = room.plus(load)
+        room = self.cluster.room_for_job(job, machine.machine_type, room)
         task_count = job.need.count_within(room)
         available_in_s = 0.0
         if not task_count:
--- a/umberward/scheduling/jobs.py
+++ b/umberward/scheduling/jobs.py
@@ -17,12 +17,13 @@
     Key,
     MachineId,
     MachineOffer,
-    Resources,
+    MachineTypeName,
     TeamName,
     Version,
     WallTime,
 )
 from umberward.protocol import wire
+from umberward.protocol.message_sizes import task_need
 from umberward.protocol.wire import LIVE_JOBS_PREFIX, JobRecord, JobSpec, RemainingTasks
 from umberward.scheduling.job_failures import JobFailures
 from umberward.scheduling.placements import Placement
@@ -74,7 +75,7 @@
         self.spec: JobSpec = spec
         self.id = JobId(spec.job_id)
         self.team = TeamName(spec.team)
-        self.need = Resources(spec.cores, spec.accelerators, spec.mem_gb)
+        self.need = task_need(spec)
         self.priority = wire.JOB_PRIORITIES[spec.priority]
         self.gang = spec.kind == wire.GANG
         self.service = spec.kind == wire.SERVICE
@@ -131,6 +132,8 @@
         )
         # Suitable offers, with the `ClusterState.offers_version` for which they were computed.
         self.suitable_offers: tuple[int, set[MachineOffer]] | None = None
+        # Machine types on which its tasks are small (`heartbeat_room`), with the same version.
+        self.types_with_small_tasks: tuple[int, frozenset[MachineTypeName]] | None = None
         self.precedence = (1, self.priority)  # smaller values are served first
         # The job needs accelerators and should start soon after its submission.
         self.needs_prompt_start = False
--- a/umberward/scheduling/machines.py
+++ b/umberward/scheduling/machines.py
@@ -123,6 +123,9 @@
     # Tasks listed as running without a placement; they are to be stopped.
     tasks_without_placement: set[TaskId] = field(init=False, default_factory=set)
     allocated: Resources = field(init=False, default=NO_RESOURCES)
+    # Room in the worker's heartbeats that attempts without a placement take: exited ones until they
+    # are forgotten, and those that are to be stopped.
+    unplaced_heartbeat_bytes: int = field(init=False, default=0)
     idle_since: Instant = field(init=False)
     # Cached images and their sizes in GB, the least recently used first.
     images: dict[ImageName, float] = field(init=False, default_factory=dict)
@@ -169,6 +172,13 @@
         self._free = None
         self.clear_cached_sums()
 
+    def set_unplaced_heartbeat_bytes(self, heartbeat_bytes: int) -> None:
+        """Record the room in heartbeats that attempts without a placement take."""
+        if heartbeat_bytes != self.unplaced_heartbeat_bytes:
+            self.unplaced_heartbeat_bytes = heartbeat_bytes
+            self._free = None
+            self.mark_availability_changed()
+
     def clear_cached_sums(self) -> None:
         """Clear the sums by preemption key and priority, as placements or their keys changed."""
         self._preemptable = None
@@ -229,7 +239,8 @@
     def free_room(self, machine_type: MachineType) -> Resources:
         """Return the unallocated resources; `machine_type` describes the machine's type."""
         if self._free is None or self._free[0] is not machine_type:
-            self._free = (machine_type, machine_type.capacity.minus(self.allocated))
+            used = self.allocated.plus(Resources(0.0, 0.0, 0.0, self.unplaced_heartbeat_bytes))
+            self._free = (machine_type, machine_type.capacity.minus(used))
         return self._free[1]
 
     def preemptable_by_key(self) -> dict[PreemptionKey, Resources]:
--- a/umberward/scheduling/offer_selection.py
+++ b/umberward/scheduling/offer_selection.py
@@ -11,6 +11,7 @@
 
 from umberward.core.types import Instant, JobId, MachineOffer, MachineTypeName, ZoneName
 from umberward.protocol.wire import MAX_MACHINES_PER_REQUEST, MachineType
+from umberward.scheduling.heartbeat_room import room_for_tasks
 from umberward.scheduling.jobs import Job
 from umberward.scheduling.scheduler import Scheduler
 from umberward.scheduling.spot_policy import AffordableMachines
@@ -93,7 +94,8 @@
     def _priced_offers(self, job: Job, zone: ZoneName | None) -> Iterator[_PricedOffer]:
         """Yield the offers that suit the job and can be requested now."""
         for machine_type in self.scheduler.machine_types.values():
-            tasks_per_machine = job.need.count_within(machine_type.capacity)
+            capacity = machine_type.capacity
+            tasks_per_machine = job.need.count_within(room_for_tasks(job.need, capacity, capacity))
             if tasks_per_machine <= 0:
                 continue
             for offer in _offers_of(machine_type):
--- a/umberward/scheduling/placement_pass.py
+++ b/umberward/scheduling/placement_pass.py
@@ -6,10 +6,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
-
 from umberward.core.log import logger
 from umberward.core.types import (
+    MAX_TASKS_PER_JOB,
     NO_RESOURCES,
     Attempt,
     Instant,
@@ -20,10 +19,12 @@
 from umberward.scheduling.cluster_state import ClusterState
 from umberward.scheduling.consolidation import Consolidation
 from umberward.scheduling.gang_reservation import GangReservations
+from umberward.scheduling.heartbeat_room import FIRST_TASKS
 from umberward.scheduling.jobs import Job, Placement
 from umberward.scheduling.machine_selection import CandidateMachines, choose_machines
 from umberward.scheduling.placement_search import (
     REPEATED_TRIAL_SCOPE,
+    RESERVED_ROOM_SCOPE,
     TRIAL_SCOPE,
     JobSearch,
     PassState,
@@ -200,8 +201,9 @@
         room = self._usable_room(search, state)
         if search.kind.long_running:
             self._count_room_being_cleared(search, state)
+        candidates = CandidateMachines(search.machines, room, search.restricted)
         if search.clearing_count < search.count:
-            self._choose_machines(search, search.kind, room, search.restricted, state)
+            self._choose_machines(search, search.kind, candidates, state)
         if search.missing_count > 0 and preemptable is not None:
             search.clearing_count += self.preemption.preempt(
                 job, search.missing_count, preemptable, search.reserved
@@ -211,7 +213,26 @@
             for search_scope, restricted in enumerate(restrictions_by_scope, start=1):
                 if search.missing_count > 0:
                     kind = search.kind._replace(search_scope=search_scope)
-                    self._choose_machines(search, kind, state.free, restricted, state)
+                    self._choose_machines(
+                        search,
+                        kind,
+                        CandidateMachines(search.machines, state.free, restricted),
+                        state,
+                    )
+        if search.missing_count == search.count and not job.placements:
+            self._choose_reserved_room(search, candidates, state)
+
+    def _choose_reserved_room(
+        self, search: JobSearch, candidates: CandidateMachines, state: PassState
+    ) -> None:
+        """Let a job of small tasks that runs nothing begin in the room for larger tasks."""
+        if not self.cluster.types_with_small_tasks(search.job):
+            return
+        if search.job.gang and search.count > FIRST_TASKS:
+            return
+        kind = search.kind._replace(search_scope=RESERVED_ROOM_SCOPE)
+        candidates = candidates._replace(use_reserved_room=True)
+        self._choose_machines(search, kind, candidates, state, FIRST_TASKS)
 
     def _usable_room(self, search: JobSearch, state: PassState) -> dict[MachineId, Resources]:
         """Return the room that the job may use on each machine; less on unaffordable machines."""
@@ -249,10 +270,9 @@
         self,
         search: JobSearch,
         kind: SearchKind,
-        room: dict[MachineId, Resources],
-        restricted: set[MachineId],
+        candidates: CandidateMachines,
         state: PassState,
-        trials: Sequence[TrialMachine] = (),
+        max_tasks: int = MAX_TASKS_PER_JOB,
     ) -> None:
         """Choose machines, unless a job of the same kind found no room in this pass."""
         job = search.job
@@ -261,8 +281,8 @@
         search.chosen = choose_machines(
             self.cluster,
             job,
-            search.count - search.clearing_count,
-            CandidateMachines(search.machines, room, restricted, trials),
+            min(search.count - search.clearing_count, max_tasks),
+            candidates,
             preferred=search.reserved,
         )
         if not search.chosen and not search.reserved and job.placeable_by_class_alone:
@@ -281,15 +301,16 @@
         kind = search.kind._replace(search_scope=scope)
         if kind in state.kinds_without_room and not search.reserved:
             return []
-        candidates = self._affordable_trials(job, state)
-        if not candidates:
+        trials = self._affordable_trials(job, state)
+        if not trials:
             return []
         if search.kind.long_running:
             room, restricted = state.free, set[MachineId]()
         else:
             room, restricted = self._usable_room(search, state), search.restricted
-        self._choose_machines(search, kind, room, restricted, state, candidates)
-        chosen = [trial for trial in candidates if trial.machine.id in search.chosen]
+        candidates = CandidateMachines(search.machines, room, restricted, trials)
+        self._choose_machines(search, kind, candidates, state)
+        chosen = [trial for trial in trials if trial.machine.id in search.chosen]
         if job.gang:
             return chosen
         further_trials = {trial.machine.id for trial in chosen[1:]}
--- a/umberward/scheduling/placement_search.py
+++ b/umberward/scheduling/placement_search.py
@@ -15,6 +15,7 @@
 
 # `SearchKind.search_scope`: quarantined machines too, of jobs without and with open failures.
 TRIAL_SCOPE, REPEATED_TRIAL_SCOPE = 3, 4
+RESERVED_ROOM_SCOPE = 5  # also room that small tasks leave to larger ones (`heartbeat_room`)
 
 
 class SearchKind(NamedTuple):
--- a/umberward/scheduling/preemptable_work.py
+++ b/umberward/scheduling/preemptable_work.py
@@ -69,7 +69,10 @@
         return rooms
 
     def plan(self, machine: Machine, job: Job, free: Resources) -> VictimPlan | None:
-        """Return the victims for one task of the job; None: all of them would not be enough."""
+        """Return the victims for one task of the job; None: all of them would not be enough.
+
+        `free`: the part of the machine's free room that the job may use.
+        """
         key = job.preemption_key
         cached = self._plans.get((key, job.need, machine.id))
         if cached is not None and cached[0] == free:
--- a/umberward/scheduling/preemption.py
+++ b/umberward/scheduling/preemption.py
@@ -127,8 +127,12 @@
             and machine_id not in self.reservations.by_machine
             and machine_id not in excluded
             and machine_id not in self.machines_reserved_for_others
-            and (room := work.free.get(machine_id)) is not None
-            and job.need.fits(room.plus(preemptable))
+            and (free := work.free.get(machine_id)) is not None
+            and job.need.fits(
+                (room := self.cluster.room_for_job(job, machine.machine_type, free)).plus(
+                    preemptable
+                )
+            )
             and zones.count(machine.zone) < max_per_zone
             and (not job.spec.same_zone or all(zone == machine.zone for zone in zones))
             and (plan := work.plan(machine, job, room)) is not None
--- a/umberward/scheduling/reconciliation.py
+++ b/umberward/scheduling/reconciliation.py
@@ -12,6 +12,7 @@
 from umberward.core.log import logger
 from umberward.core.types import Attempt, Instant, TaskId, parse_task_id
 from umberward.protocol import wire
+from umberward.protocol.message_sizes import commands_that_fit, task_status_bytes
 from umberward.protocol.wire import FORGET, KILL, START, Heartbeat, TaskCommand, TaskStatus
 from umberward.scheduling.cluster_state import ClusterState
 from umberward.scheduling.failure_attribution import FailureAttribution
@@ -25,6 +26,8 @@
 log = logger(__name__)
 
 DEFERRAL_LOG_INTERVAL_S = 60.0
+# By verb: which commands come first in a response that cannot carry all.
+_SEND_ORDER = {KILL: 0, FORGET: 1, START: 2}
 
 
 @dataclass(slots=True)
@@ -38,11 +41,16 @@
     commands: list[TaskCommand] = field(default_factory=list)
     listed_tasks: set[TaskId] = field(default_factory=set)
     must_defer_forget: bool = False  # a token that voids an exited attempt's starts is missing
+    unplaced_bytes: int = 0  # of the entries of listed attempts without a placement
 
     def add_command(self, verb: str, status: TaskStatus, grace_s: float | None = None) -> None:
         """Add a command about a listed attempt to the response."""
         self.commands.append(TaskCommand(verb, status.task_id, status.attempt, grace_s))
 
+    def count_unplaced(self, status: TaskStatus) -> None:
+        """Count the entry of a listed attempt without a placement."""
+        self.unplaced_bytes += task_status_bytes(len(status.task_id))
+
 
 class TaskReconciliation:
     """Compares listed tasks with placements and derives the commands that reconcile them."""
@@ -80,8 +88,30 @@
         for task_id, placement in list(machine.placements.items()):
             if task_id not in context.listed_tasks and placement.sent:
                 self._reconcile_unlisted(context, task_id, placement)
+        machine.set_unplaced_heartbeat_bytes(context.unplaced_bytes)
         self._request_rotation_if_forget_deferred(context)
-        return context.commands
+        return self._select_commands(context)
+
+    def _select_commands(self, context: _ReconciliationContext) -> list[TaskCommand]:
+        """Return the commands that one response can carry, and record the starts among them.
+
+        If not all fit, stops come first, then forgets, then starts in the order in which the tasks
+        were placed. The next heartbeat yields the others again.
+        """
+        commands = context.commands
+        fitting = commands_that_fit(commands)
+        if fitting < len(commands):
+            commands = sorted(commands, key=lambda command: _SEND_ORDER[command.verb])
+            fitting = commands_that_fit(commands)
+            log.info(
+                "commands_deferred", machine=context.machine.id, deferred=len(commands) - fitting
+            )
+        selected = commands[:fitting]
+        for command in selected:
+            if command.started_attempt is not None:
+                placement = context.machine.placements[command.started_attempt[0]]
+                placement.start_sent_sequence = context.heartbeat.sequence
+        return selected
 
     def _reconcile_listed(
         self, context: _ReconciliationContext, task_id: TaskId, status: TaskStatus
@@ -105,6 +135,7 @@
         """Apply an exit, and tell the worker to forget the attempt once that is safe."""
         machine, attempt = context.machine, Attempt(status.attempt)
         machine.exited_tasks.add(task_id)
+        context.count_unplaced(status)
         self.progress.task_exited(machine, task_id, status, placement, context.now)
         if not (
             context.periodic
@@ -130,6 +161,7 @@
         if placement is None:
             placement = self.adoption.adopt(machine, task_id, status, now)
         if placement is None:
+            context.count_unplaced(status)
             self.cluster.add_task_without_placement(machine, task_id)
             if self.cluster.loaded:
                 context.add_command(KILL, status, 0.0)
@@ -171,7 +203,6 @@
             self.reachability.suspect_unreachable(context.machine, context.now)
         job = self.cluster.jobs.get(placement.task.job)
         if self.cluster.invariants.may_start(job, placement, self.cluster.tasks_without_placement):
-            placement.start_sent_sequence = sequence
             context.commands.append(TaskCommand(START, str(placement.task), placement.attempt))
 
     def _request_rotation_if_forget_deferred(self, context: _ReconciliationContext) -> None:
--- a/umberward/scheduling/scale_out.py
+++ b/umberward/scheduling/scale_out.py
@@ -10,7 +10,7 @@
 from collections.abc import Hashable
 from typing import NamedTuple
 
-from umberward.core.types import MachineOffer, MachineTypeName, ZoneName
+from umberward.core.types import MachineOffer, MachineTypeName, Resources, ZoneName
 from umberward.protocol.wire import MachineType
 from umberward.scheduling.jobs import Job
 from umberward.scheduling.objectives import NO_STRICTEST_OBJECTIVES
@@ -66,7 +66,7 @@
         while missing_tasks > 0 and position < len(machines):
             self.fit_checks += 1
             machine = machines[position]
-            room = machine.room(prompt=job.needs_prompt_start)
+            room = self._room_for_job(job, machine)
             if need.fits(room) and self.scheduler.admits_offer(job, *machine.offer):
                 fitting = min(missing_tasks, need.count_within(room))
                 machine.free = machine.free.minus(need, fitting)
@@ -76,6 +76,11 @@
         search_positions[job.placement_class] = position
         return missing_tasks
 
+    def _room_for_job(self, job: Job, machine: SimulatedMachine) -> Resources:
+        """Return the room on the machine that the job's tasks may use."""
+        room = machine.room(prompt=job.needs_prompt_start)
+        return self.scheduler.room_for_job(job, machine.offer.type, room)
+
     def _request_for_tasks(self, job: Job, missing_tasks: int) -> None:
         while missing_tasks > 0:
             choice = self.offers.cheapest(job, missing_tasks)
@@ -110,9 +115,7 @@
         best = min(zones, key=lambda zone: zone[:2])
         remaining_tasks = task_count - best.missing_tasks
         for machine in best.machines:
-            fitting = min(
-                remaining_tasks, job.need.count_within(machine.room(prompt=job.needs_prompt_start))
-            )
+            fitting = min(remaining_tasks, job.need.count_within(self._room_for_job(job, machine)))
             machine.free = machine.free.minus(job.need, fitting)
             remaining_tasks -= fitting
         if best.choice is not None:
@@ -125,15 +128,14 @@
         machines_by_zone: dict[ZoneName, list[SimulatedMachine]] = {}
         for machine in self.machines:
             self.fit_checks += 1
-            fits = need.fits(machine.room(prompt=job.needs_prompt_start))
+            fits = need.fits(self._room_for_job(job, machine))
             if fits and self.scheduler.admits_offer(job, *machine.offer):
                 machines_by_zone.setdefault(machine.offer.zone, []).append(machine)
         found = []
         for zone in self._all_zones():
             machines = machines_by_zone.get(zone, [])
             fitting_tasks = sum(
-                need.count_within(machine.room(prompt=job.needs_prompt_start))
-                for machine in machines
+                need.count_within(self._room_for_job(job, machine)) for machine in machines
             )
             missing = task_count - fitting_tasks
             choice = self.offers.cheapest(job, missing, zone) if missing > 0 else None
