Count whole transactions against the limit of 64 KiB

What callers saw: nothing in the present deployments. With values above 16 KiB (tried: 24), jobs whose descriptions take nearly all of a value were never started: the state service refused each transaction with three of them. Cause: of each addition the builder counted only the last write, no condition, and compared with 48 KiB before it added the next one. So 47 KiB and a value of 24 KiB made 69,052 bytes; a final record, and a record with a page of a graph's failures, were not counted at all. Change: the builder sizes all writes and conditions of an addition and adds it whole or not at all; changes that alone are above the limit are tried alone.

--- a/umberward/scheduling/state_transaction.py
+++ b/umberward/scheduling/state_transaction.py
@@ -10,14 +10,14 @@
 
 from umberward.core.types import Key, Version
 from umberward.protocol import transactions, wire
+from umberward.protocol.constants import MAX_BODY_BYTES
 from umberward.protocol.wire import BLOCKS_PREFIX, FINAL_JOBS_PREFIX
 from umberward.scheduling.jobs import Job
 from umberward.scheduling.stored_progress import StoredProgressRecord
 
-# Below the service's limit of 64 KiB per request. Only the last write of each addition is counted:
-# neither a final record nor, if it has companions, a live record is.
-MAX_COUNTED_BYTES = 48 * 1024
-FINAL_RECORD_CHANGES = 2  # the final record is put and the live record is deleted
+# What a transaction can spend on the builder's writes and conditions, in JSON form. The rest is for
+# the frame and the condition that the sender leads.
+MAX_CHANGES_BYTES = MAX_BODY_BYTES - 512
 
 
 class BlockWrite(NamedTuple):
@@ -56,13 +56,17 @@
 
 
 class TransactionBuilder:
-    """Collects the changes of one transaction, at most `max_changes` of them."""
+    """Collects the changes of one transaction within the limits on their number and size.
+
+    Each `add` method adds all changes of one record or none, and returns whether it added them. An
+    empty builder accepts changes of any size, as no other transaction would have more room.
+    """
 
     def __init__(self, max_changes: int) -> None:
         """Start without changes and with the priority URGENT."""
         self.priority = transactions.URGENT
         self._max_changes = max_changes
-        self._counted_bytes = 0
+        self._size_bytes = 0
         self._conditions: list[tuple[Key, Version]] = []
         self._writes: list[dict[str, Any]] = []
         self._job_records: list[JobRecordWrite] = []
@@ -83,38 +87,49 @@
         """Return whether `change_count` more changes stay within the limit on changes."""
         return len(self._writes) + change_count <= self._max_changes
 
-    def has_room(self, change_count: int) -> bool:
-        """Return whether more changes stay within the limits on changes and on size."""
-        return self.allows_changes(change_count) and self._counted_bytes <= MAX_COUNTED_BYTES
-
-    def add_block(self, number: int, version: Version, record: wire.BlockRecord) -> None:
+    def add_block(self, number: int, version: Version, record: wire.BlockRecord) -> bool:
         """Write a machine block if its stored version is still `version`."""
         key = Key(f"{BLOCKS_PREFIX}{number}")
-        self._conditions.append((key, version))
-        self._writes.append(transactions.put(key, record))
+        if not self._add([transactions.put(key, record)], [(key, version)]):
+            return False
         self._blocks.append(BlockWrite(number, record.machines))
-        self._count_last_write()
+        return True
 
-    def add_final_record(self, job: Job, record: wire.FinalJobRecord) -> None:
+    def add_final_record(self, job: Job, record: wire.FinalJobRecord) -> bool:
         """Replace the live record of an ended job with its final record."""
-        self._writes.append(transactions.put(Key(FINAL_JOBS_PREFIX + job.id), record))
-        self._writes.append(transactions.delete(job.record_key))
+        writes = [
+            transactions.put(Key(FINAL_JOBS_PREFIX + job.id), record),
+            transactions.delete(job.record_key),
+        ]
+        if not self._add(writes, [(job.record_key, job.version)]):
+            return False
         self._final_records.append(FinalRecordWrite(job, record))
-        self._conditions.append((job.record_key, job.version))
-        self._count_last_write()
+        return True
 
     def add_job_record(
         self, job: Job, record: StoredProgressRecord, companions: list[dict[str, Any]]
-    ) -> None:
+    ) -> bool:
         """Write a live job's record together with its `companions` (Job.companion_writes)."""
-        self._writes.append(transactions.put(job.record_key, record))
-        self._writes.extend(companions)
+        writes = [transactions.put(job.record_key, record), *companions]
+        if not self._add(writes, [*job.conditions, (job.record_key, job.version)]):
+            return False
         self._job_records.append(JobRecordWrite(job, record))
-        for condition in job.conditions:
-            if condition not in self._conditions:
-                self._conditions.append(condition)
-        self._conditions.append((job.record_key, job.version))
-        self._count_last_write()
+        return True
+
+    def _add(self, writes: list[dict[str, Any]], conditions: list[tuple[Key, Version]]) -> bool:
+        """Add changes and the conditions that are not there yet, if there is room for all."""
+        conditions = [condition for condition in conditions if condition not in self._conditions]
+        size_bytes = sum(wire.json_size(write) + 1 for write in writes) + sum(
+            wire.json_size({"path": key, "stamp": version}) + 1 for key, version in conditions
+        )
+        if not self.allows_changes(len(writes)):
+            return False
+        if self._size_bytes + size_bytes > MAX_CHANGES_BYTES and not self.empty:
+            return False
+        self._writes += writes
+        self._conditions += conditions
+        self._size_bytes += size_bytes
+        return True
 
     def build(self) -> Transaction | None:
         """Return the transaction; None if it would change nothing."""
@@ -128,6 +143,3 @@
             self._final_records,
             self._blocks,
         )
-
-    def _count_last_write(self) -> None:
-        self._counted_bytes += wire.json_size(self._writes[-1])
--- a/umberward/scheduling/state_writer.py
+++ b/umberward/scheduling/state_writer.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import math
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
 from umberward.core.log import logger
 from umberward.core.settings import StateLimits
@@ -21,7 +21,6 @@
 from umberward.scheduling.machine_blocks import MachineBlocks
 from umberward.scheduling.machines import Machine
 from umberward.scheduling.state_transaction import (
-    FINAL_RECORD_CHANGES,
     FinalRecordWrite,
     Transaction,
     TransactionBuilder,
@@ -136,8 +135,13 @@
             record = self.machine_blocks.build_record(number)
             if wire.json_size(record) > self.max_value_bytes:
                 self.machine_blocks.split(number)
-            elif self.machine_blocks.destination_blocks(number) <= builder.block_numbers:
-                builder.add_block(number, self.machine_blocks.version(number), record)
+                continue
+            destinations_stored = (
+                self.machine_blocks.destination_blocks(number) <= builder.block_numbers
+            )
+            version = self.machine_blocks.version(number)
+            if destinations_stored and not builder.add_block(number, version, record):
+                return
 
     def _jobs_in_write_order(self, pending: _PendingJobs) -> list[Job]:
         """Return the jobs whose records are to be written immediately, the most urgent first."""
@@ -176,28 +180,17 @@
         """Add the writes of one job; return False if the transaction is full."""
         final = self._final_record(job)
         if final is not None:
-            if not builder.has_room(FINAL_RECORD_CHANGES):
-                return False
-            builder.add_final_record(job, final)
-            return True
-        companions = job.companion_writes()
-        if not builder.has_room(1 + len(companions)):
-            return False
-        self._add_job_record(builder, job, companions, now)
-        return True
-
-    def _add_job_record(
-        self, builder: TransactionBuilder, job: Job, companions: list[dict[str, Any]], now: Instant
-    ) -> None:
+            return builder.add_final_record(job, final)
         record = job.build_record(_next_placed_below(job))
         if record is None:
             # The bitmap is too wide at present: retry after the usual interval.
             job.progress_stored_at = now
-        elif wire.json_size(record) > self.max_value_bytes:
+            return True
+        if wire.json_size(record) > self.max_value_bytes:
             log.error("record_too_large", job=job.id)
             self._suspend_job(job)
-        else:
-            builder.add_job_record(job, record, companions)
+            return True
+        return builder.add_job_record(job, record, job.companion_writes())
 
     def _final_record(self, job: Job) -> wire.FinalJobRecord | None:
         """Return the record of how the job has ended; None: it has not ended."""
