Pages and parts of graphs are measured in JSON, as the limit counts

What callers saw: the list of a graph's tasks came in answers of up to 79,251 bytes in JSON form (3,000 tasks with short names), above the 64 KiB that PROTOCOL allows for answers to users, and the clients sent such parts. Cause: both were measured in MessagePack, which is shorter. Change: the JSON form is measured. Measured: two tests, both failed before.

--- a/tests/test_graph_api.py
+++ b/tests/test_graph_api.py
@@ -11,6 +11,7 @@
 from simulated_graphs import SimulatedGraphCluster
 
 from umberward.core.types import Key, Revision
+from umberward.graphs import files
 from umberward.graphs.model import Options, Part, Task
 from umberward.graphs.records import CANCELLED
 from umberward.protocol import wire
@@ -116,3 +117,27 @@
     assert cluster.send(GRAPH, OPTIONS, TASKS).status == 201
     cluster.store.mode = "down"
     assert cluster.ask("POST", "", malformed_body(what)).status == 503
+
+
+def test_each_page_of_tasks_is_below_the_limit_in_json() -> None:
+    cluster = SimulatedGraphCluster()
+    tasks = [Task(f"t{number}", []) for number in range(3000)]
+    for part in files.split_graph(GRAPH, files.File(OPTIONS, tasks)):
+        assert cluster.ask("POST", "", part).status in (201, 202)
+    listed: list[str] = []
+    more = True
+    while more:
+        page = cluster.ask("GET", f"/{GRAPH}/tasks?from={len(listed)}")
+        answer = msgspec.msgpack.decode(page.body)
+        assert wire.json_size(answer) <= wire.MAX_BODY_BYTES
+        listed += [entry["name"] for entry in answer["tasks"]]
+        more = answer["more"]
+    assert listed == [task.name for task in tasks]
+
+
+def test_each_part_of_a_graph_is_below_the_limit_in_json() -> None:
+    tasks = [Task(f"t{number}", []) for number in range(9000)]
+    parts = files.split_graph(GRAPH, files.File(OPTIONS, tasks))
+    assert len(parts) > 1
+    assert all(wire.json_size(part) <= wire.MAX_BODY_BYTES for part in parts)
+    assert sum(len(part.tasks) for part in parts) == len(tasks)
--- a/umberward/graphs/files.py
+++ b/umberward/graphs/files.py
@@ -72,7 +72,7 @@
     groups: list[list[Task]] = [[]]
     group_bytes = 0
     for task in file.tasks:
-        task_bytes = len(wire.encode(task))
+        task_bytes = wire.json_size(task) + 1  # with the comma
         if groups[-1] and group_bytes + task_bytes > MAX_PART_TASKS_BYTES:
             groups.append([])
             group_bytes = 0
--- a/umberward/graphs/graph_api.py
+++ b/umberward/graphs/graph_api.py
@@ -130,7 +130,7 @@
             kind, index = shape.array_slots[position]
             task = f"{model.job_id(graph_id, kind)}/{index}"
             entry = {"name": shape.names[position], "task": task} | answers.answer(position)
-            size_bytes += len(wire.encode(entry))
+            size_bytes += wire.json_size(entry) + 1  # with the comma
             if listed and size_bytes > MAX_TASK_LIST_BYTES:
                 break
             listed.append(entry)
