--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -860,6 +860,17 @@
     patch.setattr(CancellationAnnouncer, "announce", lambda *_: None)
 
 
+def window_for_arrays(patch: pytest.MonkeyPatch) -> None:
+    """Let the task window bound gangs and services too."""
+    init = Job._init_progress
+
+    def init_progress(self: Job, *arguments: Any) -> None:
+        self.runs_all_tasks_at_once = False
+        init(self, *arguments)
+
+    patch.setattr(Job, "_init_progress", init_progress)
+
+
 def heartbeat_limit(patch: pytest.MonkeyPatch) -> None:
     """Let the tasks of a machine grow beyond what a heartbeat can list."""
     patch.setattr(cloud_messages, "HEARTBEAT_TASK_BYTES", 1 << 40)
@@ -968,6 +979,7 @@
     "ended-jobs-count": ended_jobs_count,
     "trials-first": trials_first,
     "eager-trials": eager_trials,
+    "window-for-arrays": window_for_arrays,
     "heartbeat-limit": heartbeat_limit,
     "exits-listed": exits_listed,
     "room-for-larger": room_for_larger,
--- a/tests/rules.py
+++ b/tests/rules.py
@@ -203,12 +203,7 @@
     def _check_place(self, worker: WorkerCore, spec: dict[str, Any], name: str) -> None:
         """Check that the task may run on this machine and in its zone."""
         id = spec["uid"]
-        zones = [
-            w.zone
-            for w in self.workers.values()
-            for t in w.running_tasks.values()
-            if t.name.split("/")[0] == id and not self.is_gone(w)
-        ]
+        zones = self._zones_of(id) if spec["same_place"] or spec["apart"] else []
         if spec.get("flavors") and worker.machine_type.name not in spec["flavors"]:
             self.broken.append(f"wrong_place: {name} on a {worker.machine_type.name}")
         if spec.get("yard") and worker.zone != spec["yard"]:
@@ -220,6 +215,15 @@
         if spec["apart"] and zones.count(worker.zone) >= (spec["shards"] + 1) // 2:
             self.broken.append(f"wrong_place: too many of {id} in {worker.zone}")
 
+    def _zones_of(self, id: str) -> list[str]:
+        """The zone of each of the job's tasks that are on a machine."""
+        return [
+            worker.zone
+            for worker in self.workers.values()
+            for task in worker.running_tasks.values()
+            if task.name.split("/")[0] == id and not self.is_gone(worker)
+        ]
+
     def _cancellation_overdue(self, id: str) -> bool:
         """Whether the job was cancelled so long ago that none of its tasks may run."""
         cancelled_at = self.cancelled.get(id)
--- a/umberward/control/job_admission.py
+++ b/umberward/control/job_admission.py
@@ -7,7 +7,7 @@
 
 from umberward.control.errors import ControllerError
 from umberward.control.job_state_cache import LiveJobState
-from umberward.core.settings import Settings, StateLimits
+from umberward.core.settings import ControllerLimits, Settings, StateLimits
 from umberward.core.types import (
     JobId,
     MachineTypeName,
@@ -22,6 +22,10 @@
 from umberward.scheduling.quota import Quota
 
 BYTES_PER_KB = 1024
+BYTES_PER_MB = 1_000_000
+PLACEMENT_BYTES = 1200  # memory of a leader for each task on a machine
+# The tasks of one job may take this part of a controller's memory; the process needs the rest.
+PLACEMENTS_MEMORY_FRACTION = 0.5
 COMPLETIONS_RESERVE_BYTES = 512  # reserved in each record for a running job's completions
 RECORD_MARGIN_BYTES = 64  # left unused in each record
 SUBMITTED_AT_DIGITS = 3  # decimal places of the submission time in seconds
@@ -55,6 +59,14 @@
         super().__init__("the job needs more than the team's maximum")
 
 
+class TooManyTasksError(JobRejectedError):
+    """The job has more tasks that run at the same time than a controller can keep track of."""
+
+    def __init__(self, max_tasks: int) -> None:
+        """`max_tasks`: how many it could have."""
+        super().__init__(f"shards: at most {max_tasks} tasks can run at the same time")
+
+
 class SelfDependencyError(JobRejectedError):
     """The job depends on itself."""
 
@@ -122,6 +134,7 @@
         self.wall_clock = wall_clock
         self.quota = Quota(cluster.teams)
         self.max_value_bytes = max_value_bytes(cluster.state)
+        self.max_tasks_at_once = max_tasks_at_once(cluster.machine_limits)
         self.graphs_enabled = settings.operator.graphs_enabled
 
     def decode(self, body: bytes) -> Submission:
@@ -166,6 +179,8 @@
         tasks_at_once = 1 if spec.kind == wire.ARRAY else spec.task_count
         if self.quota.exceeds_limit(team, need, tasks_at_once):
             raise QuotaExceededError
+        if tasks_at_once > self.max_tasks_at_once:
+            raise TooManyTasksError(self.max_tasks_at_once)
 
     def _allowed_machine_types(self, spec: JobSpec) -> Iterable[MachineType]:
         for name, machine_type in self.machine_types.items():
@@ -175,6 +190,11 @@
                 yield machine_type
 
 
+def max_tasks_at_once(limits: ControllerLimits) -> int:
+    """How many tasks of one gang or service a leader can hold in memory (docs/size.md)."""
+    return int(PLACEMENTS_MEMORY_FRACTION * limits.memory_mb * BYTES_PER_MB / PLACEMENT_BYTES)
+
+
 def max_value_bytes(limits: StateLimits) -> int:
     """Size in bytes of the largest value that the state service accepts."""
     return int(limits.strictest().value_kb * BYTES_PER_KB)
--- a/umberward/graphs/graph_job.py
+++ b/umberward/graphs/graph_job.py
@@ -156,8 +156,11 @@
         """Return the number of queued tasks within the window of the done bitmap."""
         return bisect.bisect_left(self.requeued_tasks, self.done_below + self.window)
 
-    def dequeue_task(self) -> int:
-        """Remove the next task to place from the queue; retries come first."""
+    def dequeue_tasks(self, count: int) -> list[int]:
+        """Remove the next tasks to place from the queue; retries come first."""
+        return [self._dequeue_task() for _ in range(count)]
+
+    def _dequeue_task(self) -> int:
         for index in self.retries:
             if index < self.done_below + self.window and self.remove_requeued(index):
                 del self.retries[index]
--- a/umberward/local/workercore.py
+++ b/umberward/local/workercore.py
@@ -115,7 +115,7 @@
         if task.gang_attempt not in self.gangs:
             self.gangs[task.gang_attempt] = Gang(self.saved_run_s.get(task.job_id, 0.0))
         gang = self.gangs[task.gang_attempt]
-        gang.members[task.name] = task
+        gang.add(task)
         return gang
 
     def gang_of(self, task: TaskAttempt) -> Gang:
@@ -136,11 +136,9 @@
             gang.failed = True
             interval_s = task.required_spec.checkpoint_interval_s
             self.save_progress(task, gang.last_checkpoint_s(interval_s))
-        del gang.members[task.name]
+        gang.remove(task)
         if task.phase == wire.RUNNING:
-            for peer in gang.members.values():
-                if peer.phase == wire.RUNNING:
-                    peer.peer_loss_noticed_at = min(peer.peer_loss_noticed_at, now + notice_s)
+            gang.notice_loss(now + notice_s)
         if not gang.members:
             del self.gangs[task.gang_attempt]
 
--- a/umberward/scheduling/jobs.py
+++ b/umberward/scheduling/jobs.py
@@ -41,7 +41,8 @@
 
 RECORD_OVERHEAD_BYTES = 128  # reserved in a record for all fields besides the spec and the bitmap
 TASKS_PER_BITMAP_BYTE = 4  # the bitmap is stored as hexadecimal digits, one byte each
-# Bounds of the task window: tasks from the first unfinished one to the last that may be started.
+# Bounds of an array's task window: tasks from the first unfinished one to the last that may be
+# started.
 MIN_TASK_WINDOW = 16
 MAX_TASK_WINDOW = 8192
 
@@ -79,6 +80,9 @@
         self.priority = wire.JOB_PRIORITIES[spec.priority]
         self.gang = spec.kind == wire.GANG
         self.service = spec.kind == wire.SERVICE
+        # The tasks of a gang complete together, and replicas not at all: such a job stores no
+        # bitmap of completions, and the window that bounds the bitmap does not bound its tasks.
+        self.runs_all_tasks_at_once = self.gang or self.service
         self.size = spec.task_count
         # The deadline counts from the submission, the other objectives from the end of the last
         # dependency.
@@ -106,6 +110,8 @@
             # `tasks_completed_with`.
             self.done_below, self.done_bitmap = self.size, 0
         self.placements: dict[int, Placement] = {}
+        # All placed tasks of the gang have been told to stop, and none was placed since.
+        self.stopping_whole_gang = False
         self.unstored_intents = 0  # placements whose intent is not committed yet
         self.next_unstarted_task = self.placed_below  # tasks from here on were never started
         self.requeued_tasks: list[int] = []  # tasks to start again, ascending
@@ -255,15 +261,19 @@
 
     def startable_count(self) -> int:
         """Return the number of tasks that could be placed now."""
-        end = min(self.size, self.done_below + self.window)
+        end = self.size
+        if not self.runs_all_tasks_at_once:
+            end = min(end, self.done_below + self.window)
         return len(self.requeued_tasks) + max(0, end - self.next_unstarted_task)
 
-    def dequeue_task(self) -> int:
-        """Take the next task to place; the caller must requeue it if it is not placed."""
-        if self.requeued_tasks:
-            return self.requeued_tasks.pop(0)
-        self.next_unstarted_task += 1
-        return self.next_unstarted_task - 1
+    def dequeue_tasks(self, count: int) -> list[int]:
+        """Take the next `count` tasks to place; the caller must requeue those not placed."""
+        tasks = self.requeued_tasks[:count]
+        del self.requeued_tasks[:count]
+        first = self.next_unstarted_task
+        self.next_unstarted_task += count - len(tasks)
+        tasks.extend(range(first, self.next_unstarted_task))
+        return tasks
 
     def requeue_task(self, index: int) -> None:
         """Requeue a task unless it is queued or done."""
--- a/umberward/scheduling/placement_pass.py
+++ b/umberward/scheduling/placement_pass.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from collections import deque
+
 from umberward.core.log import logger
 from umberward.core.types import (
     MAX_TASKS_PER_JOB,
@@ -381,19 +383,19 @@
 
         A worker refuses a task whose previous attempt it still lists, so such pairs are avoided.
         """
-        unassigned = [job.dequeue_task() for _ in chosen]
+        unassigned = deque(job.dequeue_tasks(len(chosen)))
         assigned: list[tuple[int, MachineId]] = []
         for machine_id in chosen:
             machine = self.cluster.machines[machine_id]
-            for index in unassigned:
+            for position, index in enumerate(unassigned):
                 task = TaskId(job.id, index)
                 if task not in machine.placements and task not in machine.exited_tasks:
-                    unassigned.remove(index)
+                    del unassigned[position]  # nearly always the first one
                     assigned.append((index, machine_id))
                     break
         if job.gang and unassigned:
             # A worker would refuse one of the tasks, and a gang does not start without all.
-            unassigned += [index for index, _ in assigned]
+            unassigned.extend(index for index, _ in assigned)
             assigned = []
         for index in unassigned:
             job.requeue_task(index)
