What a leader does for a large gang grows with its tasks, not their square

What callers saw: nothing yet, as no gang had more than 8,192 tasks. The leader spent 12.9 s of processor time on the heartbeats of 17 machines that reported a gang of 8,000 tasks as done, more than its lease of 3 s. Cause: each done task of a gang marked all of its tasks again; each released one looked at all others to stop them; each adopted one compared its attempt with all others; each preempted one stopped all others. Change: a gang that is complete is not marked again; a flag says that all placed tasks were told to stop and none was placed since; one attempt is compared, as all are the same; a gang that does not fit whole is not spread over machines.

--- a/umberward/scheduling/cluster_state.py
+++ b/umberward/scheduling/cluster_state.py
@@ -298,6 +298,7 @@
             self.jobs_to_write.add(job.id)
         machine.allocated = machine.allocated.plus(placement.need)
         job.placements[placement.task.number] = placement
+        job.stopping_whole_gang = False
         self.quota.add_usage(placement.team, placement.need)
 
     def release(self, machine: Machine, placement: Placement, *, requeue: bool = True) -> None:
@@ -333,8 +334,9 @@
             return
         job.requeue_task(placement.task.number)
         self.jobs_to_place[job.id] = job
-        if job.gang:
+        if job.gang and not job.stopping_whole_gang:
             # The rest of a gang cannot run without this task.
+            job.stopping_whole_gang = True
             for other in list(job.placements.values()):
                 if other.stop_grace_s is None:
                     self.stop(other, 0.0)
@@ -384,7 +386,8 @@
 
     def queue_commands(self, machine: Machine, commands: list[TaskCommand]) -> None:
         """Add commands for a worker to its direct command in the outbox, one per worker."""
-        for message in self.outbox:
+        # From the end: the tasks of a job are started and stopped machine by machine.
+        for message in reversed(self.outbox):
             if isinstance(message, CommandMessage) and message.machine == machine.id:
                 message.commands.extend(commands)
                 return
--- a/umberward/scheduling/machine_selection.py
+++ b/umberward/scheduling/machine_selection.py
@@ -62,7 +62,7 @@
     if job.unlocated_tasks and (spec.same_zone or spec.spread):
         return []  # these tasks may be in any zone
     rooms = _machine_rooms(cluster, job, candidates, preferred)
-    if not rooms:
+    if not rooms or (job.gang and not _fits_whole(job, count, rooms)):
         return []
     if spec.same_zone:
         return _choose_zone(job, count, rooms, set(tasks_by_zone))
@@ -136,6 +136,11 @@
     ]
 
 
+def _fits_whole(job: Job, count: int, rooms: list[MachineRoom]) -> bool:
+    """Whether so many tasks fit at all; if not, none of a gang needs a machine."""
+    return sum(job.need.count_within(room.free) for room in rooms) >= count
+
+
 def _trial_room(job: Job, trial: TrialMachine) -> MachineRoom:
     """Return a quarantined machine, as the last one: room for one task, or for all of a gang."""
     room = trial.free if job.gang else job.need
--- a/umberward/scheduling/preemption.py
+++ b/umberward/scheduling/preemption.py
@@ -201,6 +201,8 @@
         self.reservations.add(job, machine_id, task_count, now)
         job.room_reserved_at = now
         for victim in victims:
+            if victim.stop_grace_s is not None:
+                continue  # stopped together with another task of its gang
             owner = self.cluster.jobs.get(victim.task.job)
             grace_s = 0.0
             if owner is not None and not job.service:
--- a/umberward/scheduling/task_adoption.py
+++ b/umberward/scheduling/task_adoption.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from itertools import islice
+
 from umberward.core.types import Attempt, Instant, TaskId
 from umberward.protocol.wire import TaskStatus
 from umberward.scheduling.cluster_state import ClusterState
@@ -81,5 +83,8 @@
 
 
 def _is_gang_attempt(job: Job, attempt: int) -> bool:
-    """Return whether all placed tasks of a gang have this attempt: a gang runs as one attempt."""
-    return all(placement.attempt == attempt for placement in job.placements.values())
+    """Return whether the placed tasks of a gang have this attempt: a gang runs as one attempt.
+
+    They all have the same one, so that only the first is compared.
+    """
+    return all(placement.attempt == attempt for placement in islice(job.placements.values(), 1))
--- a/umberward/scheduling/task_progress.py
+++ b/umberward/scheduling/task_progress.py
@@ -89,11 +89,12 @@
         self.failure_attribution.task_succeeded(machine, job, placement, now)
         if placement is not None and placement.running_since is not None:
             self._record_runtime(job, now - placement.running_since)
-        for index in job.tasks_completed_with(task_id.number):
-            job.mark_done(index)
-            other = job.placements.get(index)
-            if other is not None and not job.gang:
-                self.cluster.stop(other, 0.0)
+        if not (job.gang and job.complete):  # each of its machines reports this
+            for index in job.tasks_completed_with(task_id.number):
+                job.mark_done(index)
+                other = job.placements.get(index)
+                if other is not None and not job.gang:
+                    self.cluster.stop(other, 0.0)
         self.writer.note_completions(job)
         # The window of tasks that may be placed may have advanced.
         self.cluster.jobs_to_place[job.id] = job
