A gang of small tasks may begin in half of the room kept for larger tasks

Cause: a job of small tasks that runs nothing could place up to 8 of them in the room of the heartbeats that small tasks leave to larger ones, so a gang of 9 waited beside free cores while another team's small tasks filled the rest. Change: a gang or service may use half of what is left of that room on each machine, an array still 8 tasks.

--- a/umberward/scheduling/cluster_state.py
+++ b/umberward/scheduling/cluster_state.py
@@ -31,7 +31,7 @@
 from umberward.protocol.wire import KILL, START, MachineType, TaskCommand
 from umberward.scheduling.fencing_tokens import FencingTokens
 from umberward.scheduling.headroom import Headroom
-from umberward.scheduling.heartbeat_room import RESERVED_FOR_LARGER_TASKS, is_small
+from umberward.scheduling.heartbeat_room import is_small, room_for_small_tasks
 from umberward.scheduling.invariants import Invariants
 from umberward.scheduling.job_timing import DEFAULT_START_WITHIN_S, JobTiming
 from umberward.scheduling.jobs import Job, Placement, PreemptionKey
@@ -219,7 +219,7 @@
         """Return the part of the free `room` of such a machine that the job's tasks may use."""
         if machine_type not in self.types_with_small_tasks(job):
             return room
-        return room.minus(RESERVED_FOR_LARGER_TASKS)
+        return room_for_small_tasks(room)
 
     def schedulable_room(self) -> tuple[list[Machine], dict[MachineId, Resources]]:
         """Return the schedulable machines and a copy of the free resources on each."""
--- a/umberward/scheduling/machine_selection.py
+++ b/umberward/scheduling/machine_selection.py
@@ -10,13 +10,12 @@
     MAX_TASKS_PER_JOB,
     ImageName,
     MachineId,
-    MachineTypeName,
     Resources,
     ZoneName,
 )
 from umberward.scheduling.best_fit import MachineRoom, best_fit
 from umberward.scheduling.cluster_state import ClusterState
-from umberward.scheduling.heartbeat_room import RESERVED_FOR_LARGER_TASKS
+from umberward.scheduling.heartbeat_room import room_for_small_tasks
 from umberward.scheduling.jobs import Job, Placement
 from umberward.scheduling.machines import Machine
 from umberward.scheduling.quarantine import TrialMachine
@@ -35,8 +34,8 @@
     restricted: Container[MachineId] = ()
     # Quarantined machines that the job may try, after all others.
     trials: Sequence[TrialMachine] = ()
-    # Whether small tasks may use the room that is reserved for larger ones (`heartbeat_room`).
-    use_reserved_room: bool = False
+    # The part that small tasks may use of the room reserved for larger ones (`heartbeat_room`).
+    reserved_fraction: float = 0.0
 
 
 def choose_machines(
@@ -92,14 +91,12 @@
     Machines on which the job's tasks have failed are returned only if there are no others, or as
     the last ones for a gang, which may need them besides the others.
     """
-    machines, free, restricted, trials, use_reserved_room = candidates
+    machines, free, restricted, trials, reserved_fraction = candidates
     need, headroom_need = job.need, cluster.headroom.largest_accelerator_need
     image = ImageName(job.spec.image)
     suitable = cluster.suitable_offers(job)
     avoided = job.avoided_machines
-    small_on = frozenset[MachineTypeName]()
-    if not use_reserved_room:
-        small_on = cluster.types_with_small_tasks(job)
+    small_on = cluster.types_with_small_tasks(job)
     fitting = [
         (machine, room)
         for machine in machines
@@ -107,7 +104,7 @@
         and need.fits(room := free[machine.id])
         and (
             machine.machine_type not in small_on
-            or need.fits(room := room.minus(RESERVED_FOR_LARGER_TASKS))
+            or need.fits(room := room_for_small_tasks(room, reserved_fraction))
         )
         and (machine.id not in restricted or need.fits(room := room.minus(headroom_need)))
     ]
--- a/umberward/scheduling/placement_pass.py
+++ b/umberward/scheduling/placement_pass.py
@@ -21,7 +21,7 @@
 from umberward.scheduling.cluster_state import ClusterState
 from umberward.scheduling.consolidation import Consolidation
 from umberward.scheduling.gang_reservation import GangReservations
-from umberward.scheduling.heartbeat_room import FIRST_TASKS
+from umberward.scheduling.heartbeat_room import FIRST_TASKS_FRACTION, FIRST_TASKS_OF_ARRAY
 from umberward.scheduling.jobs import Job, Placement
 from umberward.scheduling.machine_selection import CandidateMachines, choose_machines
 from umberward.scheduling.placement_search import (
@@ -230,11 +230,12 @@
         """Let a job of small tasks that runs nothing begin in the room for larger tasks."""
         if not self.cluster.types_with_small_tasks(search.job):
             return
-        if search.job.gang and search.count > FIRST_TASKS:
-            return
+        max_tasks = MAX_TASKS_PER_JOB
+        if not search.job.runs_all_tasks_at_once:
+            max_tasks = FIRST_TASKS_OF_ARRAY
         kind = search.kind._replace(search_scope=RESERVED_ROOM_SCOPE)
-        candidates = candidates._replace(use_reserved_room=True)
-        self._choose_machines(search, kind, candidates, state, FIRST_TASKS)
+        candidates = candidates._replace(reserved_fraction=FIRST_TASKS_FRACTION)
+        self._choose_machines(search, kind, candidates, state, max_tasks)
 
     def _usable_room(self, search: JobSearch, state: PassState) -> dict[MachineId, Resources]:
         """Return the room that the job may use on each machine; less on unaffordable machines."""
