--- a/umberward/protocol/http/messages.py
+++ b/umberward/protocol/http/messages.py
@@ -17,6 +17,7 @@
 
 CACHED_HEADS = 4096
 HEAD_END = b"\r\n\r\n"
+TRANSFER_ENCODING = b"transfer-encoding"
 END_OF_MESSAGE = h11.EndOfMessage()
 
 
@@ -101,8 +102,9 @@
 class HeadCache(Generic[ParsedHead]):
     """A cache of parsed heads by their bytes.
 
-    It holds only heads of messages that keep the connection open and whose body, if any, is
-    not chunked and arrived in the same read: h11 would parse an identical head to the same result.
+    It holds only heads of messages that keep the connection open, that are not in chunked encoding
+    and whose body, if any, arrived in the same read: h11 would parse an identical head to the same
+    result. The head of a chunked message does not tell the length of its body.
     """
 
     def __init__(self) -> None:
@@ -120,7 +122,7 @@
     def add(self, data: bytes, parsed_head: ParsedHead, body_length: int) -> None:
         """Cache the head of `data` if the complete body follows it."""
         head, end, body = data.partition(HEAD_END)
-        if not end or len(body) != body_length:
+        if not end or len(body) != body_length or TRANSFER_ENCODING in head.lower():
             return
         if len(self._entries) >= CACHED_HEADS:
             self._entries.clear()
