--- a/umberward/control/job_admission.py
+++ b/umberward/control/job_admission.py
@@ -26,6 +26,10 @@
 PLACEMENT_BYTES = 1200  # memory of a leader for each task on a machine
 # The tasks of one job may take this part of a controller's memory; the process needs the rest.
 PLACEMENTS_MEMORY_FRACTION = 0.5
+# What a controller may keep of jobs that wait for others, and the memory of a leader for each pair
+# of a waiting job and one that it waits for.
+DEPENDENCIES_MEMORY_FRACTION = 0.25
+DEPENDENCY_BYTES = 40
 COMPLETIONS_RESERVE_BYTES = 512  # reserved in each record for a running job's completions
 RECORD_MARGIN_BYTES = 64  # left unused in each record
 SUBMITTED_AT_DIGITS = 3  # decimal places of the submission time in seconds
@@ -135,6 +139,7 @@
         self.quota = Quota(cluster.teams)
         self.max_value_bytes = max_value_bytes(cluster.state)
         self.max_tasks_at_once = max_tasks_at_once(cluster.machine_limits)
+        self.max_dependencies = max_dependencies(cluster.machine_limits)
         self.graphs_enabled = settings.operator.graphs_enabled
 
     def decode(self, body: bytes) -> Submission:
@@ -195,6 +200,12 @@
     return int(PLACEMENTS_MEMORY_FRACTION * limits.memory_mb * BYTES_PER_MB / PLACEMENT_BYTES)
 
 
+def max_dependencies(limits: ControllerLimits) -> int:
+    """How many dependencies all waiting jobs together may have (docs/size.md)."""
+    memory_bytes = DEPENDENCIES_MEMORY_FRACTION * limits.memory_mb * BYTES_PER_MB
+    return int(memory_bytes / DEPENDENCY_BYTES)
+
+
 def max_value_bytes(limits: StateLimits) -> int:
     """Size in bytes of the largest value that the state service accepts."""
     return int(limits.strictest().value_kb * BYTES_PER_KB)
--- a/umberward/control/job_api.py
+++ b/umberward/control/job_api.py
@@ -32,6 +32,7 @@
 from umberward.control.responses import error_response
 from umberward.control.stored_jobs import done_task_count, final_key, live_key
 from umberward.core.log import logger
+from umberward.core.rate_limited_log import RateLimitedLog
 from umberward.core.settings import Settings
 from umberward.core.types import JobId, MachineTypeName, TeamName, Version, WallTime
 from umberward.protocol import transactions, wire
@@ -45,7 +46,9 @@
 )
 
 log = logger(__name__)
+rate_limited_log = RateLimitedLog(log)
 
+DEPENDENCIES_RETRY_AFTER_S = 10.0
 SUBMIT_BUDGET_WAIT_S = 0.4  # longest wait of a submission for the rate budget of the writes
 MAX_SUBMIT_ATTEMPTS = 2
 MAX_CANCEL_ATTEMPTS = 4
@@ -156,6 +159,9 @@
         if outcome.cancelled is not None:
             final = FinalJobRecord(CANCELLED, cancelled_by=outcome.cancelled)
             return await self._store_submission(job_id, final)
+        held = self.job_states.dependency_graph.edge_count
+        if held + len(outcome.unfinished) > self.admission.max_dependencies:
+            return _dependencies_exhausted_response(job_id, held, len(outcome.unfinished))
         record.dependencies = wire.pack_dependencies(outcome.unfinished)
         return await self._store_submission(job_id, record)
 
@@ -340,6 +346,12 @@
     return Response(503, retry_after=RETRY_AFTER_S)
 
 
+def _dependencies_exhausted_response(job_id: JobId, held: int, requested: int) -> Response:
+    """Tell the user to retry when fewer jobs wait for others."""
+    rate_limited_log.info("dependencies_exhausted", job=job_id, held=held, requested=requested)
+    return Response(429, retry_after=DEPENDENCIES_RETRY_AFTER_S)
+
+
 def _rate_limited_response(error: state_client.RateBudgetExceededError) -> Response:
     """Tell the user to retry when this controller's share of the write rate allows it."""
     return Response(429, retry_after=max(RETRY_AFTER_S, error.wait_s))
--- a/umberward/scheduling/dependencies.py
+++ b/umberward/scheduling/dependencies.py
@@ -24,15 +24,23 @@
 
 
 class DependencyGraph:
-    """The dependencies of waiting jobs. Other jobs are not in it and cost nothing."""
+    """The dependencies of waiting jobs. Other jobs are not in it and cost nothing.
+
+    Hundreds of jobs may each wait for hundreds of others, so an edge must be small: both its ends
+    are references in lists, to one string for each job. Searching a list of some thousand
+    references takes microseconds.
+    """
 
     def __init__(self, is_live: Callable[[JobId], bool]) -> None:
         """Start empty; `is_live` tells whether the graph's owner knows a job as live."""
         self.is_live = is_live
-        # By waiting job: the dependencies that are not done yet.
-        self.dependencies: dict[JobId, set[JobId]] = {}
-        # By dependency: the jobs that wait for it.
-        self.dependents: dict[JobId, set[JobId]] = {}
+        self.edge_count = 0  # pairs of a waiting job and a dependency that is not done
+        # By waiting job: the dependencies that are not done yet, each once.
+        self.dependencies: dict[JobId, list[JobId]] = {}
+        # By dependency: the jobs that wait for it, each once.
+        self.dependents: dict[JobId, list[JobId]] = {}
+        # The one string that stands for each dependency.
+        self._dependency_ids: dict[JobId, JobId] = {}
         # Dependencies that are not live and whose end is not known: their final records must be
         # looked up before their dependents may start. A dictionary used as an ordered set.
         self.unresolved_dependency_ids: dict[JobId, None] = {}
@@ -43,9 +51,12 @@
         """Add a live job that waits for others; adding it again changes nothing."""
         if job_id in self.dependencies:
             return
-        self.dependencies[job_id] = set(dependency_ids)
-        for dependency_id in self.dependencies[job_id]:
-            self.dependents.setdefault(dependency_id, set()).add(job_id)
+        ids = self._dependency_ids
+        dependencies = [ids.setdefault(id_, id_) for id_ in dict.fromkeys(dependency_ids)]
+        self.dependencies[job_id] = dependencies
+        self.edge_count += len(dependencies)
+        for dependency_id in dependencies:
+            self.dependents.setdefault(dependency_id, []).append(job_id)
             if dependency_id in self.cancelled_by:
                 self._cancel_dependents([job_id], self.cancelled_by[dependency_id])
             elif not self.is_live(dependency_id):
@@ -63,16 +74,18 @@
         """Note that the job's end was committed; return the jobs that may start now."""
         self._remove(job_id)
         self.unresolved_dependency_ids.pop(job_id, None)
-        dependents = self.dependents.pop(job_id, set())
+        dependents = self.dependents.pop(job_id, [])
+        self._dependency_ids.pop(job_id, None)
+        self.edge_count -= len(dependents)
         if phase != wire.DONE:
             self._cancel_dependents(dependents, job_id)
             for dependent_id in dependents:
-                self.dependencies[dependent_id].discard(job_id)
+                self.dependencies[dependent_id].remove(job_id)
             return []
         ready = []
         for dependent_id in dependents:
             remaining = self.dependencies[dependent_id]
-            remaining.discard(job_id)
+            remaining.remove(job_id)
             if not remaining and dependent_id not in self.cancelled_by:
                 del self.dependencies[dependent_id]
                 ready.append(dependent_id)
@@ -102,8 +115,10 @@
 
     def clear(self) -> None:
         """Remove everything, before all records are read again."""
+        self.edge_count = 0
         self.dependencies.clear()
         self.dependents.clear()
+        self._dependency_ids.clear()
         self.unresolved_dependency_ids.clear()
         self.cancelled_by.clear()
 
@@ -111,12 +126,13 @@
         """Remove a job that no longer waits for others."""
         self.cancelled_by.pop(job_id, None)
         for dependency_id in self.dependencies.pop(job_id, ()):
-            dependents = self.dependents.get(dependency_id)
-            if dependents is not None:
-                dependents.discard(job_id)
-                if not dependents:
-                    del self.dependents[dependency_id]
-                    self.unresolved_dependency_ids.pop(dependency_id, None)
+            dependents = self.dependents[dependency_id]
+            dependents.remove(job_id)
+            self.edge_count -= 1
+            if not dependents:
+                del self.dependents[dependency_id]
+                del self._dependency_ids[dependency_id]
+                self.unresolved_dependency_ids.pop(dependency_id, None)
 
     def _cancel_dependents(self, job_ids: Iterable[JobId], cause: JobId) -> None:
         """Mark these jobs and all that depend on them as cancelled by `cause`."""
