--- a/umberward/graphs/model.py
+++ b/umberward/graphs/model.py
@@ -10,8 +10,9 @@
 import graphlib
 import math
 import re
+from array import array
 from collections.abc import Mapping
-from typing import Annotated, Literal, NamedTuple, NewType
+from typing import Annotated, Literal, NamedTuple, NewType, TypeAlias
 
 import msgspec
 
@@ -54,6 +55,11 @@
     rf"{JOB_ID_PREFIX}{GRAPH_JOB_DIGIT}([0-9]{{{GRAPH_DIGITS}}})([0-9]{{{KIND_DIGITS}}})\Z"
 )
 
+# By task: the numbers of others, as the shortest integers that hold MAX_GRAPH_TASKS. A graph may
+# have millions of needs, and a list of integers takes four times as much.
+Edges: TypeAlias = "list[array[int]]"
+EDGE_TYPE = "H"
+
 TaskName = Annotated[str, msgspec.Meta(min_length=1, max_length=100, pattern=r"^[^\x00-\x1f]*$")]
 
 
@@ -165,30 +171,26 @@
         numbers = {task.name: number for number, task in enumerate(tasks)}
         if len(numbers) != len(tasks):
             raise DuplicateNameError
-        levels = _levels(tasks, numbers)
+        needs = _need_numbers(tasks, numbers)
+        levels = _levels(needs)
         order = sorted(range(len(tasks)), key=lambda number: (levels[number], number))
         self.names = [tasks[number].name for number in order]
-        self._link_dependencies(tasks, numbers, order)
+        self._link_dependencies(needs, order)
         self.kinds: list[Kind] = []
         self.array_slots: list[ArraySlot] = []
         self.task_positions: list[list[int]] = []
         self.expect_s: list[float] = []
         self._group_by_kind([tasks[number] for number in order])
 
-    def _link_dependencies(
-        self, tasks: list[Task], numbers: dict[str, int], order: list[int]
-    ) -> None:
+    def _link_dependencies(self, needs: Edges, order: list[int]) -> None:
         """Fill `needs` and `dependents`."""
-        positions = [0] * len(tasks)
+        positions = [0] * len(order)
         for position, number in enumerate(order):
             positions[number] = position
-        self.needs = [
-            sorted({positions[numbers[name]] for name in tasks[number].needs}) for number in order
+        self.needs: Edges = [
+            array(EDGE_TYPE, sorted(positions[need] for need in needs[number])) for number in order
         ]
-        self.dependents: list[list[int]] = [[] for _ in order]
-        for position, needs in enumerate(self.needs):
-            for need in needs:
-                self.dependents[need].append(position)
+        self.dependents = _reversed_edges(self.needs)
 
     def _group_by_kind(self, ordered_tasks: list[Task]) -> None:
         """Fill `array_slots` and the lists that are indexed by kind."""
@@ -248,24 +250,44 @@
         )
 
 
-def _levels(tasks: list[Task], numbers: dict[str, int]) -> list[int]:
-    """Return the length of the longest chain of needs of each task."""
-    levels = [0] * len(tasks)
+def _need_numbers(tasks: list[Task], numbers: dict[str, int]) -> Edges:
+    """Return the numbers of the tasks that each task needs, each once."""
     try:
-        sorter = graphlib.TopologicalSorter(
-            {number: [numbers[name] for name in task.needs] for number, task in enumerate(tasks)}
-        )
-        for number in sorter.static_order():
-            for name in tasks[number].needs:
-                levels[number] = max(levels[number], levels[numbers[name]] + 1)
+        return [array(EDGE_TYPE, {numbers[name] for name in task.needs}) for task in tasks]
     except KeyError as error:
         raise UnknownNeedError(error.args[0]) from None
-    except graphlib.CycleError:
-        raise CyclicGraphError from None
+
+
+def _reversed_edges(needs: Edges) -> Edges:
+    """Return by task those that need it, in ascending order."""
+    dependents: Edges = [array(EDGE_TYPE) for _ in needs]
+    for number, needed in enumerate(needs):
+        for need in needed:
+            dependents[need].append(number)
+    return dependents
+
+
+def _levels(needs: Edges) -> list[int]:
+    """Return the length of the longest chain of needs of each task."""
+    levels = [0] * len(needs)
+    unmet = [len(needed) for needed in needs]
+    dependents = _reversed_edges(needs)
+    ready = [number for number, count in enumerate(unmet) if not count]
+    sorted_count = 0
+    while ready:
+        number = ready.pop()
+        sorted_count += 1
+        for dependent in dependents[number]:
+            levels[dependent] = max(levels[dependent], levels[number] + 1)
+            unmet[dependent] -= 1
+            if not unmet[dependent]:
+                ready.append(dependent)
+    if sorted_count < len(needs):
+        raise CyclicGraphError
     return levels
 
 
-def _reachable(position: int, edges: list[list[int]], known: dict[int, int]) -> list[int]:
+def _reachable(position: int, edges: Edges, known: dict[int, int]) -> list[int]:
     """Return the positions reachable along `edges` without entering those in `known`.
 
     Adds them to `known`, mapped to `position`.
--- a/umberward/graphs/records.py
+++ b/umberward/graphs/records.py
@@ -198,16 +198,25 @@
     if missing:
         raise IncompleteGraphError(graph_id, f"part {missing[0]} is missing")
     parts = []
+    names: dict[str, str] = {}
     for part in range(count):
         head = wire.convert(values[str(part)], PartRecord)
         piece_names = [f"{part}/{head.digest}/{piece}" for piece in range(head.pieces)]
         if any(name not in values for name in piece_names):
             raise IncompleteGraphError(graph_id, f"pieces of part {part} are missing")
         text = "".join(values[name] for name in piece_names)
-        parts.append((head.digest, decode_tasks(decompress(text))))
+        tasks = decode_tasks(decompress(text))
+        _share_names(tasks, names)
+        parts.append((head.digest, tasks))
     return parts
 
 
+def _share_names(tasks: list[Task], names: dict[str, str]) -> None:
+    """Use one string for each name in the needs of all parts; `names` maps each to itself."""
+    for task in tasks:
+        task.needs = [names.setdefault(name, name) for name in task.needs]
+
+
 def join_parts(graph_id: GraphId, record: GraphRecord, parts: Parts) -> list[Task]:
     """Return the tasks of all parts; raise IncompleteGraphError if other parts were accepted."""
     if [digest for digest, _ in parts] != record.digests:
