--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -111,9 +111,14 @@
         self.cluster.cut_zone(name, what == "cut")
 
     def do_limits(self, *words: str) -> None:
-        """Announce future limits of the state service (`state.next` in the settings)."""
-        raw = raw_settings()
-        raw["cluster"]["state"]["next"] = parse_pairs(list(words))
+        """Announce future limits of the state service (`state.next` in the settings).
+
+        `cpus_max` is the limit of the team red.
+        """
+        pairs = parse_pairs(list(words))
+        team = {"cpus_max": float(pairs.pop("cpus_max"))} if "cpus_max" in pairs else {}
+        raw = raw_settings(**team)
+        raw["cluster"]["state"]["next"] = pairs
         self.cluster = self.cluster_factory(raw)
 
     def do_lower(self, *words: str) -> None:
--- a/umberward/control/job_api.py
+++ b/umberward/control/job_api.py
@@ -55,6 +55,7 @@
 RETRY_AFTER_S = 1.0
 OUTAGE_RETRY_AFTER_S = 2.0
 STATE_UNREACHABLE = "the state service is unreachable"
+NO_COMPLETIONS = "0"  # an empty bitmap
 NO_RECORD = Version(0)  # the version of a key that does not exist
 
 
@@ -277,7 +278,12 @@
             log.error("record_malformed", job=job_id, error=error)  # noqa: TRY400 - a fault of the record, not of the code
             return FinalJobRecord(CANCELLED)
         remaining = self._remaining_tasks(record, done_count)
-        return FinalJobRecord(CANCELLED, done_count, remaining=remaining)
+        final = FinalJobRecord(CANCELLED, done_count, remaining=remaining)
+        if remaining is not None and wire.json_size(final) > self.admission.max_value_bytes:
+            # The bitmap was stored under a higher limit. Without it, tasks that are done count
+            # against the team's limit as well until it is known what each machine runs.
+            remaining.done_bitmap = NO_COMPLETIONS
+        return final
 
     def _remaining_tasks(self, record: JobRecord, done_count: int) -> RemainingTasks | None:
         """The tasks that may still be running and count towards their team's limit.
