--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -28,10 +28,10 @@
 from umberward.scheduling import (
     autoscaler,
     best_fit,
-    cluster_state,
     dependencies,
     failure_attribution,
     failure_detector,
+    job_constraints,
     job_failures,
     lease_bounds,
     machine_selection,
@@ -883,7 +883,7 @@
 
 def room_for_larger(patch: pytest.MonkeyPatch) -> None:
     """Let small tasks take all the room in heartbeats."""
-    patch.setattr(cluster_state, "is_small", lambda _need, _capacity: False)
+    patch.setattr(job_constraints, "is_small", lambda _need, _capacity: False)
 
 
 MUTATIONS: dict[str, Patch] = {
--- a/umberward/scheduling/cluster_state.py
+++ b/umberward/scheduling/cluster_state.py
@@ -21,7 +21,6 @@
     Instant,
     JobId,
     MachineId,
-    MachineOffer,
     MachineTypeName,
     Resources,
     TaskId,
@@ -31,9 +30,9 @@
 from umberward.protocol.wire import KILL, START, MachineType, TaskCommand
 from umberward.scheduling.fencing_tokens import FencingTokens
 from umberward.scheduling.headroom import Headroom
-from umberward.scheduling.heartbeat_room import is_small, room_for_small_tasks
 from umberward.scheduling.invariants import Invariants
-from umberward.scheduling.job_timing import DEFAULT_START_WITHIN_S, JobTiming
+from umberward.scheduling.job_constraints import JobConstraints
+from umberward.scheduling.job_timing import DEFAULT_START_WITHIN_S
 from umberward.scheduling.jobs import Job, Placement, PreemptionKey
 from umberward.scheduling.machines import Machine
 from umberward.scheduling.objectives import NO_STRICTEST_OBJECTIVES
@@ -63,7 +62,7 @@
     address: str
 
 
-class ClusterState(JobTiming):
+class ClusterState(JobConstraints):
     """Jobs, machines, placements and the outbox of one leader for one term."""
 
     def __init__(
@@ -144,8 +143,6 @@
         # Deleted machines, whose late heartbeats are ignored. A dict keeps the order, so that the
         # oldest can be dropped.
         self.deleted_machines: dict[MachineId, None] = {}
-        self.offers: set[MachineOffer] = set()  # offers with at least one machine
-        self.offers_version = 0  # number of changes of the offers or the machine types
         self.headroom = Headroom(self.machine_types, now)
         self.headroom_machines: set[MachineId] = set()  # machines kept free for accelerated work
         # By task that workers run without a placement: the number of machines that run it.
@@ -173,54 +170,6 @@
             if machine is not None:
                 machine.clear_cached_sums()
 
-    def admits_offer(
-        self,
-        job: Job,
-        machine_type: MachineTypeName,
-        zone: ZoneName,
-        spot: bool,  # noqa: FBT001 - the fields of a MachineOffer, in order
-    ) -> bool:
-        """Tell whether the job's constraints admit such a machine, regardless of its size."""
-        spec = job.spec
-        return (
-            (spec.machine_types is None or machine_type in spec.machine_types)
-            and (spec.zone is None or zone == spec.zone)
-            and (spec.spot or not spot)
-        )
-
-    def suitable_offers(self, job: Job) -> set[MachineOffer]:
-        """Return the offers in use of which an empty machine could run a task of the job."""
-        if job.suitable_offers is None or job.suitable_offers[0] != self.offers_version:
-            suitable = set()
-            for offer in self.offers:
-                machine_type = self.machine_types.get(offer.type)
-                if machine_type is None or not self.admits_offer(job, *offer):
-                    continue
-                if job.need.fits(machine_type.capacity):
-                    suitable.add(offer)
-            job.suitable_offers = (self.offers_version, suitable)
-        return job.suitable_offers[1]
-
-    def types_with_small_tasks(self, job: Job) -> frozenset[MachineTypeName]:
-        """Return the machine types on which the job's tasks are small (`heartbeat_room`)."""
-        if (
-            job.types_with_small_tasks is None
-            or job.types_with_small_tasks[0] != self.offers_version
-        ):
-            types = frozenset(
-                name
-                for name, machine_type in self.machine_types.items()
-                if is_small(job.need, machine_type.capacity)
-            )
-            job.types_with_small_tasks = (self.offers_version, types)
-        return job.types_with_small_tasks[1]
-
-    def room_for_job(self, job: Job, machine_type: MachineTypeName, room: Resources) -> Resources:
-        """Return the part of the free `room` of such a machine that the job's tasks may use."""
-        if machine_type not in self.types_with_small_tasks(job):
-            return room
-        return room_for_small_tasks(room)
-
     def schedulable_room(self) -> tuple[list[Machine], dict[MachineId, Resources]]:
         """Return the schedulable machines and a copy of the free resources on each."""
         self.schedulable_index.refresh(self.machines, self.machine_types)
@@ -228,7 +177,7 @@
 
     def machine_types_changed(self) -> None:
         """Re-examine all machines after the cloud's list of machine types was read again."""
-        self.offers_version += 1
+        self.constraints_changed()
         self.schedulable_index.changed.update(dict.fromkeys(self.machines))
 
     def headroom_limited_machines(
@@ -271,9 +220,7 @@
             )
             machine.fencing_token = self.tokens.initial
             self.machines_without_check.append(machine)
-            if machine.offer not in self.offers:
-                self.offers.add(machine.offer)
-                self.offers_version += 1
+            self.note_offer(machine.offer)
         return machine
 
     def fencing_token_for(self, machine_id: MachineId) -> FencingToken:
