What a cancelled graph's tasks may still use counts after a takeover

Cause: a new leader reads the final records of recently cancelled jobs, which say what their tasks may still use, but not the end records of graphs. Change: it reads those too, and derives the same from the stored progress of the graph's arrays; if that can't be read, limited teams wait until each machine has shown what it runs.

--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -11,6 +11,7 @@
 
 import msgspec
 import pytest
+import simulated_graphs
 
 from umberward.control import job_api, job_state_cache
 from umberward.control.cancellation_announcer import CancellationAnnouncer
@@ -871,6 +872,15 @@
     patch.setattr(Job, "_init_progress", init_progress)
 
 
+def graph_remains(patch: pytest.MonkeyPatch) -> None:
+    """Forget what the tasks of a cancelled graph may still use."""
+
+    async def none(*_: Any) -> list[Any]:
+        return []
+
+    patch.setattr(simulated_graphs, "read_remaining_tasks", none)
+
+
 def heartbeat_limit(patch: pytest.MonkeyPatch) -> None:
     """Let the tasks of a machine grow beyond what a heartbeat can list."""
     patch.setattr(cloud_messages, "HEARTBEAT_TASK_BYTES", 1 << 40)
@@ -980,6 +990,7 @@
     "trials-first": trials_first,
     "eager-trials": eager_trials,
     "window-for-arrays": window_for_arrays,
+    "graph-remains": graph_remains,
     "heartbeat-limit": heartbeat_limit,
     "exits-listed": exits_listed,
     "room-for-larger": room_for_larger,
--- a/tests/simulated_graphs.py
+++ b/tests/simulated_graphs.py
@@ -15,12 +15,13 @@
 from traffic_recorder import record_message
 
 from umberward.clients import state_client
-from umberward.core.types import Key, Version, WallTime
+from umberward.core.types import Key, TeamName, Version, WallTime
 from umberward.graphs import records, store
 from umberward.graphs.graph_api import GraphApi
 from umberward.graphs.graph_state import GraphState
 from umberward.graphs.model import GraphId, Options, Part, Shape, Task, job_id
 from umberward.graphs.records import GraphRecord
+from umberward.graphs.remaining_tasks import read_remaining_tasks
 from umberward.graphs.store import read_progress, read_tasks
 from umberward.local.workercore import TaskOutcome
 from umberward.protocol import wire
@@ -149,8 +150,26 @@
             if key.startswith(records.LIVE_PREFIX):
                 self._admit_graph(key, entry.data, entry.version)
         self.seen_graph_revision = self.store.revision
+        self._count_remaining_tasks()
         super().load_jobs()
 
+    def _count_remaining_tasks(self) -> None:
+        """Count what tasks of graphs that ended early may still use, as the leader loop does."""
+        assert self.scheduler is not None
+        scheduler = self.scheduler
+
+        async def read() -> None:
+            for key, entry in list(self.store.keys.items()):
+                if not key.startswith(records.PAST_PREFIX):
+                    continue
+                graph_id = GraphId(key[len(records.PAST_PREFIX) :])
+                end = wire.convert(entry.data, records.EndRecord)
+                if scheduler.quota.has_limit(TeamName(end.graph.options.team)):
+                    for array in await read_remaining_tasks(self.store, graph_id, end):  # type: ignore[arg-type]
+                        scheduler.add_cancelled_job(array.job_id, array.tasks)
+
+        curio.run(read)
+
     def _admit_graph(self, key: str, data: Any, stamp: int) -> None:
         async def read() -> None:
             id = GraphId(key[len(records.LIVE_PREFIX) :])
--- a/umberward/graphs/graph_controller.py
+++ b/umberward/graphs/graph_controller.py
@@ -15,10 +15,17 @@
 from umberward.clients import state_client
 from umberward.clients.state_client import StateClient
 from umberward.core.log import logger
-from umberward.core.types import Key, Revision, Version
+from umberward.core.types import Key, Revision, TeamName, Version
 from umberward.graphs.graph_state import GraphEnd, GraphState
 from umberward.graphs.model import GraphId
-from umberward.graphs.records import LIVE_PREFIX, GraphRecord, IncompleteGraphError
+from umberward.graphs.records import (
+    LIVE_PREFIX,
+    PAST_PREFIX,
+    EndRecord,
+    GraphRecord,
+    IncompleteGraphError,
+)
+from umberward.graphs.remaining_tasks import RemainingArrayTasks, read_remaining_tasks
 from umberward.graphs.store import (
     abandon_old_submissions,
     delete_abandoned_parts,
@@ -114,6 +121,29 @@
             await self._send_removal(graph_id)
         self.watched_revision = revision
 
+    async def remaining_tasks(
+        self, start_revision: Revision, has_limit: Callable[[TeamName], bool]
+    ) -> list[RemainingArrayTasks] | None:
+        """Return what graphs that ended early after `start_revision` may still use.
+
+        Only teams for which `has_limit` is true are considered. None: it can't be read. Raises the
+        errors of `StateClient.watch`.
+        """
+        changes, _ = await self.store.watch(PAST_PREFIX, start_revision, 0.0)
+        remaining: list[RemainingArrayTasks] = []
+        for change in changes:
+            if change.put_key is None:
+                continue
+            graph_id = GraphId(change.put_key[len(PAST_PREFIX) :])
+            try:
+                end = wire.convert(change.data, EndRecord)
+                if has_limit(TeamName(end.graph.options.team)):
+                    remaining += await read_remaining_tasks(self.store, graph_id, end)
+            except (wire.MalformedMessageError, IncompleteGraphError, ValueError) as error:
+                log.error("graph_malformed", graph=graph_id, error=error)  # noqa: TRY400
+                return None
+        return remaining
+
     async def watch(self) -> None:
         """Watch for graphs that controllers accept or cancel; runs until cancelled.
 
--- a/umberward/leader/leader_loop.py
+++ b/umberward/leader/leader_loop.py
@@ -275,13 +275,17 @@
             if job.id not in listed_ids and not job.conditions:
                 self.scheduler.remove_job(job.id)
         if not self.scheduler.loaded:
-            self._finish_loading(message.recent_final_records)
+            self._finish_loading(message)
         self._update_jobs_read_at(message.requested_at)
 
-    def _finish_loading(self, recent_final_records: list[wire.KeyChange] | None) -> None:
+    def _finish_loading(self, message: JobsListed) -> None:
         """Restore the snapshots of former leaders and enable scheduling."""
-        self.scheduler.recent_cancellations_unknown = recent_final_records is None
-        job_records.apply_final_records(self.scheduler, recent_final_records or ())
+        self.scheduler.recent_cancellations_unknown = (
+            message.recent_final_records is None or message.remaining_graph_tasks is None
+        )
+        job_records.apply_final_records(self.scheduler, message.recent_final_records or ())
+        for job_id, remaining in message.remaining_graph_tasks or ():
+            self.scheduler.add_cancelled_job(job_id, remaining)
         for snapshot, age_s in self.snapshots_to_restore:  # age at the start of this term
             now = monotonic_now()
             failover_snapshot.restore_snapshot(
--- a/umberward/leader/messages.py
+++ b/umberward/leader/messages.py
@@ -15,7 +15,7 @@
 from umberward.core.types import ControllerName, Instant, JobId
 from umberward.protocol import wire
 from umberward.protocol.transactions import VersionedValue
-from umberward.protocol.wire import Heartbeat, KeyChange, KeyValue, TaskCommand
+from umberward.protocol.wire import Heartbeat, KeyChange, KeyValue, RemainingTasks, TaskCommand
 from umberward.scheduling.cluster_state import CommandMessage, Probe
 from umberward.scheduling.lease_delegation import Delegation
 
@@ -53,6 +53,9 @@
     # Recently written final records, for a leader that loads the jobs for the first time; None:
     # they could not be read.
     recent_final_records: list[KeyChange] | None
+    # What the arrays of graphs that have ended early may still use, for the same leader; None: it
+    # could not be read.
+    remaining_graph_tasks: list[tuple[JobId, RemainingTasks]] | None
 
 
 class JobsChanged(msgspec.Struct, frozen=True):
--- a/umberward/leader/state_sync.py
+++ b/umberward/leader/state_sync.py
@@ -10,7 +10,7 @@
 
 from umberward.clients import state_client
 from umberward.core.log import logger
-from umberward.core.types import Revision, Version
+from umberward.core.types import JobId, Revision, Version
 from umberward.leader.clock import monotonic_now
 from umberward.leader.leader_context import LeaderContext
 from umberward.leader.messages import JobsChanged, JobsListed
@@ -20,6 +20,7 @@
     FINAL_JOBS_PREFIX,
     JOBS_PREFIX,
     LIVE_JOBS_PREFIX,
+    RemainingTasks,
 )
 
 if TYPE_CHECKING:  # not imported at run time if graphs are disabled
@@ -101,8 +102,16 @@
         """Read all live jobs and send them to the leader loop; returns their revision."""
         requested_at = monotonic_now()
         entries, revision = await self.context.store.list_all(LIVE_JOBS_PREFIX)
-        recent_final_records = await self._recent_final_records(revision)
-        await self.context.leader_loop.ask(JobsListed(entries, requested_at, recent_final_records))
+        recent_final_records: list[wire.KeyChange] | None = []
+        remaining_graph_tasks: list[tuple[JobId, RemainingTasks]] | None = []
+        scheduler = self.context.scheduler
+        if scheduler.quota.has_any_limit and not scheduler.loaded:
+            start_revision = self._revision_before_takeover(revision)
+            recent_final_records = await self._recent_final_records(start_revision)
+            remaining_graph_tasks = await self._remaining_graph_tasks(start_revision)
+        await self.context.leader_loop.ask(
+            JobsListed(entries, requested_at, recent_final_records, remaining_graph_tasks)
+        )
         # Returned only after the message is handled: if any step fails, all are repeated.
         return revision
 
@@ -113,30 +122,48 @@
         await self.context.leader_loop.tell(JobsChanged(changes, requested_at))
         return revision
 
-    async def _recent_final_records(self, listed_revision: Revision) -> list[wire.KeyChange] | None:
-        """Read the final records of jobs whose tasks may still be on a machine.
+    def _revision_before_takeover(self, listed_revision: Revision) -> Revision:
+        """Return a revision from before the earliest end of a job that may have tasks on a machine.
 
         Such tasks count against their team's limits, but a new leader that reads only live records
-        does not know them. No such job can have ended more than `takeover_s` ago, so the read
-        starts at a revision known from before that time. If none is known, it starts as many
-        revisions below `listed_revision` as can have been written start_revision.
+        does not know them. No such job can have ended more than `takeover_s` ago. If no revision is
+        known from before that time, the result is as many revisions below `listed_revision` as can
+        have been written since.
+        """
+        takeover_s = self.context.scheduler.delegator.bounds.takeover_s
+        start_revision = self.revision_before(monotonic_now() - takeover_s)
+        if start_revision is not None:
+            return start_revision
+        max_changes = math.ceil(takeover_s * self.context.store.max_changes_per_s)
+        return Revision(max(0, listed_revision - max_changes))
+
+    async def _recent_final_records(self, start_revision: Revision) -> list[wire.KeyChange] | None:
+        """Read the final records of jobs that were written after `start_revision`.
 
         Returns None if the state service no longer keeps these changes.
         """
-        scheduler = self.context.scheduler
-        if scheduler.loaded or not scheduler.quota.has_any_limit:
-            return []
-        store = self.context.store
-        takeover_s = scheduler.delegator.bounds.takeover_s
-        start_revision = self.revision_before(monotonic_now() - takeover_s)
-        if start_revision is None:
-            max_changes = math.ceil(takeover_s * store.max_changes_per_s)
-            start_revision = Revision(max(0, listed_revision - max_changes))
         try:
-            changes, _ = await store.watch(FINAL_JOBS_PREFIX, start_revision, 0.0)
+            changes, _ = await self.context.store.watch(FINAL_JOBS_PREFIX, start_revision, 0.0)
         except state_client.RevisionCompactedError:
-            log.warning(
-                "final_records_not_read", reason="the state service no longer keeps such changes"
-            )
+            _log_changes_lost()
             return None
         return changes
+
+    async def _remaining_graph_tasks(
+        self, start_revision: Revision
+    ) -> list[tuple[JobId, RemainingTasks]] | None:
+        """Read what graphs that ended early after `start_revision` may still use; None as above."""
+        if self.graph_controller is None:
+            return []
+        has_limit = self.context.scheduler.quota.has_limit
+        try:
+            remaining = await self.graph_controller.remaining_tasks(start_revision, has_limit)
+        except state_client.RevisionCompactedError:
+            _log_changes_lost()
+            return None
+        return None if remaining is None else [*remaining]
+
+
+def _log_changes_lost() -> None:
+    reason = "the state service no longer keeps such changes"
+    log.warning("final_records_not_read", reason=reason)
