--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -85,7 +85,7 @@
     async def ask_about_ended_jobs(
         self, pairs: Sequence[Pair], *, restart_before_each: bool
     ) -> list[Answers]:
-        """Ask a controller that was restarted after the jobs had ended: once, or before each pair."""
+        """Ask a controller that was restarted after the jobs ended, once or before each pair."""
         jobs = [f"req-{number:06d}" for number in range(len(pairs))]
         try:
             async with self.cluster.task_scope:
