Log: any excerpt names builds, leader and peers with a known fault

Operators saw: five logs of an incident of which no line kept named a build or a leader; 31 of 52 lines were `unknown_job` of ids that stand nowhere else, and 15 of 18 of the leader `tasks_preempted`.

Cause: builds and faults were logged when they changed, minutes before the lines that are kept, and every ordinary 404 took a line.

Change: `controller_state` is written every 10 s, and after ten lines of other events, so that a busy log has it in any twelve lines. It names the own build and uptime, leader and token with the age of that knowledge, the age and revision of the copy of the job states, all builds, and for each process with a known fault the span in which it answered. The spans are part of the status that controllers request of each other anyway (one field more while there are any), so that a controller which started later names them too. A refused request is counted; its evidence is kept (the latest 500) and written when a peer knows the job or its record is read, whatever the rate limit left out. `tasks_preempted` is one line a decision. `rejected_job_requests` is a field of the new line.

Tests: spans known to controllers that all started after the faulty process ended; every 15 lines of a log of 300 others; idle, and while the state service is out; evidence whose line was suppressed.

--- a/tests/simulated_job_api.py
+++ b/tests/simulated_job_api.py
@@ -117,7 +117,7 @@
         job_api = JobApi(
             self.settings, store, job_states, MACHINE_TYPES, lambda: WallTime(self.clock.now)
         )
-        tasks = [await self.scope.spawn(part) for part in (job_states.run, job_api.rejections.run)]
+        tasks = [await self.scope.spawn(job_states.run)]
         self.controllers[name] = RunningController(job_api, job_states, client, tasks)
         self.starts[name] = self.starts.get(name, 0) + 1
 
--- a/tests/test_rejection_log.py
+++ b/tests/test_rejection_log.py
@@ -1,4 +1,4 @@
-"""Each 404, 400 or 422 about a job is logged with what it was based on, and counted."""
+"""Each 404, 400 or 422 about a job is counted, and written if it may have been wrong."""
 
 from __future__ import annotations
 
@@ -11,9 +11,16 @@
 from simulated_job_api import SimulatedJobApis
 
 from umberward.control import rejection_log
-from umberward.control.rejection_log import COUNTS_INTERVAL_S
+from umberward.control.rejection_log import (
+    MAX_KEPT_ANSWERS,
+    SAMPLE_INTERVAL_S,
+    YOUNG_PROCESS_S,
+    JobRequest,
+)
 from umberward.core.rate_limited_log import DEFAULT_LINES_PER_S
+from umberward.core.types import JobId
 from umberward.protocol import wire
+from umberward.protocol.http import Response
 
 JOB_ID = "req-000001"
 EVIDENCE = {"looked_up_s", "refreshed_s", "listed_s", "revision", "uptime_s"}
@@ -80,8 +87,9 @@
     apis.store_job(JOB_ID, wire.DONE)
     for what in ("submit", "poll", "cancel"):
         apis.ask(what, JOB_ID, "k0")
-    apis.run(COUNTS_INTERVAL_S + 1.0)
+    apis.run(1.0)
     assert not lines.lines and not apis.broken
+    assert not apis.controllers["k0"].job_api.rejections.counts
 
 
 def test_lines_are_limited_and_all_answers_counted(apis: SimulatedJobApis, lines: Lines) -> None:
@@ -91,8 +99,74 @@
     apis.run(0.5)
     assert len(lines.of("unknown_job")) == DEFAULT_LINES_PER_S
     apis.ask("submit", JOB_ID, "k0", {"uid": JOB_ID})
-    apis.run(COUNTS_INTERVAL_S)
-    counts = {"event": "rejected_job_requests", "poll_404": asked, "submit_400": 1}
-    assert lines.of("rejected_job_requests") == [counts]
-    apis.run(2 * COUNTS_INTERVAL_S)
-    assert len(lines.of("rejected_job_requests")) == 1  # only if they have changed
+    apis.run(0.5)
+    rejections = apis.controllers["k0"].job_api.rejections
+    assert rejections.counts == {"poll_404": asked, "submit_400": 1}
+    assert rejections.summary() == f"poll_404:{asked},submit_400:1"
+
+
+def test_ids_that_nobody_knows_are_a_sampled_line_once_the_process_is_not_young(
+    apis: SimulatedJobApis, lines: Lines
+) -> None:
+    apis.run(YOUNG_PROCESS_S + 1.0)
+    for number in range(50):
+        apis.ask("poll", f"req-{number:06}", "k0")
+        apis.run(SAMPLE_INTERVAL_S / 100)
+    assert [line["occasion"] for line in lines.of("unknown_job")] == ["sample"]
+    apis.run(SAMPLE_INTERVAL_S)
+    apis.ask("poll", "req-000050", "k0")
+    apis.run(1.0)
+    assert len(lines.of("unknown_job")) == 2
+    assert apis.controllers["k0"].job_api.rejections.counts == {"poll_404": 51}
+
+
+def test_all_answers_are_written_while_a_peer_has_a_known_fault(
+    apis: SimulatedJobApis, lines: Lines
+) -> None:
+    apis.controllers["k0"].job_api.rejections.has_faulty_peer = lambda: True
+    apis.run(YOUNG_PROCESS_S + 1.0)
+    for number in range(5):
+        apis.ask("poll", f"req-{number:06}", "k0")
+    apis.run(1.0)
+    assert [line["occasion"] for line in lines.of("unknown_job")] == ["faulty_peer"] * 5
+
+
+@pytest.mark.parametrize("age_s", [0.0, YOUNG_PROCESS_S + 1.0])
+@pytest.mark.parametrize("occasion", ["job_appeared", "known_to_peer"])
+def test_evidence_of_a_wrong_answer_is_written_even_if_its_line_was_suppressed(
+    apis: SimulatedJobApis, lines: Lines, occasion: str, age_s: float
+) -> None:
+    apis.run(age_s)
+    asked = [f"req-{number:06}" for number in range(3 * DEFAULT_LINES_PER_S)]
+    for job_id in asked:
+        apis.ask("poll", job_id, "k0")
+    apis.run(0.5)
+    revision = apis.core.revision
+    written = {line["job"] for line in lines.take()}
+    suppressed = [job_id for job_id in asked if job_id not in written]
+    assert len(suppressed) >= 2 * DEFAULT_LINES_PER_S
+    for job_id in suppressed:
+        if occasion == "job_appeared":
+            apis.store_job(job_id)
+            apis.ask("poll", job_id, "k0")
+        else:
+            apis.controllers["k0"].job_api.rejections.note_job_known_to_peer(JobId(job_id))
+    apis.run(1.0)
+    found = lines.of("unknown_job")
+    assert {line["job"] for line in found} == set(suppressed)
+    assert {line["occasion"] for line in found} == {occasion}
+    assert {line["revision"] for line in found} == {revision}  # as of the answer
+    assert all(set(line) >= EVIDENCE and line["answered_s"] > 0.0 for line in found)
+
+
+def test_evidence_is_written_once_and_of_a_bounded_number_of_answers(
+    apis: SimulatedJobApis, lines: Lines
+) -> None:
+    rejections = apis.controllers["k0"].job_api.rejections
+    asked = [JobId(f"req-{number:06}") for number in range(MAX_KEPT_ANSWERS + 7)]
+    for job_id in asked:
+        rejections.record(JobRequest.POLL, job_id, Response(404))
+    lines.take()
+    for job_id in [*asked, *asked]:
+        rejections.note_job_known_to_peer(job_id)
+    assert [line["job"] for line in lines.of("unknown_job")] == asked[7:]
--- a/tests/test_unknown_jobs.py
+++ b/tests/test_unknown_jobs.py
@@ -9,7 +9,11 @@
 from log_lines import Lines
 
 from umberward.control import unknown_jobs
-from umberward.control.unknown_jobs import MAX_JOBS_PER_MESSAGE, UnknownJobReporter
+from umberward.control.unknown_jobs import (
+    MAX_JOBS_PER_MESSAGE,
+    UnknownJobReporter,
+    WrongAnswerCallbacks,
+)
 from umberward.core.types import Address, JobId
 from umberward.protocol.http import RequestNotSentError, Response
 
@@ -24,6 +28,8 @@
         self.reporters: dict[Address, UnknownJobReporter] = {}
         self.sent = 0
         self.wrong: list[str] = []  # controllers that called a job unknown that a peer knows
+        self.wrongly_unknown: list[str] = []  # such jobs, as told to these controllers
+        self.callbacks = WrongAnswerCallbacks(self.wrong.append, self.wrongly_unknown.append)
 
     async def request(self, address: Address, _: str, __: str, body: bytes, *___: Any) -> Response:
         self.sent += 1
@@ -44,10 +50,10 @@
     addresses = {"k1": Address("127.0.0.1", 11), "k2": Address("127.0.0.1", 12)}
     client: Any = peers
     reporter = UnknownJobReporter(
-        "k0", lambda: BUILD, addresses, client, lambda _: None, peers.wrong.append
+        "k0", lambda: BUILD, addresses, client, lambda _: None, peers.callbacks
     )
     peers.reporters[addresses["k1"]] = UnknownJobReporter(
-        "k1", lambda: "other", {}, client, known_to_peer.get, peers.wrong.append
+        "k1", lambda: "other", {}, client, known_to_peer.get, peers.callbacks
     )
 
     async def run() -> None:
@@ -63,7 +69,7 @@
 def test_both_logs_name_a_job_that_one_called_unknown_and_the_other_knows(lines: Lines) -> None:
     peers = Peers()
     report_to_peers([UNKNOWN, KNOWN], {KNOWN: "cancelled"}, peers)
-    assert peers.wrong == ["k0"]
+    assert peers.wrong == ["k0"] and peers.wrongly_unknown == [KNOWN]
     about = {"job": KNOWN, "phase": "cancelled"}
     assert lines.of("peer_called_job_unknown") == [
         {"event": "peer_called_job_unknown", "peer": "k0", "build": BUILD, **about}
@@ -77,7 +83,7 @@
     peers = Peers()
     report_to_peers([UNKNOWN, UNKNOWN], {}, peers)
     assert peers.sent == 2  # one for each peer
-    assert peers.wrong == []
+    assert peers.wrong == [] and peers.wrongly_unknown == []
     assert not lines.of("peer_called_job_unknown") and not lines.of("unknown_job_known_to_peer")
 
 
@@ -94,6 +100,6 @@
     peers = Peers()
     client: Any = peers
     reporter = UnknownJobReporter(
-        "k1", lambda: BUILD, {}, client, lambda _: "done", peers.wrong.append
+        "k1", lambda: BUILD, {}, client, lambda _: "done", peers.callbacks
     )
     assert reporter.receive(body).status == 400 and peers.wrong == []
--- a/umberward/control/controller.py
+++ b/umberward/control/controller.py
@@ -21,6 +21,7 @@
 from umberward.control.peer_messages import DelegationRequest
 from umberward.control.readiness import Readiness
 from umberward.control.request_router import RequestRouter
+from umberward.control.state_log import ControllerParts, ControllerStateLog
 from umberward.core.build_identity import UNKNOWN_BUILD
 from umberward.core.log import logger
 from umberward.core.settings import Settings
@@ -105,6 +106,16 @@
             self, self.election, self.peers, self._set_client_name, clock
         )
         self.router = self._create_router()
+        self.state_log = ControllerStateLog(
+            ControllerParts(
+                self.election,
+                self.job_states,
+                self.router.job_api.rejections,
+                self.peers.monitor.builds,
+                self.peers.monitor.fault_history,
+            ),
+            clock,
+        )
         self.machine_type_loader = MachineTypeLoader(
             self.store,
             self.cloud,
@@ -121,6 +132,7 @@
             self._serve_forwarded_heartbeat,
             self._report_peer_cancellations,
             self.job_states.known_phase,
+            self._note_unknown_job_known_to_peer,
         )
         return PeerLink(self.settings, self.election, self.client, self.rng, callbacks)
 
@@ -138,6 +150,7 @@
                 readiness.is_state_reachable,
                 self.peers.cancellations.announce,
                 self.peers.unknown_jobs.report,
+                lambda: self.peers.known_faults.affected_peers > 0,
             ),
         )
         return RequestRouter(self.heartbeat_api, job_api, self._create_graph_api(), readiness)
@@ -158,7 +171,7 @@
             self.election.keep_lease,
             self.election.follow_leader_key,
             self.job_states.run,
-            self.router.job_api.rejections.run,
+            self.state_log.run,
             self.machine_type_loader.run,
             self.peers.run,
             self.peers.delegation.run,
@@ -241,6 +254,9 @@
 
     # ---- connections between the parts -------------------------------------------------
 
+    def _note_unknown_job_known_to_peer(self, job_id: JobId) -> None:
+        self.router.job_api.rejections.note_job_known_to_peer(job_id)
+
     async def _serve_forwarded_heartbeat(self, body: bytes) -> Response:
         return await self.heartbeat_api.serve_forwarded(body)
 
--- a/umberward/control/job_api.py
+++ b/umberward/control/job_api.py
@@ -70,12 +70,13 @@
     `is_state_reachable` returns whether the state service can be reached; if not, requests that
     need it are rejected immediately. `announce_cancellation` is called with each job whose
     cancellation is confirmed to a user, and `report_unknown` with each job that a user is told is
-    unknown.
+    unknown. `has_faulty_peer` returns whether a peer runs a build with a known fault.
     """
 
     is_state_reachable: Callable[[], bool] = lambda: True
     announce_cancellation: Callable[[JobId], None] = lambda _: None
     report_unknown: Callable[[JobId], None] = lambda _: None
+    has_faulty_peer: Callable[[], bool] = lambda: False
 
 
 NO_CALLBACKS = JobApiCallbacks()
@@ -99,7 +100,8 @@
         self.machine_types = machine_types
         self.callbacks = callbacks
         self.admission = JobAdmission(settings, machine_types, wall_clock)
-        self.rejections = RejectionLog(job_states, job_states.clock)
+        self.rejections = RejectionLog(job_states, job_states.clock, callbacks.has_faulty_peer)
+        job_states.on_job_known = self.rejections.note_job_known
 
     # ---- submit ------------------------------------------------------------------------
 
--- a/umberward/control/job_state_cache.py
+++ b/umberward/control/job_state_cache.py
@@ -97,6 +97,8 @@
         self.refresh_sent_at = 0.0
         takeover_s = LeaseBounds(cluster.workers).takeover_s
         self.revision_history = RevisionHistory(takeover_s + IDLE_REFRESH_S)
+        # Called with each job of which a record has been read.
+        self.on_job_known: Callable[[JobId], None] = lambda _: None
         self.mailbox: curio.Queue = curio.Queue()
         self.urgent_request = curio.Event()
 
@@ -152,6 +154,7 @@
         """Add a job that has ended; its record never changes, so it needs no refresh."""
         self.live_jobs.pop(job_id, None)
         self.absent_jobs.discard(job_id)
+        self.on_job_known(job_id)
         self.dependency_graph.note_ended(job_id, final.phase)
         # Only the leader needs the remaining tasks; users never see them.
         self.final_records[job_id] = msgspec.structs.replace(final, remaining=None)
@@ -340,6 +343,7 @@
         """Add or update a live job, from its key and its record."""
         job_id = JobId(key[len(LIVE_JOBS_PREFIX) :])
         self.absent_jobs.discard(job_id)
+        self.on_job_known(job_id)
         self.dependency_graph.note_live(job_id)
         decoded = _decode_live(key, data)
         self.live_jobs[job_id] = decoded.state
--- a/umberward/control/known_fault_log.py
+++ b/umberward/control/known_fault_log.py
@@ -33,6 +33,10 @@
         """How many peers run a build that has, or may have, a known fault."""
         return sum(map(bool, self._faults.values()))
 
+    def faults_of(self, peer: str) -> list[str]:
+        """The names of the faults that the peer's build has, or may have."""
+        return [match.fault.name for match in self._faults.get(peer, ())]
+
     def note_start(self, peer: str, build: str, status_fields: Collection[object]) -> None:
         """A peer has started, or may have, and says its build or none in its status."""
         if peer not in self.peers:
--- a/umberward/control/peer_contacts.py
+++ b/umberward/control/peer_contacts.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Sequence
 from typing import NamedTuple
 
 import msgspec
 
 from umberward.control import peer_messages
+from umberward.control.known_fault_history import SightingReport
 from umberward.control.peer_messages import STATUS_PATH, InvalidPeerMessageError, PeerStatus
 from umberward.core.build_identity import UNKNOWN_BUILD
 from umberward.core.settings import Settings
@@ -82,8 +84,8 @@
         """Record that a worker has sent a heartbeat to this controller, whoever answers it."""
         self.heartbeat_at = self.clock()
 
-    def own_status(self) -> PeerStatus:
-        """This controller's status, as reported to peers."""
+    def own_status(self, fault_sightings: Sequence[SightingReport] = ()) -> PeerStatus:
+        """This controller's status, as reported to peers, with what it knows of faulty peers."""
         now = self.clock()
         build = self.election.build
         is_known = build != UNKNOWN_BUILD
@@ -97,6 +99,7 @@
             heartbeat_age_s=now - self.heartbeat_at,
             build=build if is_known else msgspec.UNSET,
             uptime_s=now - self.started_at if is_known else msgspec.UNSET,
+            fault_sightings=list(fault_sightings) or msgspec.UNSET,
         )
 
     # ---- the peers ---------------------------------------------------------------------
--- a/umberward/control/peer_link.py
+++ b/umberward/control/peer_link.py
@@ -17,7 +17,7 @@
 from umberward.control.peer_messages import DelegationRequest, InvalidPeerMessageError
 from umberward.control.peer_monitor import PeerMonitor
 from umberward.control.snapshot_exchange import FETCH_INTERVAL_S, SnapshotExchange
-from umberward.control.unknown_jobs import UnknownJobReporter
+from umberward.control.unknown_jobs import UnknownJobReporter, WrongAnswerCallbacks
 from umberward.core.settings import Settings
 from umberward.core.types import JobId
 from umberward.leader.failover_snapshot import FailoverSnapshot
@@ -36,6 +36,7 @@
     delegation; both return None if this controller does not lead. `answer_heartbeat` answers a
     heartbeat forwarded by a peer. `on_cancelled` is called with jobs whose cancellation a peer has
     announced. `known_phase` returns what this controller has read of a job, or None.
+    `on_unknown_job_known_to_peer` is called with a job that this controller has called unknown.
     """
 
     take_snapshot: Callable[[], FailoverSnapshot | None]
@@ -43,6 +44,7 @@
     answer_heartbeat: Callable[[bytes], Awaitable[Response]]
     on_cancelled: Callable[[list[JobId]], Awaitable[None]]
     known_phase: Callable[[JobId], str | None] = lambda _: None
+    on_unknown_job_known_to_peer: Callable[[JobId], None] = lambda _: None
 
 
 class PeerLink:
@@ -83,7 +85,9 @@
             addresses,
             client,
             callbacks.known_phase,
-            self.known_faults.note_wrong_answer,
+            WrongAnswerCallbacks(
+                self.known_faults.note_wrong_answer, callbacks.on_unknown_job_known_to_peer
+            ),
         )
         self.snapshots = SnapshotExchange(addresses, election, client, callbacks.take_snapshot)
 
@@ -109,7 +113,8 @@
         """Answer a request of a peer; 404 for an unknown path, or one that only a leader serves."""
         path = request.path
         if path == peer_messages.STATUS_PATH:
-            return Response(200, peer_messages.encode(self.contacts.own_status()))
+            status = self.contacts.own_status(self.monitor.fault_history.reports())
+            return Response(200, peer_messages.encode(status))
         if path == peer_messages.FORWARDED_HEARTBEAT_PATH and request.method == "POST":
             return await self.callbacks.answer_heartbeat(request.body)
         if path == peer_messages.CANCELLATIONS_PATH and request.method == "POST":
--- a/umberward/control/peer_messages.py
+++ b/umberward/control/peer_messages.py
@@ -24,6 +24,8 @@
 DELEGATION_PATH = "/peer/loan"
 SNAPSHOT_PATH = "/peer/hints"
 
+FAULT_SIGHTINGS_FIELD = "faulty"  # of a status
+
 Message = TypeVar("Message", bound=msgspec.Struct)
 
 
@@ -42,6 +44,7 @@
         "newest_token": "token",
         "heartbeat_age_s": "heard_age",
         "uptime_s": "uptime",
+        "fault_sightings": FAULT_SIGHTINGS_FIELD,
     },
 ):
     """The status of a controller, returned to a peer that requests it.
@@ -55,6 +58,8 @@
     versions omit it.
     `build` and `uptime_s` say which process it is, for the log only; they are omitted if the build
     is not known, and by earlier versions, and of any type if they are malformed.
+    `fault_sightings` lists the `SightingReport`s of peers with a known fault, for the log only; it
+    is omitted if there are none.
     """
 
     name: str = ""
@@ -64,6 +69,7 @@
     heartbeat_age_s: float = math.inf
     build: object = msgspec.UNSET
     uptime_s: object = msgspec.UNSET
+    fault_sightings: object = msgspec.UNSET
     newest_token: int | msgspec.UnsetType = msgspec.UNSET
 
     @property
--- a/umberward/control/peer_monitor.py
+++ b/umberward/control/peer_monitor.py
@@ -14,9 +14,10 @@
 import cbor2
 import curio
 
+from umberward.control.known_fault_history import KnownFaultHistory
 from umberward.control.known_fault_log import KnownFaultLog
 from umberward.control.peer_contacts import PEER_TIMEOUT_S
-from umberward.control.peer_messages import STATUS_PATH
+from umberward.control.peer_messages import FAULT_SIGHTINGS_FIELD, STATUS_PATH
 from umberward.core.build_identity import parse_build
 from umberward.core.log import logger
 from umberward.core.rate_limited_log import RateLimitedLog
@@ -40,12 +41,14 @@
 class PeerProcess(NamedTuple):
     """What a peer says of its process; `uptime_s` is None for versions that do not say it.
 
-    `status_fields` are the names of all fields of its status.
+    `status_fields` are the names of all fields of its status. `fault_sightings` is what it reports
+    of peers with a known fault, in any form.
     """
 
     build: str
     uptime_s: float | None
     status_fields: frozenset[object]
+    fault_sightings: object = None
 
     @classmethod
     def decode(cls, body: bytes) -> PeerProcess:
@@ -65,6 +68,7 @@
             parse_build(status.get("build")),
             uptime_s if is_duration else None,
             frozenset(status),
+            status.get(FAULT_SIGHTINGS_FIELD),
         )
 
 
@@ -96,6 +100,7 @@
         self.client = client
         self.clock = clock
         self.known_faults = known_faults
+        self.fault_history = KnownFaultHistory([name, *addresses], clock)
         self.peers: dict[str, ObservedPeer] = {}
         self.logged_builds: dict[str, str] = {}
         self.invalid_status_log = RateLimitedLog(log, INVALID_STATUS_LINES_PER_S, clock)
@@ -124,8 +129,11 @@
         except InvalidStatusError as error:
             self.invalid_status_log.info("peer_status_invalid", peer=peer, error=error)
         else:
-            if self.clock() - sent_at <= PEER_TIMEOUT_S:  # otherwise either process was paused
+            received_at = self.clock()
+            if received_at - sent_at <= PEER_TIMEOUT_S:  # otherwise either process was paused
                 self._note_answer(peer, process)
+                self.fault_history.note_seen(peer, self.known_faults.faults_of(peer))
+                self.fault_history.merge(process.fault_sightings, sent_at, received_at)
                 self._log_builds()
 
     def _note_silence(self, peer: str) -> None:
@@ -160,11 +168,16 @@
             if started_at is None:
                 self.known_faults.note_start(peer, process.build, process.status_fields)
 
-    def _log_builds(self) -> None:
+    def builds(self) -> dict[str, str]:
+        """The build of each controller as last heard, by name; NOT_HEARD if it never answered."""
         builds = {self.name: self.build()}
         for peer in self.addresses:
             observed = self.peers.get(peer)
             builds[peer] = NOT_HEARD if observed is None else observed.build
+        return builds
+
+    def _log_builds(self) -> None:
+        builds = self.builds()
         if builds == self.logged_builds:
             return
         self.logged_builds = builds
--- a/umberward/control/rejection_log.py
+++ b/umberward/control/rejection_log.py
@@ -1,27 +1,29 @@
 """Logs and counts the answers that tell a user that a job is unknown or not accepted.
 
-An accepted job must never get such an answer. Each line says what it was based on, so that a wrong
-one can be traced to a read of the state service.
+An accepted job must never get such an answer, but users also ask about jobs that were never
+submitted. Ordinary answers are counted. What an answer was based on is kept for a while, and
+written when it may have been wrong, so that it can be traced to a read of the state service.
 """
 
 from __future__ import annotations
 
-from collections import Counter
+from collections import Counter, OrderedDict
 from collections.abc import Callable
 from enum import StrEnum
-
-import curio
+from typing import NamedTuple
 
 from umberward.control.job_state_cache import JobStateCache
 from umberward.core.log import logger
 from umberward.core.rate_limited_log import RateLimitedLog
-from umberward.core.types import JobId
+from umberward.core.types import JobId, Revision
 from umberward.protocol.http import Response
 
 log = logger(__name__)
 
-COUNTS_INTERVAL_S = 10.0
 AGE_DIGITS = 3  # decimal places of ages in seconds
+MAX_KEPT_ANSWERS = 500
+YOUNG_PROCESS_S = 30.0  # all answers of a process are written until then
+SAMPLE_INTERVAL_S = 60.0  # between two lines of an event that are written without a suspicion
 
 
 class JobRequest(StrEnum):
@@ -32,50 +34,150 @@
     CANCEL = "cancel"
 
 
-class RejectionLog:
-    """Writes a line of bounded rate for each 404, 400 or 422, and the counts every 10 s."""
+class Occasion(StrEnum):
+    """Why what an answer was based on is written."""
+
+    YOUNG_PROCESS = "young_process"
+    FAULTY_PEER = "faulty_peer"
+    SAMPLE = "sample"
+    KNOWN_TO_PEER = "known_to_peer"
+    JOB_APPEARED = "job_appeared"
+
+
+class RejectedRequest(NamedTuple):
+    """An answer with its evidence; times are by the monotonic clock, in seconds.
+
+    `looked_up_at` is when the lookup was answered that found no job; None if none was. `revision`
+    is what the latest refresh covered.
+    """
+
+    request: JobRequest
+    status: int
+    job_id: JobId | None
+    reason: str
+    answered_at: float
+    looked_up_at: float | None
+    refreshed_at: float
+    listed_at: float
+    revision: Revision | None
 
-    def __init__(self, job_states: JobStateCache, clock: Callable[[], float]) -> None:
-        """`clock`: monotonic, in seconds; the process is assumed to start now."""
+    @property
+    def event(self) -> str:
+        """The name of its log event."""
+        return "submission_refused" if self.request is JobRequest.SUBMIT else "unknown_job"
+
+
+class RejectionLog:
+    """Counts each 404, 400 or 422, and writes those that may be wrong."""
+
+    def __init__(
+        self,
+        job_states: JobStateCache,
+        clock: Callable[[], float],
+        has_faulty_peer: Callable[[], bool] = lambda: False,
+    ) -> None:
+        """`clock`: monotonic, in seconds; the process is assumed to start now.
+
+        `has_faulty_peer` returns whether a peer runs a build with a known fault.
+        """
         self.job_states = job_states
         self.clock = clock
+        self.has_faulty_peer = has_faulty_peer
         self.started_at = clock()
         self.counts: Counter[str] = Counter()  # by request and status
-        self.log = RateLimitedLog(log, clock=clock)
+        self.rate_limited_log = RateLimitedLog(log, clock=clock)
+        self._kept: OrderedDict[JobId, RejectedRequest] = OrderedDict()
+        self._next_sample_at: dict[str, float] = {}  # by event
 
     def record(
         self, request: JobRequest, job_id: JobId | None, response: Response, reason: str = ""
     ) -> Response:
-        """Log and count a response, and return it. `job_id`: None if the request names none."""
+        """Count a response and return it. `job_id`: None if the request names none."""
         self.counts[f"{request}_{response.status}"] += 1
-        event = "submission_refused" if request is JobRequest.SUBMIT else "unknown_job"
-        fields: dict[str, object] = {"request": request.value, "status": response.status}
+        rejected = self._rejected_request(request, job_id, response.status, reason)
         if job_id is not None:
-            fields["job"] = job_id
-            fields |= self._evidence(job_id)
-        if reason:
-            fields["error"] = reason
-        self.log.info(event, **fields)
+            self._keep(job_id, rejected)
+        occasion = self._occasion(rejected)
+        if occasion is not None:
+            fields = self._fields(rejected, occasion)
+            self.rate_limited_log.info(rejected.event, **fields)
         return response
 
-    def _evidence(self, job_id: JobId) -> dict[str, object]:
-        """What this controller's cache knows of the absence of the job."""
-        now = self.clock()
+    def note_job_known_to_peer(self, job_id: JobId) -> None:
+        """A peer knows a job that was called unknown here: write what that was based on."""
+        self._write_kept(job_id, Occasion.KNOWN_TO_PEER)
+
+    def note_job_known(self, job_id: JobId) -> None:
+        """This controller has read the job from the state service: likewise."""
+        if job_id in self._kept:
+            self._write_kept(job_id, Occasion.JOB_APPEARED)
+
+    def summary(self) -> str:
+        """The counts of this process for a log line."""
+        return ",".join(f"{name}:{count}" for name, count in sorted(self.counts.items()))
+
+    def _rejected_request(
+        self, request: JobRequest, job_id: JobId | None, status: int, reason: str
+    ) -> RejectedRequest:
         states = self.job_states
-        looked_up_at = states.absent_jobs.confirmed_at(job_id)
-        return {
-            "looked_up_s": None if looked_up_at is None else round(now - looked_up_at, AGE_DIGITS),
-            "refreshed_s": round(now - states.refresh_sent_at, AGE_DIGITS),
-            "listed_s": round(now - states.listed_at, AGE_DIGITS),
-            "revision": states.watched_revision,
-            "uptime_s": round(now - self.started_at, AGE_DIGITS),
+        return RejectedRequest(
+            request,
+            status,
+            job_id,
+            reason,
+            self.clock(),
+            None if job_id is None else states.absent_jobs.confirmed_at(job_id),
+            states.refresh_sent_at,
+            states.listed_at,
+            states.watched_revision,
+        )
+
+    def _keep(self, job_id: JobId, rejected: RejectedRequest) -> None:
+        self._kept[job_id] = rejected
+        self._kept.move_to_end(job_id)
+        while len(self._kept) > MAX_KEPT_ANSWERS:
+            self._kept.popitem(last=False)
+
+    def _occasion(self, rejected: RejectedRequest) -> Occasion | None:
+        """Why the answer is written at once; None if it is not."""
+        now = rejected.answered_at
+        if now - self.started_at < YOUNG_PROCESS_S:
+            return Occasion.YOUNG_PROCESS
+        if self.has_faulty_peer():
+            return Occasion.FAULTY_PEER
+        if now >= self._next_sample_at.get(rejected.event, now):
+            self._next_sample_at[rejected.event] = now + SAMPLE_INTERVAL_S
+            return Occasion.SAMPLE
+        return None
+
+    def _write_kept(self, job_id: JobId, occasion: Occasion) -> None:
+        """Write a kept answer once; not rate-limited, as it may be evidence of a wrong answer."""
+        rejected = self._kept.pop(job_id, None)
+        if rejected is not None:
+            fields = self._fields(rejected, occasion)
+            log.info(rejected.event, **fields)
+
+    def _fields(self, rejected: RejectedRequest, occasion: Occasion) -> dict[str, object]:
+        """The fields of a line; ages are those at the time of the answer."""
+        answered_at = rejected.answered_at
+        looked_up_at = rejected.looked_up_at
+        fields: dict[str, object] = {
+            "request": rejected.request.value,
+            "status": rejected.status,
+            "occasion": occasion.value,
         }
-
-    async def run(self) -> None:
-        """Log the counts of this process whenever they have changed, until cancelled."""
-        logged: Counter[str] = Counter()
-        while True:
-            await curio.sleep(COUNTS_INTERVAL_S)
-            if self.counts != logged:
-                logged = Counter(self.counts)
-                log.info("rejected_job_requests", **dict(sorted(logged.items())))
+        if rejected.job_id is not None:
+            fields |= {
+                "job": rejected.job_id,
+                "answered_s": round(self.clock() - answered_at, AGE_DIGITS),
+                "looked_up_s": (
+                    None if looked_up_at is None else round(answered_at - looked_up_at, AGE_DIGITS)
+                ),
+                "refreshed_s": round(answered_at - rejected.refreshed_at, AGE_DIGITS),
+                "listed_s": round(answered_at - rejected.listed_at, AGE_DIGITS),
+                "revision": rejected.revision,
+                "uptime_s": round(answered_at - self.started_at, AGE_DIGITS),
+            }
+        if rejected.reason:
+            fields["error"] = rejected.reason
+        return fields
--- a/umberward/control/unknown_jobs.py
+++ b/umberward/control/unknown_jobs.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping
+from dataclasses import dataclass
 from http import HTTPStatus
 
 import curio
@@ -32,6 +33,18 @@
 MAX_JOBS_PER_MESSAGE = 100  # further jobs of an interval are not told
 
 
+@dataclass(frozen=True)
+class WrongAnswerCallbacks:
+    """Called when an accepted job was called unknown.
+
+    `by_peer(peer)`: by a peer, of a job that this controller knows; `by_this_controller(job_id)`:
+    by this controller, of a job that a peer knows.
+    """
+
+    by_peer: Callable[[str], None] = lambda _: None
+    by_this_controller: Callable[[JobId], None] = lambda _: None
+
+
 class UnknownJobReporter:
     """Sends the ids answered with 404 to each peer once, and compares those of peers."""
 
@@ -42,13 +55,12 @@
         addresses: Mapping[str, Address],
         client: Client,
         known_phase: Callable[[JobId], str | None],
-        on_wrong_answer: Callable[[str], None],
+        on_wrong_answer: WrongAnswerCallbacks,
     ) -> None:
         """Create the reporter of the controller `name`.
 
         `build` returns the build of this process; `known_phase(job_id)` returns what this
-        controller has read of the job, without a new read; None: nothing. `on_wrong_answer(peer)`
-        is called when a peer has called a job unknown that this controller knows.
+        controller has read of the job, without a new read; None: nothing.
         """
         self.name = name
         self.build = build
@@ -89,6 +101,7 @@
             return
         for job_id, phase in known.items():
             self.log.info("unknown_job_known_to_peer", job=job_id, peer=peer, phase=phase)
+            self.on_wrong_answer.by_this_controller(JobId(job_id))
 
     def receive(self, body: bytes) -> Response:
         """Answer a peer's message with the jobs among its that are known here; 400 if invalid."""
@@ -110,5 +123,5 @@
                 phase=phase,
             )
         if known:
-            self.on_wrong_answer(message.sender)
+            self.on_wrong_answer.by_peer(message.sender)
         return Response(200, peer_messages.encode(KnownJobs(known)))
--- a/umberward/core/log.py
+++ b/umberward/core/log.py
@@ -6,9 +6,10 @@
 
 from __future__ import annotations
 
+import contextlib
 import logging
 import sys
-from collections.abc import MutableMapping
+from collections.abc import Callable, Iterator, MutableMapping
 from typing import Any
 
 import msgspec
@@ -47,6 +48,19 @@
     logging.basicConfig(handlers=[_LibraryHandler()], level=LEVELS[level], force=True)
 
 
+@contextlib.contextmanager
+def observe_lines(observer: Callable[[], None]) -> Iterator[None]:
+    """Call `observer` after each line above debug, until the context ends; it may log itself."""
+    _line_observers.append(observer)
+    try:
+        yield
+    finally:
+        _line_observers.remove(observer)
+
+
+_line_observers: list[Callable[[], None]] = []
+
+
 class _LibraryHandler(logging.Handler):
     """Forwards records of the standard library's `logging` to this log."""
 
@@ -64,10 +78,16 @@
         self.name = name
 
     def msg(self, line: str) -> None:
-        """Write a line of any level: structlog calls the method named after the level."""
+        """Write a line above debug: structlog calls the method named after the level."""
+        self.debug(line)
+        for observer in _line_observers:
+            observer()
+
+    def debug(self, line: str) -> None:
+        """Write a line."""
         sys.stderr.write(line + "\n")
 
-    debug = info = warning = error = critical = exception = log = msg
+    info = warning = error = critical = exception = log = msg
 
 
 def _render_line(writer: _LineWriter, _: str, event: MutableMapping[str, Any]) -> str:
--- a/umberward/leader/leader_election.py
+++ b/umberward/leader/leader_election.py
@@ -99,6 +99,8 @@
         # Of the leader key, and so also the first fencing token of the leader that wrote it.
         self.leader_key_version = Version(0)
         self.campaign_not_before = 0.0
+        # When the leader key was last read or seen unchanged; None: never. For the log only.
+        self.leader_read_at: Instant | None = None
 
     def _warn_if_renewal_window_too_short(self, workers: WorkerTimes) -> None:
         if self.bounds.renewal_window_s < MIN_RENEWAL_WINDOW_S:
@@ -309,12 +311,15 @@
                 FREE_KEY_WATCH_MAX_DELAY_S if self.leader is None else LEADER_WATCH_MAX_DELAY_S
             )
             changes, revision = await self.store.watch(LEADER_KEY, revision, max_delay_s)
+            self.leader_read_at = Instant(self.clock())
             if any(LEADER_KEY in (change.put_key, change.deleted_key) for change in changes):
                 return
 
     async def _read_leader(self) -> Revision:
         """Read the leader key and handle its value. Returns the revision of the read."""
+        sent_at = Instant(self.clock())
         entries, revision = await self.store.list_all(LEADER_KEY)
+        self.leader_read_at = sent_at
         entry = next((entry for entry in entries if entry.key == LEADER_KEY), None)
         if entry is None:
             self.leader, self.leader_key_version = None, Version(0)
--- a/umberward/scheduling/preemption.py
+++ b/umberward/scheduling/preemption.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from typing import NamedTuple
 
 from umberward.core.log import logger
@@ -146,6 +147,7 @@
         """Carry out the best plans; return how many were."""
         max_per_zone = max_tasks_per_zone(job)
         cleared = 0
+        victims_by_machine: list[list[Placement]] = []
         for plan in plans:
             if cleared >= min(count, MAX_MACHINES_CLEARED_PER_PASS):
                 break
@@ -157,7 +159,9 @@
                 continue
             zones.append(zone)
             cleared += 1
+            victims_by_machine.append(plan.victims)
             self._reserve_and_stop(job, plan.machine_id, 1, plan.victims, now)
+        _log_preempted(job, victims_by_machine)
         return cleared
 
     def _preempt_for_gang(self, job: Job, work: PreemptableWork) -> int:
@@ -184,6 +188,7 @@
             task_count = min(step.task_count, missing_tasks)
             self._reserve_and_stop(job, step.machine_id, task_count, step.victims, work.now)
             missing_tasks -= step.task_count
+        _log_preempted(job, [step.victims for step in steps])
         return job.size
 
     def _reserve_and_stop(
@@ -212,8 +217,6 @@
             whole_gang = owner.placements.values() if owner is not None and owner.gang else [victim]
             for placement in list(whole_gang):
                 self.cluster.stop(placement, grace_s)
-        if victims:
-            log.info("tasks_preempted", tasks=len(victims), machine=machine_id, for_job=job.id)
 
     def reserve(self, job: Job, machine_id: MachineId, now: Instant) -> None:
         """Reserve free room for one of the job's tasks that is about to move there."""
@@ -247,3 +250,15 @@
         if missing_tasks <= 0:
             return 0
         return self.preempt(job, missing_tasks, work, excluded, image_cached_only=True)
+
+
+def _log_preempted(job: Job, victims_by_machine: Sequence[list[Placement]]) -> None:
+    """Log one decision to preempt, if it has victims."""
+    victim_counts = [len(victims) for victims in victims_by_machine if victims]
+    if victim_counts:
+        log.info(
+            "tasks_preempted",
+            tasks=sum(victim_counts),
+            machines=len(victim_counts),
+            for_job=job.id,
+        )
