--- a/tests/explored_job_states.py
+++ b/tests/explored_job_states.py
@@ -20,21 +20,22 @@
 from umberward.clients import state_client
 from umberward.clients.state_client import ListResult, StateClient, WatchResult
 from umberward.control import job_state_cache
-from umberward.control.absent_jobs import AbsenceLookup
+from umberward.control.absent_jobs import AbsenceLookup, AbsentJob, AnsweredLookup
 from umberward.control.job_state_cache import (
     IDLE_REFRESH_S,
     RECENT_LISTING_S,
-    JobState,
     JobStateCache,
     RefreshRequested,
 )
+from umberward.control.job_states import JobState
 from umberward.core import actor
 from umberward.core.actor import PendingRequest
 from umberward.core.settings import OperatorSettings, Settings, settings_from_toml
-from umberward.core.types import JobId, Revision
+from umberward.core.types import JobId, Key, Revision
 from umberward.local import statecore
 from umberward.local.statecore import StateCore
 from umberward.protocol import wire
+from umberward.protocol.transactions import AbsentKey, VersionedValue
 from umberward.protocol.wire import FINAL_JOBS_PREFIX, LIVE_JOBS_PREFIX, FinalJobRecord, JobRecord
 
 NO_NAMES: Mapping[int, str] = MappingProxyType({})
@@ -106,7 +107,11 @@
         return result
 
     async def get(self, key: str) -> Any:
-        return await self._exchange(lambda: self.world.core.keys.get(key))
+        def read() -> VersionedValue | AbsentKey:
+            core = self.world.core
+            return core.keys.get(key) or AbsentKey(Key(key), Revision(core.revision))
+
+        return await self._exchange(read)
 
     async def list_page(self, prefix: str, start: str = "") -> wire.KeyValuePage:
         most = self.world.page_entries
@@ -136,7 +141,7 @@
 
     world: JobStateWorld
 
-    async def _lookup(self, job_id: JobId) -> JobState | None:
+    async def _lookup(self, job_id: JobId) -> JobState | AbsentJob:
         state = await super()._lookup(job_id)
         self.world.current.observed.append(canonical(state))
         return state
@@ -262,8 +267,8 @@
             earlier = self.told_here.get(job_id) if self.scenario.by_answer_time else None
             self._check(job_id, states[job_id], earlier or known[job_id])
 
-    def _check(self, job_id: str, state: JobState | None, known: Told) -> None:
-        if state is None:
+    def _check(self, job_id: str, state: JobState | AbsentJob, known: Told) -> None:
+        if isinstance(state, AbsentJob):
             if known.accepted:
                 self.broken.append(f"forgotten: {job_id}")
             return
@@ -351,7 +356,13 @@
     if isinstance(value, PendingRequest):
         return (names.get(id(value)), value._done._set, repr(value.response))  # type: ignore[attr-defined]
     if isinstance(value, AbsenceLookup):
-        return (names.get(id(value)), value.confirmed_at)
+        return (names.get(id(value)), canonical(value.answer, names))
+    if isinstance(value, AbsentKey):
+        return ("absent", value.key)  # its revision is only logged
+    if isinstance(value, AnsweredLookup):
+        return ("absent", value.final_record.key, value.answered_at)
+    if isinstance(value, AbsentJob):
+        return ("absent", value.job_id, value.looked_up_at, value.read_sent_at)
     if isinstance(value, dict):
         return tuple((key, canonical(item, names)) for key, item in value.items())
     if isinstance(value, set | frozenset):
--- a/tests/log_lines.py
+++ b/tests/log_lines.py
@@ -14,7 +14,7 @@
     def info(self, event: str, **fields: Any) -> None:
         self.lines.append({"event": event, **fields})
 
-    debug = warning = info
+    debug = warning = error = info
 
     def take(self) -> list[dict[str, Any]]:
         """Return the lines since the last call."""
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -14,10 +14,12 @@
 import simulated_graphs
 
 from umberward.control import job_api, job_state_cache
+from umberward.control.absent_jobs import AbsentJob
 from umberward.control.cancellation_announcer import CancellationAnnouncer
 from umberward.control.job_api import JobApi
 from umberward.control.job_state_cache import JobStateCache
-from umberward.core.types import JobId
+from umberward.control.stored_jobs import final_key
+from umberward.core.types import JobId, Revision
 from umberward.graphs import graph_job
 from umberward.graphs.graph_job import GraphJob
 from umberward.graphs.live import LiveGraph
@@ -25,6 +27,7 @@
 from umberward.leader.leader_election import LeaderElection
 from umberward.protocol import cloud_messages
 from umberward.protocol.http import Client
+from umberward.protocol.transactions import AbsentKey
 from umberward.protocol.wire import DONE, FinalJobRecord, JobRecord
 from umberward.scheduling import (
     autoscaler,
@@ -232,12 +235,18 @@
     patch.setattr(Quota, "fits_guarantee", lambda *_: False)
 
 
+def absence(cache: JobStateCache, id: JobId) -> AbsentJob:
+    """A job that is called unknown without a proof."""
+    never_read = AbsentKey(final_key(id), Revision(0))
+    return AbsentJob(id, never_read, 0.0, cache.refresh_sent_at, cache.watched_revision)
+
+
 def past_lookup(patch: pytest.MonkeyPatch) -> None:
     """Job states are not looked up among the final records."""
 
     async def state(self: JobStateCache, id: Any, urgent: bool = False) -> Any:
         await self._refresh()
-        return self.live_jobs.get(id)
+        return self.live_jobs.get(id) or absence(self, id)
 
     patch.setattr(JobStateCache, "state", state)
     patch.setattr(JobStateCache, "add_final_record", lambda self, id, final: None)
@@ -305,9 +314,9 @@
 
     async def lookup(self: JobStateCache, id: Any) -> Any:
         known = self.final_records.get(id) or self.live_jobs.get(id)
-        return (
-            await self._lookup_stored(id) if known is None and id not in self.absent_jobs else known
-        )
+        if known is not None:
+            return known
+        return absence(self, id) if id in self.absent_jobs else await self._lookup_stored(id)
 
     patch.setattr(JobStateCache, "_lookup", lookup)
 
--- a/tests/simulated_cluster.py
+++ b/tests/simulated_cluster.py
@@ -27,6 +27,7 @@
     Key,
     MachineId,
     MachineTypeName,
+    Revision,
     Version,
     WallTime,
 )
@@ -35,7 +36,7 @@
 from umberward.protocol import transactions, wire
 from umberward.protocol.http import Response
 from umberward.protocol.message_sizes import exceeds_body_limit
-from umberward.protocol.transactions import VersionedValue
+from umberward.protocol.transactions import AbsentKey, VersionedValue
 from umberward.protocol.wire import (
     BLOCKS_PREFIX,
     FINAL_JOBS_PREFIX,
@@ -474,7 +475,8 @@
                 return
             except (state_client.CompareAndSwapError, state_client.UnknownOutcomeError):
                 for key, _ in batch.conditions:
-                    scheduler.reconcile_key(key, self.store.keys.get(key))
+                    absent = AbsentKey(key, Revision(self.store.revision))
+                    scheduler.reconcile_key(key, self.store.keys.get(key) or absent)
                 return
             scheduler.transaction_committed(batch, Version(revision), Instant(self.now))
 
--- a/tests/simulated_store.py
+++ b/tests/simulated_store.py
@@ -13,7 +13,7 @@
 from umberward.local import statecore
 from umberward.local.statecore import StateCore
 from umberward.protocol import wire
-from umberward.protocol.transactions import VersionedValue
+from umberward.protocol.transactions import AbsentKey, VersionedValue
 
 
 class SimulatedStore:
@@ -37,13 +37,13 @@
     def write_count(self) -> int:
         return self.core.write_count
 
-    async def get(self, key: Key, *_: Any, **__: Any) -> VersionedValue | None:
+    async def get(self, key: Key, *_: Any, **__: Any) -> VersionedValue | AbsentKey:
         self.requests += 1
         await curio.sleep(0)  # let other tasks run
         record_message("read", key, self.mode)
         if self.mode == "down":
             raise state_client.StateUnavailableError("down")
-        return self.keys.get(key)
+        return self.keys.get(key) or AbsentKey(key, Revision(self.revision))
 
     async def list_all(self, prefix: str) -> tuple[list[wire.KeyValue], Revision]:
         self.requests += 1
--- a/tests/test_bounded_memory.py
+++ b/tests/test_bounded_memory.py
@@ -11,17 +11,19 @@
 from cluster_settings import job_spec
 from simulated_controllers import SimulatedControllers
 
+from umberward.control import rejection_log
 from umberward.scheduling import heartbeat_forwarding, scheduler
 
 CONTAINERS = (dict, set, list, deque)
 # Low limits of the tables that keep what is over for a time.
-CACHED_RECORDS, REMEMBERED_WORKERS, DELETED_MACHINES = 10, 6, 4
+CACHED_RECORDS, REMEMBERED_WORKERS, DELETED_MACHINES, KEPT_ANSWERS = 10, 6, 4, 10
 # Tables that the load must reach.
 EXPECTED_TABLES = {
     "AbsentJobCache._lookups",
     "Scheduler.machines",
     "DependencyGraph.dependencies",
     "JobStateCache.final_records",
+    "RejectionLog._kept",
 }
 KINDS: list[dict[str, Any]] = [
     {"shape": "service", "rank": "production"},
@@ -105,6 +107,7 @@
 def test_tables_do_not_grow_with_what_is_over(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(heartbeat_forwarding, "MAX_REMEMBERED_WORKERS", REMEMBERED_WORKERS)
     monkeypatch.setattr(scheduler, "MAX_DELETED_MACHINES_KEPT", DELETED_MACHINES)
+    monkeypatch.setattr(rejection_log, "MAX_KEPT_ANSWERS", KEPT_ANSWERS)
     controllers = SimulatedControllers(size=2, operator={"poll_cache": CACHED_RECORDS})
     with controllers.playing():
         for name in controllers.names:
--- a/tests/test_graph_api.py
+++ b/tests/test_graph_api.py
@@ -16,7 +16,7 @@
 from umberward.graphs.records import CANCELLED
 from umberward.protocol import wire
 from umberward.protocol.http import Response
-from umberward.protocol.transactions import VersionedValue
+from umberward.protocol.transactions import AbsentKey, VersionedValue
 
 GRAPH, OPTIONS = "graph-1", Options(team="red")
 TASKS = [Task("a", []), Task("b", ["a"])]
@@ -34,9 +34,9 @@
     def __getattr__(self, name: str) -> Any:
         return getattr(self._store, name)
 
-    async def get(self, key: Key, **more: Any) -> VersionedValue | None:
+    async def get(self, key: Key, **more: Any) -> VersionedValue | AbsentKey:
         await self._count()
-        found: VersionedValue | None = await self._store.get(key, **more)
+        found: VersionedValue | AbsentKey = await self._store.get(key, **more)
         return found
 
     async def commit(self, conditions: Any, writes: Any, **more: Any) -> Revision:
--- a/tests/test_graph_reader_exploration.py
+++ b/tests/test_graph_reader_exploration.py
@@ -16,7 +16,7 @@
 from umberward.clients.state_client import ListResult, StateClient, StateUnavailableError
 from umberward.core.types import Revision
 from umberward.graphs import records
-from umberward.graphs.errors import GraphRejectedError
+from umberward.graphs.errors import AbsentGraph, GraphRejectedError
 from umberward.graphs.graph_reader import GraphReader, StoredGraph
 from umberward.graphs.model import GraphId, Options, Shape
 from umberward.graphs.model import Task as GraphTask
@@ -30,6 +30,7 @@
 from umberward.graphs.task_answers import Phase, TaskAnswers
 from umberward.local.statecore import StateCore
 from umberward.protocol import wire
+from umberward.protocol.transactions import VersionedValue
 
 GRAPH = GraphId("graph-1")
 # The task that fails is of the first array, so that its record is read before that of the other.
@@ -181,12 +182,16 @@
 
 
 def test_some_order_fails_if_the_past_record_is_read_first(monkeypatch: pytest.MonkeyPatch) -> None:
-    async def read_record(self: GraphReader, graph_id: GraphId) -> GraphRecord | EndRecord | None:
+    async def read_record(
+        self: GraphReader, graph_id: GraphId
+    ) -> GraphRecord | EndRecord | AbsentGraph:
         past = await self.store.get(records.past_key(graph_id))
-        if past is not None:
+        if isinstance(past, VersionedValue):
             return wire.convert(past.data, EndRecord)
         live = await self.store.get(records.live_key(graph_id))
-        return None if live is None else wire.convert(live.data, GraphRecord)
+        if isinstance(live, VersionedValue):
+            return wire.convert(live.data, GraphRecord)
+        return AbsentGraph(live, past)
 
     monkeypatch.setattr(GraphReader, "read_record", read_record)
     assert explore(GraphReaderWorld).broken == "forgotten"
--- a/tests/test_job_state_exploration.py
+++ b/tests/test_job_state_exploration.py
@@ -15,8 +15,9 @@
 from mutations import MUTATIONS
 
 from umberward.control import job_state_cache
-from umberward.control.absent_jobs import AbsentJobCache
-from umberward.control.job_state_cache import JobState, JobStateCache
+from umberward.control.absent_jobs import AbsentJob, AbsentJobCache
+from umberward.control.job_state_cache import JobStateCache
+from umberward.control.job_states import JobState
 from umberward.core.types import JobId, Revision
 from umberward.protocol import wire
 
@@ -61,7 +62,7 @@
     """A live record that is cached counts more than a final one."""
     original = JobStateCache._lookup
 
-    async def lookup(self: JobStateCache, job_id: JobId) -> JobState | None:
+    async def lookup(self: JobStateCache, job_id: JobId) -> JobState | AbsentJob:
         return self.live_jobs.get(job_id) or await original(self, job_id)
 
     patch.setattr(JobStateCache, "_lookup", lookup)
--- a/tests/test_rejection_log.py
+++ b/tests/test_rejection_log.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterator
 from typing import Any
 
+import mutations
 import pytest
 from cluster_settings import job_spec
 from log_lines import Lines
@@ -165,7 +166,8 @@
     rejections = apis.controllers["k0"].job_api.rejections
     asked = [JobId(f"req-{number:06}") for number in range(MAX_KEPT_ANSWERS + 7)]
     for job_id in asked:
-        rejections.record(JobRequest.POLL, job_id, Response(404))
+        absent = mutations.absence(apis.controllers["k0"].job_states, job_id)
+        rejections.record(JobRequest.POLL, absent, Response(404))
     lines.take()
     for job_id in [*asked, *asked]:
         rejections.note_job_known_to_peer(job_id)
--- a/umberward/clients/state_client.py
+++ b/umberward/clients/state_client.py
@@ -14,6 +14,8 @@
 from typing import Any, NamedTuple
 from urllib.parse import quote
 
+import msgspec
+
 from umberward.clients.errors import (
     CompareAndSwapError,
     LeaseExpiredError,
@@ -31,7 +33,13 @@
 from umberward.core.types import Address, Key, LeaseId, Revision, Version
 from umberward.protocol import wire
 from umberward.protocol.http import Client, NoResponseError, RequestNotSentError, Response
-from umberward.protocol.transactions import NORMAL, URGENT, RequestPriority, VersionedValue
+from umberward.protocol.transactions import (
+    NORMAL,
+    URGENT,
+    AbsentKey,
+    RequestPriority,
+    VersionedValue,
+)
 
 __all__ = [
     "CompareAndSwapError",
@@ -132,6 +140,7 @@
         self._decode_page = wire.decoder(wire.KeyValuePage)
         self._decode_watch = wire.decoder(wire.WatchResponse)
         self._decode_commit = wire.decoder(wire.CommitResponse)
+        self._decode_absence = wire.decoder(wire.AbsenceResponse)
         self._decode_lease = wire.decoder(wire.LeaseResponse)
 
     def set_role(self, *, leading: bool) -> None:
@@ -166,17 +175,28 @@
         priority: RequestPriority = NORMAL,
         timeout: float = READ_TIMEOUT_S,
         budget_wait_s: float = READ_BUDGET_WAIT_S,
-    ) -> VersionedValue | None:
-        """Return the value of a key; None: there is no such key."""
+    ) -> VersionedValue | AbsentKey:
+        """Return the value of a key, or the answer that there is no such key.
+
+        Raises UnexpectedStatusError for a 404 that names no revision: the service did not send it.
+        """
         response = await self._send(
             _Request("GET", f"/kv/{key}", None, timeout, priority, budget_wait_s)
         )
+        operation = f"get {key}"
         if response.status == HTTPStatus.NOT_FOUND:
-            return None
-        _require_ok(response, f"get {key}")
+            return self._absent_key(key, response, operation)
+        _require_ok(response, operation)
         entry = self._decode_entry(response.body)
         return VersionedValue(entry.data, Version(entry.version))
 
+    def _absent_key(self, key: Key, response: Response, operation: str) -> AbsentKey:
+        try:
+            revision = self._decode_absence(response.body).revision
+        except msgspec.DecodeError:
+            raise UnexpectedStatusError(operation, response.status) from None
+        return AbsentKey(key, Revision(revision))
+
     async def list_page(
         self,
         prefix: str,
--- a/umberward/control/absent_jobs.py
+++ b/umberward/control/absent_jobs.py
@@ -1,18 +1,48 @@
-"""A negative cache: job ids that no controller has accepted, so that polls need no request."""
+"""Proof that no controller has accepted a job, and a cache of such proofs.
+
+"Not known" may be told to a user only with an `AbsentJob`, which `JobStateCache` alone makes, from
+answered reads that began after the user's request.
+"""
 
 from __future__ import annotations
 
 from collections import OrderedDict
 from dataclasses import dataclass
 
-from umberward.core.types import JobId
+from umberward.core.types import JobId, Revision
+from umberward.protocol.transactions import AbsentKey
+
+
+@dataclass(frozen=True, slots=True)
+class AbsentJob:
+    """No controller had accepted the job, as two answered reads show together.
+
+    `final_record`: the answer that the job has no final record, received at `looked_up_at`.
+    `read_sent_at`: when the refresh was sent that did not have the job among the live ones, up to
+    `revision`. If it was sent after the lookup, it also covers the time since. Times are by the
+    monotonic clock of the cache, in seconds.
+    """
+
+    job_id: JobId
+    final_record: AbsentKey
+    looked_up_at: float
+    read_sent_at: float
+    revision: Revision | None
+
+
+@dataclass(frozen=True, slots=True)
+class AnsweredLookup:
+    """The answer that a job has no final record, and when it arrived."""
+
+    final_record: AbsentKey
+    answered_at: float  # by the monotonic clock that the cache's owner uses
 
 
 @dataclass(eq=False)
 class AbsenceLookup:
-    """A lookup of a job in the state service; its result is not known until it is confirmed."""
+    """A lookup of a job in the state service; `answer` is None until it is confirmed."""
 
-    confirmed_at: float | None = None  # by the monotonic clock that the cache's owner uses
+    answer: AnsweredLookup | None = None
 
 
 class AbsentJobCache:
@@ -40,19 +70,15 @@
             self._lookups.popitem(last=False)
         return lookup
 
-    def confirm(self, job_id: JobId, lookup: AbsenceLookup, now: float) -> None:
+    def confirm(self, job_id: JobId, lookup: AbsenceLookup, answer: AnsweredLookup) -> None:
         """Record that the lookup found no job, unless it has been discarded or replaced."""
         if self._lookups.get(job_id) is lookup:
-            lookup.confirmed_at = now
-
-    def is_absent(self, job_id: JobId) -> bool:
-        """Whether a confirmed lookup has found that no controller has accepted the job."""
-        return self.confirmed_at(job_id) is not None
+            lookup.answer = answer
 
-    def confirmed_at(self, job_id: JobId) -> float | None:
-        """When a lookup has found that no controller has accepted the job; None if none has."""
+    def answer(self, job_id: JobId) -> AnsweredLookup | None:
+        """The answer of a confirmed lookup, still valid; None if there is none."""
         lookup = self._lookups.get(job_id)
-        return None if lookup is None else lookup.confirmed_at
+        return None if lookup is None else lookup.answer
 
     def discard(self, job_id: JobId) -> None:
         """Remove the job: it has been accepted, or its lookup has failed."""
--- a/umberward/control/job_admission.py
+++ b/umberward/control/job_admission.py
@@ -5,8 +5,9 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import NamedTuple
 
+from umberward.control.absent_jobs import AbsentJob
 from umberward.control.errors import ControllerError
-from umberward.control.job_state_cache import LiveJobState
+from umberward.control.job_states import JobState
 from umberward.core.settings import ControllerLimits, Settings, StateLimits
 from umberward.core.types import (
     JobId,
@@ -82,9 +83,10 @@
 class UnknownDependencyError(JobRejectedError):
     """The job depends on a job that no controller has accepted."""
 
-    def __init__(self, dependency: JobId) -> None:
-        """`dependency`: the one that is not allowed."""
-        super().__init__(f"waits_on: {dependency} was never accepted")
+    def __init__(self, dependency: AbsentJob) -> None:
+        """`dependency`: the one that is not allowed, with the proof that it is not known."""
+        super().__init__(f"waits_on: {dependency.job_id} was never accepted")
+        self.dependency = dependency
 
 
 class ServiceDependencyError(JobRejectedError):
@@ -212,18 +214,17 @@
 
 
 def resolve_dependencies(
-    states: Mapping[JobId, LiveJobState | FinalJobRecord | None],
+    states: Mapping[JobId, JobState | AbsentJob],
 ) -> DependencyOutcome:
     """Evaluate the states of a job's dependencies, in the order given by the job.
 
-    A state is None if no controller has accepted the job. Raises JobRejectedError for a dependency
-    that is not allowed.
+    Raises JobRejectedError for a dependency that is not allowed.
     """
     unfinished = []
     cancelled: JobId | None = None
     for dependency, state in states.items():
-        if state is None:
-            raise UnknownDependencyError(dependency)
+        if isinstance(state, AbsentJob):
+            raise UnknownDependencyError(state)
         if isinstance(state, FinalJobRecord):
             if state.phase != wire.DONE:
                 cancelled = cancelled or dependency
--- a/umberward/control/job_api.py
+++ b/umberward/control/job_api.py
@@ -8,17 +8,20 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import overload
 
 import msgspec
 
 from umberward.clients import state_client
 from umberward.clients.state_client import StateClient
+from umberward.control.absent_jobs import AbsentJob
 from umberward.control.errors import ControllerError
 from umberward.control.job_admission import (
     JobAdmission,
     JobRejectedError,
     SelfDependencyError,
     Submission,
+    UnknownDependencyError,
     extract_job_id,
     resolve_dependencies,
 )
@@ -27,7 +30,8 @@
     final_response,
     state_response,
 )
-from umberward.control.job_state_cache import JobStateCache, LiveJobState
+from umberward.control.job_state_cache import JobStateCache
+from umberward.control.job_states import LiveJobState
 from umberward.control.rejection_log import JobRequest, RejectionLog
 from umberward.control.responses import error_response
 from umberward.control.stored_jobs import done_task_count, final_key, live_key
@@ -37,6 +41,7 @@
 from umberward.core.types import JobId, MachineTypeName, TeamName, Version, WallTime
 from umberward.protocol import transactions, wire
 from umberward.protocol.http import Response
+from umberward.protocol.transactions import AbsentKey
 from umberward.protocol.wire import (
     CANCELLED,
     FinalJobRecord,
@@ -55,6 +60,7 @@
 RETRY_AFTER_S = 1.0
 OUTAGE_RETRY_AFTER_S = 2.0
 STATE_UNREACHABLE = "the state service is unreachable"
+UNPROVED_ABSENCE = "the read that does not have the job is older than the request"
 NO_COMPLETIONS = "0"  # an empty bitmap
 NO_RECORD = Version(0)  # the version of a key that does not exist
 
@@ -111,8 +117,9 @@
         Responds 201 for a newly accepted job, 200 for one accepted before, 400 or 422 with a reason
         for one that is malformed or can never run, and 429 or 503 if the user should retry later.
         """
+        arrived_at = self.job_states.clock()
         try:
-            return await self._submit(body)
+            return await self._submit(body, arrived_at)
         except state_client.RateBudgetExceededError as error:
             log.info(
                 "submission_not_accepted",
@@ -123,14 +130,12 @@
             log.info("submission_not_accepted", error=error)
             return Response(503, retry_after=OUTAGE_RETRY_AFTER_S)
 
-    async def _submit(self, body: bytes) -> Response:
+    async def _submit(self, body: bytes, arrived_at: float) -> Response:
         try:
             submission = self.admission.decode(body)
         except wire.MalformedMessageError as error:
-            # A repeated submission of an accepted job gets its state, whatever the body contains.
             job_id = extract_job_id(body)
-            existing = await self._existing_job_response(job_id)
-            return existing or self._refused_response(job_id, 400, str(error))
+            return await self._known_or_refused_response(job_id, 400, str(error), arrived_at)
         final = self.job_states.final_records.get(submission.job_id)
         if final is not None:
             return final_response(submission.job_id, final)
@@ -142,23 +147,37 @@
             if submission.job_id in submission.dependencies:
                 raise SelfDependencyError  # rejected like an infeasible job
         except JobRejectedError as error:
-            existing = await self._existing_job_response(submission.job_id)
-            return existing or self._refused_response(submission.job_id, 422, str(error))
+            job_id = submission.job_id
+            return await self._known_or_refused_response(job_id, 422, str(error), arrived_at)
         if submission.dependencies:
-            return await self._submit_dependent(submission)
+            return await self._submit_dependent(submission, arrived_at)
         return await self._store_submission(submission.job_id, submission.record)
 
-    async def _submit_dependent(self, submission: Submission) -> Response:
+    async def _known_or_refused_response(
+        self, job_id: JobId | None, status: int, reason: str, arrived_at: float
+    ) -> Response:
+        """The state of a job accepted before, whatever the submission contains; else a refusal."""
+        existing = await self._existing_job_response(job_id)
+        if isinstance(existing, Response):
+            return existing
+        return self._refused_response(existing, status, reason, arrived_at)
+
+    async def _submit_dependent(self, submission: Submission, arrived_at: float) -> Response:
         """Submit a job with dependencies, all of which must already have been accepted."""
         job_id, record, dependencies = submission
         states = await self.job_states.states([job_id, *dependencies])
-        if states.pop(job_id) is not None:
+        own_state = states.pop(job_id)
+        if not isinstance(own_state, AbsentJob):
             # Accepted before: return its state, whatever the states of its dependencies are.
-            return await self._existing_job_response(job_id) or _retry_later_response()
+            existing = await self._existing_job_response(job_id)
+            return existing if isinstance(existing, Response) else _retry_later_response()
         try:
             outcome = resolve_dependencies(states)
+        except UnknownDependencyError as error:
+            self._require_proof_since(error.dependency, arrived_at)
+            return self._refused_response(own_state, 422, str(error), arrived_at)
         except JobRejectedError as error:
-            return self._refused_response(job_id, 422, str(error))
+            return self._refused_response(own_state, 422, str(error), arrived_at)
         if outcome.cancelled is not None:
             final = FinalJobRecord(CANCELLED, cancelled_by=outcome.cancelled)
             return await self._store_submission(job_id, final)
@@ -181,7 +200,7 @@
             except (state_client.CompareAndSwapError, state_client.UnknownOutcomeError):
                 # Accepted before, or the outcome is unknown: read the stored state to find out.
                 existing = await self._existing_job_response(job_id)
-                if existing is not None:
+                if isinstance(existing, Response):
                     return existing
             except state_client.RateBudgetExceededError:
                 raise  # `submit` responds with the time to wait
@@ -204,13 +223,16 @@
 
     async def poll(self, job_id: JobId) -> Response:
         """Respond 200 with the job's state, 404 if no controller has accepted it, or 503."""
+        arrived_at = self.job_states.clock()
         try:
             final = self.job_states.final_records.get(job_id)
             if final is not None:
                 return final_response(job_id, final)
             self._require_state_service()
-            response = await self._existing_job_response(job_id, urgent=False)
-            return response or self._unknown_job_response(JobRequest.POLL, job_id)
+            found = await self._existing_job_response(job_id, urgent=False)
+            if isinstance(found, Response):
+                return found
+            return self._unknown_job_response(JobRequest.POLL, found, arrived_at)
         except (state_client.StateUnavailableError, state_client.UnknownOutcomeError) as error:
             log.debug("poll_not_answered", job=job_id, error=error)
             return _retry_later_response()
@@ -222,11 +244,12 @@
 
         Responds 404 if no controller has accepted the job, and 429 or 503 if the user should retry.
         """
+        arrived_at = self.job_states.clock()
         try:
             self._require_state_service()
             for _ in range(MAX_CANCEL_ATTEMPTS):
                 try:
-                    response = await self._try_cancel(job_id)
+                    response = await self._try_cancel(job_id, arrived_at)
                 except JobChangedError:
                     continue
                 self._report_cancellation(job_id)
@@ -237,15 +260,15 @@
             log.info("cancellation_not_accepted", job=job_id, error=error)
         return _retry_later_response()
 
-    async def _try_cancel(self, job_id: JobId) -> Response:
+    async def _try_cancel(self, job_id: JobId, arrived_at: float) -> Response:
         """Try once to cancel the job. Raises JobChangedError if this should be retried."""
         live = await self.store.get(live_key(job_id))
-        if live is None:
+        if isinstance(live, AbsentKey):
             # A single transaction replaces the live record by the final one, so an accepted job
             # without a live record has ended.
             state = await self.job_states.state(job_id, urgent=True)
-            if state is None:
-                return self._unknown_job_response(JobRequest.CANCEL, job_id)
+            if isinstance(state, AbsentJob):
+                return self._unknown_job_response(JobRequest.CANCEL, state, arrived_at)
             if isinstance(state, FinalJobRecord):
                 return final_response(job_id, state)
             raise JobChangedError(job_id)
@@ -314,29 +337,57 @@
         if not self.callbacks.is_state_reachable():
             raise state_client.StateUnavailableError(STATE_UNREACHABLE)
 
+    @overload
+    async def _existing_job_response(
+        self, job_id: JobId, *, urgent: bool = True
+    ) -> Response | AbsentJob: ...
+
+    @overload
     async def _existing_job_response(
         self, job_id: JobId | None, *, urgent: bool = True
-    ) -> Response | None:
-        """The state of an accepted job; None without an id or if no controller has accepted it.
+    ) -> Response | AbsentJob | None: ...
+
+    async def _existing_job_response(
+        self, job_id: JobId | None, *, urgent: bool = True
+    ) -> Response | AbsentJob | None:
+        """The state of an accepted job, or the proof that there is none; None without an id.
 
         A lookup that is not urgent may be delayed to share a read with others.
         """
         if job_id is None:
             return None
         state = await self.job_states.state(job_id, urgent=urgent)
-        if state is None:
-            return None
+        if isinstance(state, AbsentJob):
+            return state
         if isinstance(state, FinalJobRecord):
             return final_response(job_id, state)
         return self._live_response(job_id, state)
 
-    def _unknown_job_response(self, request: JobRequest, job_id: JobId) -> Response:
-        self.callbacks.report_unknown(job_id)
-        return self.rejections.record(request, job_id, Response(404))
+    def _require_proof_since(self, absent: AbsentJob, arrived_at: float) -> None:
+        """Raise StateUnavailableError for a proof that is older than the request.
+
+        The job may have been accepted in between, and its user told so by another controller.
+        """
+        if absent.read_sent_at < arrived_at:
+            self.rejections.note_unproved_absence(absent, arrived_at)
+            raise state_client.StateUnavailableError(UNPROVED_ABSENCE)
 
-    def _refused_response(self, job_id: JobId | None, status: int, reason: str) -> Response:
+    def _unknown_job_response(
+        self, request: JobRequest, absent: AbsentJob, arrived_at: float
+    ) -> Response:
+        """404. Raises StateUnavailableError if that is not proved for the time of the request."""
+        self._require_proof_since(absent, arrived_at)
+        self.callbacks.report_unknown(absent.job_id)
+        return self.rejections.record(request, absent, Response(404))
+
+    def _refused_response(
+        self, absent: AbsentJob | None, status: int, reason: str, arrived_at: float
+    ) -> Response:
+        """400 or 422; `absent`: None if the submission has no valid id. Raises as for a 404."""
+        if absent is not None:
+            self._require_proof_since(absent, arrived_at)
         response = error_response(status, reason)
-        return self.rejections.record(JobRequest.SUBMIT, job_id, response, reason)
+        return self.rejections.record(JobRequest.SUBMIT, absent, response, reason)
 
     def _live_response(self, job_id: JobId, state: LiveJobState) -> Response:
         return state_response(
--- a/umberward/control/job_state_cache.py
+++ b/umberward/control/job_state_cache.py
@@ -17,21 +17,22 @@
 
 from umberward.clients import state_client
 from umberward.clients.state_client import StateClient
-from umberward.control.absent_jobs import AbsentJobCache
+from umberward.control.absent_jobs import AbsentJob, AbsentJobCache, AnsweredLookup
+from umberward.control.job_states import JobState, LiveJobState, decode_final, decode_live
 from umberward.control.revision_history import RevisionHistory
-from umberward.control.stored_jobs import done_task_count, final_key, live_key
+from umberward.control.stored_jobs import final_key, live_key
 from umberward.core.actor import PendingRequest
 from umberward.core.log import logger
 from umberward.core.settings import Settings
 from umberward.core.types import JobId, Revision
 from umberward.protocol import wire
+from umberward.protocol.transactions import AbsentKey, VersionedValue
 from umberward.protocol.wire import (
     CANCELLED,
     FINAL_JOBS_PREFIX,
     JOBS_PREFIX,
     LIVE_JOBS_PREFIX,
     FinalJobRecord,
-    JobRecord,
 )
 from umberward.scheduling.dependencies import DependencyGraph
 from umberward.scheduling.lease_bounds import LeaseBounds
@@ -55,20 +56,15 @@
 STALE_ANSWER = "the job state that was read is out of date"
 
 
-class LiveJobState(NamedTuple):
-    """The state of a live job, as far as it is shown to users."""
-
-    placed_below: int  # tasks with lower numbers may have been placed
-    done_count: int
-    service: bool
-    has_dependencies: bool  # the stored record names dependencies
+class RefreshRequested(NamedTuple):
+    """Requests a refresh that includes everything stored before this message was sent."""
 
 
-JobState = LiveJobState | FinalJobRecord
+class _Refresh(NamedTuple):
+    """When a refresh was sent, and the revision up to which it applied all changes."""
 
-
-class RefreshRequested(NamedTuple):
-    """Requests a refresh that includes everything stored before this message was sent."""
+    sent_at: float
+    revision: Revision | None
 
 
 class JobStateCache:
@@ -104,8 +100,8 @@
 
     # ---- reads -------------------------------------------------------------------------
 
-    async def state(self, job_id: JobId, *, urgent: bool = False) -> JobState | None:
-        """The job's state at the time of the call or later; None if no controller accepted it.
+    async def state(self, job_id: JobId, *, urgent: bool = False) -> JobState | AbsentJob:
+        """The job's state at the time of the call or later.
 
         A request that is not urgent waits up to BATCH_WINDOW_S for others. Raises
         StateUnavailableError or UnknownOutcomeError if the state service can't be read in time.
@@ -123,7 +119,7 @@
             if now - requested_at > MAX_ANSWER_TIME_S:
                 raise state_client.StateUnavailableError(STALE_ANSWER)
 
-    async def states(self, job_ids: list[JobId]) -> dict[JobId, JobState | None]:
+    async def states(self, job_ids: list[JobId]) -> dict[JobId, JobState | AbsentJob]:
         """The states of many jobs, after a single refresh.
 
         Every job that was accepted before the call is found. A job that ends during the call may
@@ -173,13 +169,14 @@
 
     # ---- lookups -----------------------------------------------------------------------
 
-    async def _lookup(self, job_id: JobId) -> JobState | None:
+    async def _lookup(self, job_id: JobId) -> JobState | AbsentJob:
         """The job's state as of the latest refresh, with further requests if necessary."""
         # A final record takes precedence: it may have been returned to a user during the refresh.
         state = self.final_records.get(job_id) or self.live_jobs.get(job_id)
         if state is None:
-            if self.absent_jobs.is_absent(job_id):
-                return None
+            answer = self.absent_jobs.answer(job_id)
+            if answer is not None:
+                return self._absent_job(job_id, answer, self._latest_refresh())
             return await self._lookup_stored(job_id)
         if isinstance(state, LiveJobState) and state.has_dependencies and not state.placed_below:
             return await self._lookup_dependent(job_id, state)
@@ -195,7 +192,7 @@
             final = self.final_records.get(dependency)
             if final is not None:
                 self.dependency_graph.note_ended(dependency, final.phase)
-            elif await self._lookup_stored(dependency) is None:
+            elif isinstance(await self._lookup_stored(dependency), AbsentJob):
                 reason = f"the state of the dependency {dependency} is not known yet"
                 raise state_client.StateUnavailableError(reason)
         cause = self.dependency_graph.cancelled_by.get(job_id)
@@ -203,39 +200,52 @@
             return FinalJobRecord(CANCELLED, cancelled_by=cause)
         return self.final_records.get(job_id, state)
 
-    async def _lookup_stored(self, job_id: JobId) -> JobState | None:
+    async def _lookup_stored(self, job_id: JobId) -> JobState | AbsentJob:
         """The stored state of a job that was not live as of the latest refresh."""
         lookup = self.absent_jobs.begin(job_id)
+        refresh = self._latest_refresh()
         # Decided now: a listing during the read below may no longer have the job, if it ends.
         is_listing_old = self.clock() - self.listed_at > RECENT_LISTING_S
         try:
             stored_final = await self.store.get(final_key(job_id))
-            stored_live = None
-            if stored_final is None and is_listing_old:
+            stored_live: VersionedValue | AbsentKey | None = None
+            if isinstance(stored_final, AbsentKey) and is_listing_old:
                 stored_live = await self.store.get(live_key(job_id))
-                if stored_live is None:
+                if isinstance(stored_live, AbsentKey):
                     # It may have ended between these reads.
                     stored_final = await self.store.get(final_key(job_id))
         except BaseException:
             self.absent_jobs.discard(job_id)
             raise
-        if stored_final is not None:
+        if not isinstance(stored_final, AbsentKey):
             return self._add_stored_final(job_id, stored_final.data)
-        if stored_live is not None:
+        if isinstance(stored_live, VersionedValue):
             # The cache has missed a job that was accepted: polls must not report it as unknown.
             log.warning("job_missing_from_cache", job=job_id)
             self.absent_jobs.discard(job_id)
             # Not cached: the job may have ended since this record was read.
             self.must_list = True
-            return _decode_live(live_key(job_id), stored_live.data).state
+            return decode_live(live_key(job_id), stored_live.data).state
         # Confirm only now: concurrent requests must not take an unfinished lookup for a result.
-        self.absent_jobs.confirm(job_id, lookup, self.clock())
+        answer = AnsweredLookup(stored_final, self.clock())
+        self.absent_jobs.confirm(job_id, lookup, answer)
         # It may have been accepted during the lookup, and another request answered accordingly.
-        return self.final_records.get(job_id) or self.live_jobs.get(job_id)
+        known = self.final_records.get(job_id) or self.live_jobs.get(job_id)
+        return known or self._absent_job(job_id, answer, refresh)
+
+    def _latest_refresh(self) -> _Refresh:
+        return _Refresh(self.refresh_sent_at, self.watched_revision)
+
+    @staticmethod
+    def _absent_job(job_id: JobId, answer: AnsweredLookup, refresh: _Refresh) -> AbsentJob:
+        """The proof of an answered lookup, and a refresh that has not shown the job since."""
+        return AbsentJob(
+            job_id, answer.final_record, answer.answered_at, refresh.sent_at, refresh.revision
+        )
 
     def _add_stored_final(self, job_id: JobId, data: object) -> FinalJobRecord:
         """Add a stored final record. Raises StateUnavailableError if it can't be decoded."""
-        final = _decode_final(data, final_key(job_id))
+        final = decode_final(data, final_key(job_id))
         if final is None:
             reason = f"the stored final record of {job_id} can't be decoded"
             raise state_client.StateUnavailableError(reason)
@@ -335,7 +345,7 @@
         elif change.put_key is not None and change.put_key.startswith(LIVE_JOBS_PREFIX):
             self._apply_live(change.put_key, change.data)
         elif change.put_key is not None and change.put_key.startswith(FINAL_JOBS_PREFIX):
-            final = _decode_final(change.data, change.put_key)
+            final = decode_final(change.data, change.put_key)
             if final is not None:
                 self.add_final_record(JobId(change.put_key[len(FINAL_JOBS_PREFIX) :]), final)
 
@@ -345,7 +355,7 @@
         self.absent_jobs.discard(job_id)
         self.on_job_known(job_id)
         self.dependency_graph.note_live(job_id)
-        decoded = _decode_live(key, data)
+        decoded = decode_live(key, data)
         self.live_jobs[job_id] = decoded.state
         if decoded.dependencies is None:
             return
@@ -353,42 +363,3 @@
             self.dependency_graph.add(job_id, decoded.dependencies)
         else:
             self.dependency_graph.note_not_waiting(job_id)
-
-
-class DecodedLiveJob(NamedTuple):
-    """A live job's state and the jobs that it waits for; None if its record is malformed."""
-
-    state: LiveJobState
-    dependencies: list[JobId] | None
-
-
-def _decode_live(key: str, data: object) -> DecodedLiveJob:
-    """Decode a live job's record; a malformed one gives a job that nothing is known of."""
-    try:
-        record = wire.convert(data, JobRecord)
-        done_count = done_task_count(record)
-        packed = record.dependencies
-        dependencies = wire.unpack_dependencies(packed) if packed else []
-    except (wire.MalformedMessageError, ValueError) as error:
-        # The job was accepted nevertheless, so polls must find it.
-        _log_malformed_record(key, error)
-        state = LiveJobState(0, 0, service=False, has_dependencies=False)
-        return DecodedLiveJob(state, None)
-    is_service = record.spec.kind == wire.SERVICE
-    state = LiveJobState(record.placed_below, done_count, is_service, bool(dependencies))
-    return DecodedLiveJob(state, dependencies)
-
-
-def _decode_final(data: object, key: str) -> FinalJobRecord | None:
-    """The final record, or just its phase if it is malformed; None if that is invalid too."""
-    try:
-        return wire.convert(data, FinalJobRecord)
-    except wire.MalformedMessageError as error:
-        _log_malformed_record(key, error)
-    phase = data.get("phase") if isinstance(data, dict) else None
-    return FinalJobRecord(phase) if phase in (wire.DONE, CANCELLED) else None
-
-
-def _log_malformed_record(key: str, error: Exception) -> None:
-    """Log a malformed record without a traceback: the fault is in the record."""
-    log.error("record_malformed", key=key, error=error)
--- a/umberward/control/machine_types.py
+++ b/umberward/control/machine_types.py
@@ -12,6 +12,7 @@
 from umberward.core.log import logger
 from umberward.core.types import Key, MachineTypeName, Version
 from umberward.protocol import transactions, wire
+from umberward.protocol.transactions import AbsentKey
 from umberward.protocol.wire import MachineType, MachineTypeList
 
 log = logger(__name__)
@@ -64,7 +65,7 @@
         """Load the list from the state service; return whether it was found."""
         try:
             stored = await self.store.get(MACHINE_TYPES_KEY)
-            if stored is None:
+            if isinstance(stored, AbsentKey):
                 return False
             record = wire.convert(stored.data, MachineTypeList)
         except (
--- a/umberward/control/rejection_log.py
+++ b/umberward/control/rejection_log.py
@@ -12,10 +12,11 @@
 from enum import StrEnum
 from typing import NamedTuple
 
+from umberward.control.absent_jobs import AbsentJob
 from umberward.control.job_state_cache import JobStateCache
 from umberward.core.log import logger
 from umberward.core.rate_limited_log import RateLimitedLog
-from umberward.core.types import JobId, Revision
+from umberward.core.types import JobId
 from umberward.protocol.http import Response
 
 log = logger(__name__)
@@ -23,6 +24,7 @@
 AGE_DIGITS = 3  # decimal places of ages in seconds
 MAX_KEPT_ANSWERS = 500
 YOUNG_PROCESS_S = 30.0  # all answers of a process are written until then
+UNPROVED_ABSENCE = "unproved_absence"
 SAMPLE_INTERVAL_S = 60.0  # between two lines of an event that are written without a suspicion
 
 
@@ -47,19 +49,15 @@
 class RejectedRequest(NamedTuple):
     """An answer with its evidence; times are by the monotonic clock, in seconds.
 
-    `looked_up_at` is when the lookup was answered that found no job; None if none was. `revision`
-    is what the latest refresh covered.
+    `absent` is the proof that the job is not known; None if the request names no job.
     """
 
     request: JobRequest
     status: int
-    job_id: JobId | None
+    absent: AbsentJob | None
     reason: str
     answered_at: float
-    looked_up_at: float | None
-    refreshed_at: float
     listed_at: float
-    revision: Revision | None
 
     @property
     def event(self) -> str:
@@ -90,13 +88,15 @@
         self._next_sample_at: dict[str, float] = {}  # by event
 
     def record(
-        self, request: JobRequest, job_id: JobId | None, response: Response, reason: str = ""
+        self, request: JobRequest, absent: AbsentJob | None, response: Response, reason: str = ""
     ) -> Response:
-        """Count a response and return it. `job_id`: None if the request names none."""
+        """Count a response and return it. `absent`: None if the request names no job."""
         self.counts[f"{request}_{response.status}"] += 1
-        rejected = self._rejected_request(request, job_id, response.status, reason)
-        if job_id is not None:
-            self._keep(job_id, rejected)
+        rejected = RejectedRequest(
+            request, response.status, absent, reason, self.clock(), self.job_states.listed_at
+        )
+        if absent is not None:
+            self._keep(absent.job_id, rejected)
         occasion = self._occasion(rejected)
         if occasion is not None:
             fields = self._fields(rejected, occasion)
@@ -112,26 +112,22 @@
         if job_id in self._kept:
             self._write_kept(job_id, Occasion.JOB_APPEARED)
 
+    def note_unproved_absence(self, absent: AbsentJob, arrived_at: float) -> None:
+        """An answer was withheld, as its proof is older than the request: a fault of this code."""
+        self.counts[UNPROVED_ABSENCE] += 1
+        log.error(
+            "invariant_violated",
+            invariant=UNPROVED_ABSENCE,
+            job=absent.job_id,
+            too_old_s=round(arrived_at - absent.read_sent_at, AGE_DIGITS),
+            revision=absent.revision,
+            times=self.counts[UNPROVED_ABSENCE],
+        )
+
     def summary(self) -> str:
         """The counts of this process for a log line."""
         return ",".join(f"{name}:{count}" for name, count in sorted(self.counts.items()))
 
-    def _rejected_request(
-        self, request: JobRequest, job_id: JobId | None, status: int, reason: str
-    ) -> RejectedRequest:
-        states = self.job_states
-        return RejectedRequest(
-            request,
-            status,
-            job_id,
-            reason,
-            self.clock(),
-            None if job_id is None else states.absent_jobs.confirmed_at(job_id),
-            states.refresh_sent_at,
-            states.listed_at,
-            states.watched_revision,
-        )
-
     def _keep(self, job_id: JobId, rejected: RejectedRequest) -> None:
         self._kept[job_id] = rejected
         self._kept.move_to_end(job_id)
@@ -160,22 +156,21 @@
     def _fields(self, rejected: RejectedRequest, occasion: Occasion) -> dict[str, object]:
         """The fields of a line; ages are those at the time of the answer."""
         answered_at = rejected.answered_at
-        looked_up_at = rejected.looked_up_at
+        absent = rejected.absent
         fields: dict[str, object] = {
             "request": rejected.request.value,
             "status": rejected.status,
             "occasion": occasion.value,
         }
-        if rejected.job_id is not None:
+        if absent is not None:
             fields |= {
-                "job": rejected.job_id,
+                "job": absent.job_id,
                 "answered_s": round(self.clock() - answered_at, AGE_DIGITS),
-                "looked_up_s": (
-                    None if looked_up_at is None else round(answered_at - looked_up_at, AGE_DIGITS)
-                ),
-                "refreshed_s": round(answered_at - rejected.refreshed_at, AGE_DIGITS),
+                "looked_up_s": round(answered_at - absent.looked_up_at, AGE_DIGITS),
+                "looked_up_revision": absent.final_record.revision,
+                "refreshed_s": round(answered_at - absent.read_sent_at, AGE_DIGITS),
                 "listed_s": round(answered_at - rejected.listed_at, AGE_DIGITS),
-                "revision": rejected.revision,
+                "revision": absent.revision,
                 "uptime_s": round(answered_at - self.started_at, AGE_DIGITS),
             }
         if rejected.reason:
--- a/umberward/graphs/errors.py
+++ b/umberward/graphs/errors.py
@@ -2,6 +2,12 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
+from umberward.protocol.transactions import AbsentKey
+
+NO_SUCH_GRAPH = "no such graph"
+
 
 class GraphRejectedError(Exception):
     """A request about a graph is rejected; the error text is sent to the user."""
@@ -12,6 +18,34 @@
         self.status = status
 
 
+@dataclass(frozen=True, slots=True)
+class AbsentGraph:
+    """No such graph was accepted: it has no live record, and then no past one either.
+
+    `GraphReader` alone makes it, from two answered reads in this order.
+    """
+
+    live_record: AbsentKey
+    past_record: AbsentKey
+
+
+class UnknownGraphError(GraphRejectedError):
+    """No such graph was accepted."""
+
+    def __init__(self, absent: AbsentGraph) -> None:
+        """`absent`: the proof."""
+        super().__init__(404, NO_SUCH_GRAPH)
+        self.absent = absent
+
+
+class InvalidGraphNameError(GraphRejectedError):
+    """The name in a request's path is none that a graph can have."""
+
+    def __init__(self) -> None:
+        """Create the error."""
+        super().__init__(404, NO_SUCH_GRAPH)
+
+
 class MalformedGraphError(ValueError):
     """The tasks form no valid graph, or need a resource that no machine has."""
 
--- a/umberward/graphs/graph_api.py
+++ b/umberward/graphs/graph_api.py
@@ -12,7 +12,7 @@
 from umberward.core.settings import Settings
 from umberward.core.types import MAX_TASKS_PER_JOB, MachineTypeName, WallTime
 from umberward.graphs import model, records
-from umberward.graphs.errors import GraphRejectedError
+from umberward.graphs.errors import GraphRejectedError, InvalidGraphNameError
 from umberward.graphs.graph_reader import GraphReader, StoredGraph
 from umberward.graphs.graph_submission import MAX_ATTEMPTS, RETRY_AFTER_S, GraphSubmission
 from umberward.graphs.model import GraphId, parse_graph_id
@@ -20,6 +20,7 @@
 from umberward.graphs.task_answers import Phase, TaskAnswers
 from umberward.protocol import transactions, wire
 from umberward.protocol.http import Response
+from umberward.protocol.transactions import AbsentKey
 from umberward.protocol.wire import MachineType
 
 log = logger(__name__)
@@ -144,7 +145,7 @@
         """
         for _ in range(MAX_ATTEMPTS):
             entry = await self._store.get(records.live_key(graph_id))
-            if entry is None:
+            if isinstance(entry, AbsentKey):
                 if await self._cancel_incomplete(graph_id):
                     continue
                 stored = await self._reader.find(graph_id)
@@ -173,7 +174,7 @@
         False if it was cancelled or nothing of it is stored.
         """
         entry = await self._store.get(records.open_key(graph_id))
-        if entry is None:
+        if isinstance(entry, AbsentKey):
             return False
         opening = wire.convert(entry.data, OpeningRecord)
         record = GraphRecord(opening.options, opening.at, 0, [], entry.version)
@@ -230,7 +231,7 @@
     """Return the graph id in a request's path; raise GraphRejectedError (404) if it is invalid."""
     graph_id = parse_graph_id(name)
     if graph_id is None:
-        raise GraphRejectedError(404, "no such graph")
+        raise InvalidGraphNameError
     return graph_id
 
 
--- a/umberward/graphs/graph_reader.py
+++ b/umberward/graphs/graph_reader.py
@@ -9,11 +9,12 @@
 from umberward.clients.state_client import StateClient
 from umberward.core.log import logger
 from umberward.graphs import records
-from umberward.graphs.errors import GraphRejectedError
+from umberward.graphs.errors import AbsentGraph, UnknownGraphError
 from umberward.graphs.model import GraphId, Shape
 from umberward.graphs.records import EndRecord, GraphRecord, IncompleteGraphError, Progress
 from umberward.graphs.store import read_progress, read_tasks
 from umberward.protocol import wire
+from umberward.protocol.transactions import AbsentKey
 
 # The name of the module that this code was split from: log lines keep their logger name.
 log = logger("umberward.graphs.graph_api")
@@ -49,31 +50,32 @@
         self._shapes: OrderedDict[GraphId, _CachedShape] = OrderedDict()
         self._ended_graphs: OrderedDict[GraphId, StoredGraph] = OrderedDict()
 
-    async def read_record(self, graph_id: GraphId) -> GraphRecord | EndRecord | None:
-        """Return the graph's live or past record, or None if no such graph was accepted.
+    async def read_record(self, graph_id: GraphId) -> GraphRecord | EndRecord | AbsentGraph:
+        """Return the graph's live or past record, or the proof that no such graph was accepted.
 
         One transaction moves a graph from live to past, so the live key must be read first.
         """
-        if graph_id in self._ended_graphs:
-            return self._ended_graphs[graph_id].end
-        entry = await self.store.get(records.live_key(graph_id))
-        if entry is not None:
-            return wire.convert(entry.data, GraphRecord)
-        entry = await self.store.get(records.past_key(graph_id))
-        if entry is not None:
-            return wire.convert(entry.data, EndRecord)
-        return None
+        ended_graph = self._ended_graphs.get(graph_id)
+        if ended_graph is not None and ended_graph.end is not None:
+            return ended_graph.end
+        live = await self.store.get(records.live_key(graph_id))
+        if not isinstance(live, AbsentKey):
+            return wire.convert(live.data, GraphRecord)
+        past = await self.store.get(records.past_key(graph_id))
+        if not isinstance(past, AbsentKey):
+            return wire.convert(past.data, EndRecord)
+        return AbsentGraph(live, past)
 
     async def find(self, graph_id: GraphId) -> StoredGraph:
-        """Return the graph with its progress; raise GraphRejectedError (404) if it is unknown."""
+        """Return the graph with its progress; raise UnknownGraphError if it was never accepted."""
         if graph_id in self._ended_graphs:
             return self._ended_graphs[graph_id]
         # Progress is read first: if the live record still exists after that, the progress is recent
         # enough; once the live record is deleted, the progress no longer changes.
         progress = await read_progress(self.store, graph_id)
         record = await self.read_record(graph_id)
-        if record is None:
-            raise GraphRejectedError(404, "no such graph")
+        if isinstance(record, AbsentGraph):
+            raise UnknownGraphError(record)
         if isinstance(record, GraphRecord):
             return StoredGraph(record, None, progress)
         # The final progress may have been stored after the read above.
--- a/umberward/graphs/graph_submission.py
+++ b/umberward/graphs/graph_submission.py
@@ -22,7 +22,7 @@
 from umberward.core.settings import Settings
 from umberward.core.types import Key, MachineTypeName, Version, WallTime
 from umberward.graphs import model, records
-from umberward.graphs.errors import GraphRejectedError
+from umberward.graphs.errors import AbsentGraph, GraphRejectedError
 from umberward.graphs.graph_reader import GraphReader
 from umberward.graphs.model import GraphId, Part, Task, parse_graph_id
 from umberward.graphs.records import (
@@ -36,6 +36,7 @@
 from umberward.graphs.task_answers import Phase
 from umberward.protocol import transactions, wire
 from umberward.protocol.http import Response
+from umberward.protocol.transactions import AbsentKey
 from umberward.protocol.wire import MachineType
 from umberward.scheduling.quota import Quota
 
@@ -104,12 +105,14 @@
         except GraphRejectedError:
             # A repeated submission of an accepted graph gets its state, whatever the body contains.
             graph_id = parse_graph_id(wire.extract_uid(body))
-            if graph_id is None or await self._reader.read_record(graph_id) is None:
+            if graph_id is None or isinstance(
+                await self._reader.read_record(graph_id), AbsentGraph
+            ):
                 raise
             return await self._poll(graph_id)
         for _ in range(MAX_ATTEMPTS):
             known = await self._reader.read_record(submission.graph_id)
-            if known is not None:
+            if not isinstance(known, AbsentGraph):
                 return await self._answer_known(submission, known)
             if not self._machine_types:
                 return Response(503, retry_after=RETRY_AFTER_S)
@@ -204,7 +207,7 @@
         graph_id, part, _, digest = submission
         opened = await self._open_submission(submission)
         stored_head = await self._store.get(records.head_key(graph_id, opened, part.part))
-        if stored_head is None:
+        if isinstance(stored_head, AbsentKey):
             await self._store_part(submission, opened)
         elif wire.convert(stored_head.data, PartRecord).digest != digest:
             raise GraphRejectedError(
@@ -249,12 +252,12 @@
         graph_id, part, _, _ = submission
         key = records.open_key(graph_id)
         entry = await self._store.get(key)
-        if entry is None:
+        if isinstance(entry, AbsentKey):
             record = OpeningRecord(round(self._wall(), 3), part.parts, part.options)
             conditions = [(key, NO_SUCH_KEY), *_not_accepted_conditions(graph_id)]
             await self._commit(conditions, [transactions.put(key, record)])
             entry = await self._store.get(key)
-            if entry is None:
+            if isinstance(entry, AbsentKey):
                 raise state_client.CompareAndSwapError(key)
         opening = wire.convert(entry.data, OpeningRecord)
         if (opening.parts, opening.options) != (part.parts, part.options):
--- a/umberward/leader/final_record_lookup.py
+++ b/umberward/leader/final_record_lookup.py
@@ -12,6 +12,7 @@
 from umberward.leader.leader_context import LeaderContext
 from umberward.leader.messages import JobEnded
 from umberward.protocol import wire
+from umberward.protocol.transactions import AbsentKey
 from umberward.protocol.wire import FINAL_JOBS_PREFIX, FinalJobRecord
 
 log = logger(__name__)
@@ -52,6 +53,6 @@
             await self.context.leader_loop.tell(JobEnded(job_id, wire.to_builtins(final)))
             return
         stored = await self.context.store.get(Key(FINAL_JOBS_PREFIX + job_id))
-        if stored is not None:
+        if not isinstance(stored, AbsentKey):
             await self.context.leader_loop.tell(JobEnded(job_id, stored.data))
         # Otherwise the job is still live in the state service, and the watch will report its end.
--- a/umberward/leader/live_job_sweeper.py
+++ b/umberward/leader/live_job_sweeper.py
@@ -14,6 +14,7 @@
 from umberward.leader.leader_context import LeaderContext
 from umberward.leader.messages import LiveJobsPageRead, UnknownJobRead
 from umberward.protocol import transactions
+from umberward.protocol.transactions import AbsentKey
 from umberward.protocol.wire import LIVE_JOBS_PREFIX
 
 log = logger(__name__)
@@ -50,5 +51,5 @@
         for job_id in await leader_loop.ask(LiveJobsPageRead(page.entries)) or ():
             # The page may be outdated by now, so read the record again.
             stored = await store.get(Key(LIVE_JOBS_PREFIX + job_id))
-            if stored is not None:
+            if not isinstance(stored, AbsentKey):
                 await leader_loop.tell(UnknownJobRead(job_id, stored))
--- a/umberward/protocol/state_messages.py
+++ b/umberward/protocol/state_messages.py
@@ -50,6 +50,12 @@
     changes: list[KeyChange]
 
 
+class AbsenceResponse(msgspec.Struct, rename={"revision": "generation"}):
+    """The state service's response to GET /kv/KEY if there is no such key at `revision`."""
+
+    revision: int
+
+
 class CommitResponse(msgspec.Struct, rename={"revision": "generation"}):
     """The state service's response to POST /commit: the revision of the transaction."""
 
--- a/umberward/protocol/transactions.py
+++ b/umberward/protocol/transactions.py
@@ -6,11 +6,12 @@
 from __future__ import annotations
 
 import enum
+from dataclasses import dataclass
 from typing import Any
 
 import msgspec
 
-from umberward.core.types import Key, LeaseId, Version
+from umberward.core.types import Key, LeaseId, Revision, Version
 from umberward.protocol import wire
 
 
@@ -39,6 +40,14 @@
     version: Version
 
 
+@dataclass(frozen=True, slots=True)
+class AbsentKey:
+    """The state service's answer that there is no such key, as of a revision."""
+
+    key: Key
+    revision: Revision
+
+
 def put(key: Key, data: object, lease: LeaseId | None = None) -> dict[str, Any]:
     """A write that stores `data` under `key`; the key is deleted when its `lease` ends."""
     write: dict[str, Any] = {"write": key, "data": wire.to_builtins(data)}
--- a/umberward/protocol/wire.py
+++ b/umberward/protocol/wire.py
@@ -64,6 +64,7 @@
 )
 from umberward.protocol.job_spec import JobSpec, Name, NonNegative, Positive
 from umberward.protocol.state_messages import (
+    AbsenceResponse,
     CommitResponse,
     KeyChange,
     KeyValue,
@@ -118,6 +119,7 @@
     "SNAPSHOT_PREFIX",
     "START",
     "WAITING_FOR_GANG",
+    "AbsenceResponse",
     "BlockRecord",
     "CloudMachine",
     "CloudMachinePage",
--- a/umberward/scheduling/scheduler.py
+++ b/umberward/scheduling/scheduler.py
@@ -28,7 +28,7 @@
     ZoneName,
 )
 from umberward.protocol import wire
-from umberward.protocol.transactions import VersionedValue
+from umberward.protocol.transactions import AbsentKey, VersionedValue
 from umberward.protocol.wire import Heartbeat, JobRecord, MachineType
 from umberward.scheduling import summaries
 from umberward.scheduling.cluster_state import ClusterState, CommandMessage, Probe
@@ -190,7 +190,7 @@
             self.apply_job_end(job.id, final, final.ended_at or self.wall_clock())
             self.remove_job(job.id)
 
-    def reconcile_key(self, key: Key, found: VersionedValue | None) -> None:
+    def reconcile_key(self, key: Key, found: VersionedValue | AbsentKey) -> None:
         """Apply the stored value of a key after a conflict or an unknown outcome."""
         for job_id in self.state_writer.reconcile_key(key, found):
             self.remove_job(job_id)
--- a/umberward/scheduling/state_writer.py
+++ b/umberward/scheduling/state_writer.py
@@ -14,6 +14,7 @@
 from umberward.core.settings import StateLimits
 from umberward.core.types import Instant, JobId, Key, MachineId, Version
 from umberward.protocol import transactions, wire
+from umberward.protocol.transactions import AbsentKey, VersionedValue
 from umberward.protocol.wire import BLOCKS_PREFIX, LIVE_JOBS_PREFIX
 from umberward.scheduling.cluster_state import ClusterState
 from umberward.scheduling.dependencies import BlockedJobs
@@ -252,8 +253,8 @@
 
     # ---- after a conflict or an unknown outcome ----------------------------------------
 
-    def reconcile_key(self, key: Key, found: transactions.VersionedValue | None) -> list[JobId]:
-        """Apply the value that the state service has under `key` (None: no value).
+    def reconcile_key(self, key: Key, found: VersionedValue | AbsentKey) -> list[JobId]:
+        """Apply the value that the state service has under `key`, or that there is none.
 
         Return the jobs whose live record was deleted, or of which a condition no longer holds.
         """
@@ -266,24 +267,22 @@
         job = self.cluster.jobs.get(job_id) or self.blocked_jobs.jobs.get(job_id)
         if job is None:
             return []
-        if found is None:
+        if isinstance(found, AbsentKey):
             return [job_id]
         self._adopt_stored_record(job, found)
         return []
 
-    def _reconcile_block(self, number: int, found: transactions.VersionedValue | None) -> None:
+    def _reconcile_block(self, number: int, found: VersionedValue | AbsentKey) -> None:
         if number not in self.machine_blocks:
             return
-        if found is None:
+        if isinstance(found, AbsentKey):
             self.machine_blocks.set_version(number, Version(0))
             return
         record = wire.convert(found.data, wire.BlockRecord)
         self.machine_blocks.set_version(number, found.version)
         self.machine_blocks.record_stored(number, {MachineId(name) for name in record.machines})
 
-    def _reconcile_graph_key(
-        self, key: Key, found: transactions.VersionedValue | None
-    ) -> list[JobId]:
+    def _reconcile_graph_key(self, key: Key, found: VersionedValue | AbsentKey) -> list[JobId]:
         """Apply the value of a key of a graph's job arrays: a record or one of the conditions.
 
         Return the jobs of which a condition no longer holds.
@@ -291,16 +290,16 @@
         jobs_to_remove = []
         for job in self.cluster.jobs.values():
             if job.record_key == key:
-                if found is not None:
+                if not isinstance(found, AbsentKey):
                     self._adopt_stored_record(job, found)
             elif any(
-                key == condition_key and (found is None or found.version != version)
+                key == condition_key and (isinstance(found, AbsentKey) or found.version != version)
                 for condition_key, version in job.conditions
             ):
                 jobs_to_remove.append(job.id)
         return jobs_to_remove
 
-    def _adopt_stored_record(self, job: Job, found: transactions.VersionedValue) -> None:
+    def _adopt_stored_record(self, job: Job, found: VersionedValue) -> None:
         """Replace what is known of the job's stored record by its record in the state service."""
         try:
             job.replace_stored_record(job.parse_record(found.data), found.version)
