--- a/tests/explored_job_states.py
+++ b/tests/explored_job_states.py
@@ -150,8 +150,9 @@
 class JobStateWorld:
     """One run of a scenario."""
 
-    def __init__(self, scenario: Scenario) -> None:
+    def __init__(self, scenario: Scenario, store: type[ExploredStore] = ExploredStore) -> None:
         self.scenario = scenario
+        self.store = store(self)
         self.page_entries = scenario.page_entries
         self.now = 100.0
         self.broken: list[str] = []
@@ -171,10 +172,8 @@
         self.core = StateCore()
         for commit in scenario.before:
             self._commit(commit)
-        settings = _settings(scenario.cached_records)
-        self.cache = ExploredCache(settings, ExploredStore(self), lambda: self.now)  # type: ignore[arg-type]
-        self.cache.world = self
-        self.tasks = [Task("refresh", self.cache.run())]
+        self.settings = _settings(scenario.cached_records)
+        self._start_process()
         self.current = self.tasks[0]
         if scenario.once_listed:
             self._list_jobs()
@@ -187,6 +186,11 @@
                 task.wait = Wait(_has_started(self.tasks[-1]))
             self.tasks.append(task)
 
+    def _start_process(self) -> None:
+        self.cache = ExploredCache(self.settings, self.store, lambda: self.now)  # type: ignore[arg-type]
+        self.cache.world = self
+        self.tasks = [Task("refresh", self.cache.run())]
+
     def _list_jobs(self) -> None:
         """Let the controller serve one request for a refresh, with nothing else going on."""
         refresh = self.tasks[0]
