--- a/umberward/local/cluster.py
+++ b/umberward/local/cluster.py
@@ -36,10 +36,12 @@
 from umberward.local.cluster_plan import ClusterPlan as ClusterPlan
 from umberward.local.cluster_plan import Fault as Fault
 from umberward.local.job_descriptions import JobDescriptions
+from umberward.local.shared_tasks import SharedTaskState
 from umberward.local.state_server import StateServer
 from umberward.local.statecore import StateCore
+from umberward.local.task_attempts import TaskOutcome
 from umberward.local.worker_server import WorkerServer
-from umberward.local.workercore import SharedTaskState, TaskOutcome, WorkerCore
+from umberward.local.workercore import WorkerCore
 from umberward.protocol import wire
 from umberward.protocol.http import Client, NoResponseError, RequestNotSentError
 from umberward.protocol.wire import JobSpec
--- a/umberward/local/gangs.py
+++ b/umberward/local/gangs.py
@@ -6,20 +6,10 @@
 from __future__ import annotations
 
 import math
-from typing import TYPE_CHECKING, NamedTuple
 
+from umberward.local.task_attempts import TaskAttempt
 from umberward.protocol import wire
 
-if TYPE_CHECKING:
-    from umberward.local.workercore import TaskAttempt
-
-
-class GangAttempt(NamedTuple):
-    """Identifies an attempt of a gang; each new attempt starts all tasks of the gang again."""
-
-    job_id: str
-    attempt: int
-
 
 class Gang:
     """The tasks of one attempt of a gang, by name, and its common progress.
--- a/umberward/local/workercore.py
+++ b/umberward/local/workercore.py
@@ -9,13 +9,12 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Callable, Sequence
-from typing import NamedTuple
 
 from umberward.core.settings import WorkerTimes
 from umberward.core.types import NO_RESOURCES, Resources
-from umberward.local.gangs import Gang, GangAttempt
+from umberward.local.shared_tasks import SharedTaskState
+from umberward.local.task_attempts import TaskAttempt, TaskOutcome
 from umberward.protocol import wire
 from umberward.protocol.wire import Heartbeat, JobSpec, MachineType, TaskCommand, TaskStatus
 
@@ -28,135 +27,6 @@
 GANG_PEER_LOST = "mates_gone"  # another task of its gang ended early
 
 
-class TaskOutcome(NamedTuple):
-    """How a task that starts to run will end unless it is stopped."""
-
-    seconds: float  # run time, not reduced by what a checkpoint has saved
-    cause: str = wire.DONE
-
-
-class TaskAttempt:
-    """One attempt of a task on one machine."""
-
-    worker: WorkerCore  # that runs it, once it was admitted
-
-    def __init__(self, name: str, attempt: int, spec: JobSpec | None, now: float) -> None:
-        """Start with the fetch of the image. `spec`: None if the job is unknown."""
-        self.name = name
-        self.attempt = attempt
-        self.spec = spec
-        self.phase = wire.PULLING_IMAGE
-        self.phase_since = now
-        self.cause: str | None = None  # why it ended
-        self.stored: bool | None = None  # whether a checkpoint was stored before it ended
-        self.remaining_s = 0.0  # until the image fetch, the run or the checkpoint is complete
-        self.run_s = 0.0  # how long it has run in this attempt
-        self.advanced_at = now  # when its machine last executed it
-        self.planned_cause = wire.DONE  # why it will end unless it is stopped
-        self.peer_loss_noticed_at = math.inf  # when it notices that a task of its gang has ended
-
-    @property
-    def has_ended(self) -> bool:
-        """Whether the attempt has ended."""
-        return self.phase == wire.EXITED
-
-    @property
-    def required_spec(self) -> JobSpec:
-        """The job's description; only for a task whose job is known."""
-        assert self.spec is not None
-        return self.spec
-
-    @property
-    def resources(self) -> Resources:
-        """The resources that the task reserves until it ends."""
-        spec = self.required_spec
-        return Resources(spec.cores, spec.accelerators, spec.mem_gb)
-
-    @property
-    def is_gang_member(self) -> bool:
-        """Whether the task belongs to a gang, whose tasks only run together."""
-        return self.spec is not None and self.spec.kind == wire.GANG
-
-    @property
-    def gang_attempt(self) -> GangAttempt:
-        """The attempt of the gang that this attempt belongs to, if its job is a gang."""
-        return GangAttempt(self.job_id, self.attempt)
-
-    @property
-    def job_id(self) -> str:
-        """The job that the task belongs to."""
-        return self.name.rpartition("/")[0]
-
-    @property
-    def checkpoint_id(self) -> str:
-        """What its checkpoints are stored under: the tasks of a gang have one in common."""
-        return self.job_id if self.is_gang_member else self.name
-
-    def exit(self, cause: str, *, stored: bool | None = None) -> None:
-        """End the attempt; `stored`: whether a checkpoint was stored, None if there was none."""
-        self.phase, self.cause, self.stored = wire.EXITED, cause, stored
-
-
-class SharedTaskState:
-    """The gangs, checkpoints and completed tasks of all machines.
-
-    All workers share one instance: the tasks of a gang run on several machines, and checkpoints can
-    be read from any machine.
-    """
-
-    def __init__(self) -> None:
-        """Start without any tasks."""
-        self.gangs: dict[GangAttempt, Gang] = {}
-        self.saved_run_s: dict[str, float] = {}  # by checkpoint id: run time saved by a checkpoint
-        self.done: set[str] = set()  # tasks that have completed on any machine
-
-    def join(self, task: TaskAttempt) -> Gang:
-        """Add a task to its gang."""
-        if task.gang_attempt not in self.gangs:
-            self.gangs[task.gang_attempt] = Gang(self.saved_run_s.get(task.job_id, 0.0))
-        gang = self.gangs[task.gang_attempt]
-        gang.add(task)
-        return gang
-
-    def gang_of(self, task: TaskAttempt) -> Gang:
-        """The gang of an attempt; one of its own if the task ran twice and its gang has ended."""
-        return self.gangs.get(task.gang_attempt) or self.join(task)
-
-    def leave(self, task: TaskAttempt, now: float, notice_s: float) -> None:
-        """Remove a task that has ended early; the running ones notice that after `notice_s`.
-
-        What the gang has done since its last checkpoint is lost, unless it was stopped in an
-        orderly way.
-        """
-        gang = self.gangs.get(task.gang_attempt)
-        if gang is None or gang.members.get(task.name) is not task:
-            return
-        started = task.phase in (wire.RUNNING, wire.CHECKPOINTING)
-        if started and not task.stored and not gang.failed:
-            gang.failed = True
-            interval_s = task.required_spec.checkpoint_interval_s
-            self.save_progress(task, gang.last_checkpoint_s(interval_s))
-        gang.remove(task)
-        if task.phase == wire.RUNNING:
-            gang.notice_loss(now + notice_s)
-        if not gang.members:
-            del self.gangs[task.gang_attempt]
-
-    def save_progress(self, task: TaskAttempt, run_s: float) -> None:
-        """Store a checkpoint; one of less progress has no effect."""
-        saved_s = self.saved_run_s.get(task.checkpoint_id, 0.0)
-        self.saved_run_s[task.checkpoint_id] = max(saved_s, run_s)
-
-    def complete(self, gang: Gang) -> None:
-        """End all tasks of a gang that has run for its time, on every machine."""
-        members = list(gang.members.values())
-        del self.gangs[members[0].gang_attempt]
-        for member in members:
-            self.done.add(member.name)
-        for member in members:
-            member.worker._exit(member, wire.DONE)  # noqa: SLF001 - the tasks end at one moment
-
-
 def _ignore_exit(_task_id: str, _cause: str) -> None:
     """The default of `WorkerCore.exited`."""
 
--- a/umberward/soak/cluster.py
+++ b/umberward/soak/cluster.py
@@ -18,8 +18,8 @@
 from umberward.local.cluster import ClusterPlan as LocalPlan
 from umberward.local.cluster import LocalCluster
 from umberward.local.links import Links
+from umberward.local.task_attempts import TaskOutcome
 from umberward.local.worker_server import WorkerServer
-from umberward.local.workercore import TaskOutcome
 from umberward.protocol import wire
 from umberward.protocol.http import (
     Handler,
--- a/umberward/soak/worker.py
+++ b/umberward/soak/worker.py
@@ -10,7 +10,8 @@
 from umberward.core.tasks import TaskScope
 from umberward.core.types import Address
 from umberward.local.links import Links
-from umberward.local.workercore import TaskAttempt, WorkerCore
+from umberward.local.task_attempts import TaskAttempt
+from umberward.local.workercore import WorkerCore
 from umberward.protocol.http import Client, NoResponseError, RequestNotSentError, Response
 from umberward.soak import history
 from umberward.soak.history import Event
