--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -4,6 +4,7 @@
 
 import functools
 import itertools
+import re
 import subprocess
 import sys
 from collections.abc import Sequence
@@ -17,6 +18,7 @@
 
 from umberward.cli.main import EXIT_KNOWN_FAULT
 from umberward.core import event_loop
+from umberward.core.known_faults import KNOWN_FAULTS
 from umberward.local.builds import (
     ControllerBuild,
     current_build,
@@ -41,6 +43,8 @@
 READY_POLL_S = 0.05
 NOTICE_TIMEOUT_S = 15.0  # for the logs of the peers to name a controller's build
 
+EXCERPT_LINES = 15
+EXCERPT_AFTER_S = 12.0  # after a start: long enough for a second line of state
 PATCH_RELEASE_COMMIT = "0fcfe804504e75ed3a700572259f04cfae41ee30"
 
 # A version that takes a lookup in progress for its result, and the changes that mend it.
@@ -122,9 +126,25 @@
         finally:
             self.cluster._stop_processes()
 
+    async def upgrade_and_read_excerpts(self) -> list[list[str]]:
+        """The end of each log once the asked controller runs this version too."""
+        try:
+            async with self.cluster.task_scope:
+                await self.cluster._start()
+                await self._builds_heard()
+                self.cluster.next_builds[ASKED] = current_build()
+                await self._restart()
+                await curio.sleep(EXCERPT_AFTER_S)
+                names = self.cluster.controller_names
+                return [self._lines_of(name)[-EXCERPT_LINES:] for name in names]
+        finally:
+            self.cluster._stop_processes()
+
+    def _lines_of(self, name: str) -> list[str]:
+        return (self.cluster.folder / f"{name}.log").read_text().splitlines()
+
     def _lines_of_peers(self) -> list[list[str]]:
-        names = self.cluster.controller_names[OTHER:]
-        return [(self.cluster.folder / f"{name}.log").read_text().splitlines() for name in names]
+        return [self._lines_of(name) for name in self.cluster.controller_names[OTHER:]]
 
     async def _builds_heard(self) -> None:
         """Wait until the controllers of this version have logged the builds of all."""
@@ -288,6 +308,20 @@
     assert described.startswith("keeper-0 unknown (unless it is 0.1.1 or later, has ")
 
 
+def test_excerpt_of_every_log_names_builds_leader_and_a_faulty_process_that_has_ended(
+    faulty_build: ControllerBuild, tmp_path: Path
+) -> None:
+    cluster = UpgradedCluster(faulty_build, tmp_path)
+    excerpts: list[list[str]] = event_loop.run(cluster.upgrade_and_read_excerpts)
+    this_build = current_build().name
+    for excerpt in excerpts:
+        (*_, state) = [line for line in excerpt if ": controller_state " in line]
+        assert f" builds={this_build}:keeper-0,keeper-1,keeper-2 " in state
+        assert re.search(rf" known_faults={KNOWN_FAULTS[0].name}:keeper-0@[0-9.]+ ", state)
+        assert re.search(r" leader=keeper-\d token=\d+ leader_read_s=\d", state)
+    assert len(excerpts) == 3
+
+
 def test_peers_and_command_line_name_no_known_fault_of_this_version(tmp_path: Path) -> None:
     notices = fault_notices(current_build(), tmp_path)
     assert notices.by_peers == [[], []]
