Heads of requests without a body are not cached: they differ each time

Change: only heads of requests with a body are cached. The test for it fails on the code before (the cache grows by one entry a watch).

--- a/tests/test_http_head_caches.py
+++ b/tests/test_http_head_caches.py
@@ -19,6 +19,7 @@
 from umberward.protocol.http import Request, Response, Server, client, messages, server
 from umberward.protocol.http.client import Client
 from umberward.protocol.http.connection import Connection
+from umberward.protocol.http.messages import RequestHead
 
 CHUNKED = b"transfer-encoding: chunked\r\n"
 
@@ -160,7 +161,7 @@
         sock = FakeSocket(message.reads)
         state = h11.Connection(h11.CLIENT)
         connection = client._PooledConnection(sock, state)  # type: ignore[arg-type]
-        head = client._RequestHead("GET", "/", "x", 0)
+        head = RequestHead("GET", "/", "x", 0)
         response = await Client._round_trip(connection, head, b"")
         assert sock.reads == []  # nothing of it is left for the next response
         return response
@@ -169,3 +170,22 @@
         return [await exchange(message) for message in sent]
 
     assert curio.run(run) == [_response_by_h11(message) for message in sent]
+
+
+def test_heads_of_requests_that_differ_each_time_take_no_memory() -> None:
+    """Watches and lookups filled the caches of heads for 24 minutes: memory grew as in a leak."""
+
+    def sizes() -> list[int]:
+        caches = (messages._cached_request_head, messages._cached_request_head_bytes)
+        return [cache.cache_info().currsize for cache in caches]
+
+    before = sizes()
+    for revision in range(100):
+        head = RequestHead("GET", f"/watch?prefix=jobs/&from={revision}", "state:1", 0)
+        assert f"from={revision} ".encode() in messages.request_head_bytes(head)
+    assert sizes() == before
+    for length in range(1, 11):
+        head = RequestHead("POST", "/commit", "other-state:1", length)
+        for _ in range(2):
+            assert b"content-length: %d\r\n" % length in messages.request_head_bytes(head)
+    assert sizes() == [size + 10 for size in before]
--- a/umberward/protocol/http/client.py
+++ b/umberward/protocol/http/client.py
@@ -17,6 +17,7 @@
 from umberward.protocol.http.messages import (
     END_OF_MESSAGE,
     NoResponseError,
+    RequestHead,
     RequestNotSentError,
     Response,
     request_head,
@@ -33,15 +34,6 @@
 PARSER_UNUSED = (h11.IDLE, h11.IDLE)  # the response head was cached, so h11 was bypassed
 
 
-class _RequestHead(NamedTuple):
-    """The fields of a request's head."""
-
-    method: str
-    target: str
-    host: str
-    length: int
-
-
 class _PooledConnection(NamedTuple):
     """An open connection and its h11 state."""
 
@@ -81,7 +73,7 @@
         if may_send is not None and not may_send():
             await self._close(connection.sock)
             raise RequestNotSentError(f"{method} {address}: no longer valid when ready to be sent")
-        head = _RequestHead(method, target, str(address), len(body))
+        head = RequestHead(method, target, str(address), len(body))
         wait_s = max(deadline - time.monotonic(), MIN_TIMEOUT_S)
         try:
             response: Response = await curio.timeout_after(
@@ -191,17 +183,17 @@
 
     @staticmethod
     async def _round_trip(
-        connection: _PooledConnection, head: _RequestHead, body: bytes
+        connection: _PooledConnection, head: RequestHead, body: bytes
     ) -> Response:
         sock, state = connection
-        await sock.sendall(request_head_bytes(*head) + body)
+        await sock.sendall(request_head_bytes(head) + body)
         data = await receive(sock)
         cached = response_head_cache.lookup(data)
         if cached is not None:
             (status, retry_after), response_body = cached
             return Response(status, response_body, retry_after)
         # The head is not cached: pass the request to h11 as well, so that it parses the response.
-        state.send(request_head(*head))
+        state.send(request_head(head))
         if body:
             state.send(h11.Data(data=body))
         state.send(END_OF_MESSAGE)
--- a/umberward/protocol/http/messages.py
+++ b/umberward/protocol/http/messages.py
@@ -70,9 +70,35 @@
     return h11.Response(status_code=status, headers=headers)
 
 
-@lru_cache(CACHED_HEADS)
-def request_head(method: str, target: str, host: str, length: int) -> h11.Request:
-    """The head of a request with a body of `length` bytes."""
+class RequestHead(NamedTuple):
+    """The fields of the head of a request with a body of `length` bytes."""
+
+    method: str
+    target: str
+    host: str
+    length: int
+
+    @property
+    def is_repeated(self) -> bool:
+        """Whether the same head is likely to be sent again.
+
+        A request without a body says all it asks for in its target, which differs each time.
+        """
+        return self.length > 0
+
+
+def request_head(head: RequestHead) -> h11.Request:
+    """The head of a request, as h11 takes it."""
+    return _cached_request_head(head) if head.is_repeated else _build_request_head(head)
+
+
+def request_head_bytes(head: RequestHead) -> bytes:
+    """The encoded head of a request."""
+    return _cached_request_head_bytes(head) if head.is_repeated else _encode_request_head(head)
+
+
+def _build_request_head(head: RequestHead) -> h11.Request:
+    method, target, host, length = head
     headers = [("host", host)]
     if length or method == "POST":
         headers.append(("content-type", "application/msgpack"))
@@ -90,10 +116,12 @@
     return state.send(response_head(status, length, retry_after, False)) or b""  # noqa: FBT003
 
 
-@lru_cache(CACHED_HEADS)
-def request_head_bytes(method: str, target: str, host: str, length: int) -> bytes:
-    """The encoded head of a request."""
-    return h11.Connection(h11.CLIENT).send(request_head(method, target, host, length)) or b""
+def _encode_request_head(head: RequestHead) -> bytes:
+    return h11.Connection(h11.CLIENT).send(request_head(head)) or b""
+
+
+_cached_request_head = lru_cache(CACHED_HEADS)(_build_request_head)
+_cached_request_head_bytes = lru_cache(CACHED_HEADS)(_encode_request_head)
 
 
 ParsedHead = TypeVar("ParsedHead")
