--- a/tests/test_build_identity.py
+++ b/tests/test_build_identity.py
@@ -12,6 +12,7 @@
 from simulated_controllers import SimulatedControllers
 
 from umberward import __version__
+from umberward.cli import builds as builds_command
 from umberward.cli import main as cli
 from umberward.control import controller_builds
 from umberward.control.controller import Controller
@@ -138,9 +139,9 @@
     config.write_text(tomli_w.dumps(raw))
     record = {"node": "n0", "build": "0.5.0+ab"}
     page = wire.KeyValuePage([wire.KeyValue("controllers/n0", record, Version(1), None)], 1)
-    monkeypatch.setattr(cli, "ask", lambda *_: Response(200, wire.encode(page)))
+    monkeypatch.setattr(builds_command, "ask", lambda *_: Response(200, wire.encode(page)))
     result = CliRunner().invoke(cli.main, ["builds", "--config", str(config)])
-    assert result.exit_code == cli.EXIT_KNOWN_FAULT
+    assert result.exit_code == builds_command.EXIT_KNOWN_FAULT
     first, second = result.output.splitlines()
     assert first == "n0 0.5.0+ab"
     assert second.startswith("n1 unknown (unless it is 0.1.1 or later, has the known fault ")
@@ -150,10 +151,10 @@
         for name in ("n0", "n1")
     ]
     monkeypatch.setattr(
-        cli, "ask", lambda *_: Response(200, wire.encode(wire.KeyValuePage(known, 1)))
+        builds_command, "ask", lambda *_: Response(200, wire.encode(wire.KeyValuePage(known, 1)))
     )
     result = CliRunner().invoke(cli.main, ["builds", "--config", str(config)])
     assert (result.exit_code, result.output) == (0, "n0 0.5.0+ab\nn1 0.5.0+ab\n")
-    monkeypatch.setattr(cli, "ask", lambda *_: Response(503))
+    monkeypatch.setattr(builds_command, "ask", lambda *_: Response(503))
     assert CliRunner().invoke(cli.main, ["builds", "--config", str(config)]).exit_code == 1
     assert __version__ in CliRunner().invoke(cli.main, ["--version"]).output
--- a/tests/test_builds.py
+++ b/tests/test_builds.py
@@ -7,8 +7,13 @@
 from pathlib import Path
 
 import pytest
+from click.testing import CliRunner
 
+from umberward.cli.builds import EXIT_KNOWN_FAULT
+from umberward.cli.main import main
+from umberward.cli.settings_files import EXIT_INVALID_SETTINGS
 from umberward.local.builds import (
+    DEPLOY_FILE,
     BuildNotAvailableError,
     current_build,
     export_build,
@@ -16,6 +21,8 @@
     repository_root,
 )
 
+PATCH_RELEASE = "0fcfe804504e75ed3a700572259f04cfae41ee30"
+
 
 @pytest.fixture
 def repository(tmp_path: Path) -> Path:
@@ -84,11 +91,38 @@
 
 @pytest.mark.parametrize("text", ["", "production = 7\n", "production ="])
 def test_deploy_file_without_a_production_commit_is_refused(tmp_path: Path, text: str) -> None:
-    (tmp_path / "deploy").mkdir()
-    (tmp_path / "deploy/service.toml").write_text(text)
+    deploy_file = tmp_path / "service.toml"
+    deploy_file.write_text(text)
     with pytest.raises(BuildNotAvailableError, match="production"):
-        production_commit(tmp_path)
+        production_commit(deploy_file)
 
 
 def test_production_commit_of_this_repository_is_read() -> None:
-    assert len(production_commit(repository_root())) == 40
+    assert len(production_commit(repository_root() / DEPLOY_FILE)) == 40
+
+
+@pytest.mark.parametrize(
+    ("production", "exit_code", "expected"),
+    [
+        ("e3e27d45fba9c421791ba7becade9d7c9039dc79", EXIT_KNOWN_FAULT, PATCH_RELEASE),
+        (PATCH_RELEASE, 0, "(no known fault)"),
+        ("e4ec351f691f7eab2a1b41ebcf73f40b87a16687", 0, "(no known fault)"),  # says 0.1.0 too
+        ("f" * 40, EXIT_INVALID_SETTINGS, "is not a commit"),
+        ("", EXIT_INVALID_SETTINGS, "is not a commit"),
+        (None, EXIT_INVALID_SETTINGS, "records no production commit"),
+    ],
+)
+def test_recorded_version_with_a_known_fault_is_named_before_a_roll(
+    tmp_path: Path,
+    production: str | None,
+    exit_code: int,
+    expected: str,
+) -> None:
+    checkout = tmp_path / "checkout"
+    subprocess.run(["git", "clone", "-q", "-s", "-n", repository_root(), checkout], check=True)
+    deploy_file = checkout / "service.toml"
+    if production is not None:
+        deploy_file.write_text(f'production = "{production}"\n')
+    result = CliRunner().invoke(main, ["builds", "--deploy", str(deploy_file)])
+    assert (result.exit_code, expected in result.output) == (exit_code, True), result.output
+    assert (f'production = "{PATCH_RELEASE}"' in result.output) == (exit_code == EXIT_KNOWN_FAULT)
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -16,10 +16,11 @@
 import msgspec
 import pytest
 
-from umberward.cli.main import EXIT_KNOWN_FAULT
+from umberward.cli.builds import EXIT_KNOWN_FAULT
 from umberward.core import event_loop
 from umberward.core.known_faults import KNOWN_FAULTS
 from umberward.local.builds import (
+    DEPLOY_FILE,
     ControllerBuild,
     current_build,
     export_build,
@@ -208,7 +209,7 @@
 def production_build(tmp_path_factory: pytest.TempPathFactory) -> ControllerBuild:
     repository = repository_root()
     folder = tmp_path_factory.mktemp("production")
-    return export_build(production_commit(repository), repository, folder)
+    return export_build(production_commit(repository / DEPLOY_FILE), repository, folder)
 
 
 @pytest.fixture(scope="module")
--- a/umberward/cli/main.py
+++ b/umberward/cli/main.py
@@ -5,7 +5,6 @@
 import gc
 import os
 import sys
-from http import HTTPStatus
 from pathlib import Path
 from typing import BinaryIO
 
@@ -13,34 +12,25 @@
 import msgspec
 
 from umberward.cli.asking import ask, print_response, server_option
+from umberward.cli.builds import builds
 from umberward.cli.graph import graph
 from umberward.cli.load import load as load_command
 from umberward.cli.local import local
+from umberward.cli.settings_files import (
+    EXIT_INVALID_SETTINGS,
+    config_option,
+    load_settings,
+    properties_option,
+)
 from umberward.cli.soak import soak
 from umberward.cli.soak_memory import soak_memory
 from umberward.core.build_identity import read_build
-from umberward.core.known_faults import find_faults
-from umberward.core.settings import Settings, SettingsError, load
 from umberward.core.types import Address
 from umberward.protocol import wire
 
 GC_THRESHOLD_OBJECTS = 10_000  # allocations that trigger a collection of the youngest generation
-EXIT_INVALID_SETTINGS = 2
-EXIT_KNOWN_FAULT = 3
-
-_config = click.option(
-    "--config",
-    "config",
-    required=True,
-    type=click.Path(path_type=Path),
-    help="The platform's settings file (TOML).",
-)
-_properties = click.option(
-    "--properties",
-    envvar="UMBERWARD_PROPERTIES",
-    type=click.Path(path_type=Path),
-    help="The operators' own settings (Java-style properties).",
-)
+
+_config = config_option(required=True)
 
 
 def _print_version(context: click.Context, _: click.Parameter, *, value: bool) -> None:
@@ -63,6 +53,7 @@
     """umberward: a cluster scheduler."""
 
 
+main.add_command(builds)
 main.add_command(graph)
 main.add_command(load_command)
 main.add_command(local)
@@ -72,10 +63,10 @@
 
 @main.command()
 @_config
-@_properties
+@properties_option
 def run(config: Path, properties: Path | None) -> None:
     """Run one controller until it is killed."""
-    settings = _load(config, properties)
+    settings = load_settings(config, properties)
     _log_to_stderr(settings.operator.log_format)
     from umberward.control.controller import Controller
     from umberward.core import event_loop
@@ -88,10 +79,10 @@
 
 @main.command()
 @_config
-@_properties
+@properties_option
 def check(config: Path, properties: Path | None) -> None:
     """Check a settings file and print a summary of it."""
-    settings = _load(config, properties)
+    settings = load_settings(config, properties)
     platform = settings.platform
     click.echo(
         f"{config}: controller {platform.label} of {platform.cluster.size},"
@@ -99,33 +90,6 @@
     )
 
 
-@main.command()
-@_config
-@_properties
-def builds(config: Path, properties: Path | None) -> None:
-    """Show the build that each controller has stored, "unknown" for versions before 0.5.
-
-    Exits with status 3 if one of them has a known fault, or may have one.
-    """
-    from umberward.control.controller_builds import builds_by_controller
-    from umberward.leader.leader_election import CONTROLLER_KEY_PREFIX
-
-    settings = _load(config, properties)
-    response = ask(settings.state, "GET", f"/kv?prefix={CONTROLLER_KEY_PREFIX}")
-    if response.status != HTTPStatus.OK:
-        print_response(response)
-    page = wire.decoder(wire.KeyValuePage)(response.body)
-    names = [settings.platform.label, *settings.peers]
-    has_fault = False
-    for name, build in builds_by_controller(page.entries, names).items():
-        faults = find_faults(build)
-        has_fault = has_fault or bool(faults)
-        notes = "".join(f" ({match.describe()})" for match in faults)
-        click.echo(f"{name} {build}{notes}")
-    if has_fault:
-        sys.exit(EXIT_KNOWN_FAULT)
-
-
 @main.command()
 @server_option
 @click.option(
@@ -165,15 +129,6 @@
     print_response(ask(server, "POST", f"/v1/jobs/{job_id}/cancel"))
 
 
-def _load(config: Path, properties: Path | None) -> Settings:
-    """Read the settings; exits with status 2 if they are invalid."""
-    try:
-        return load(config, properties)
-    except SettingsError as error:
-        click.echo(f"umberward: {error}", err=True)
-        sys.exit(EXIT_INVALID_SETTINGS)
-
-
 def _log_to_stderr(log_format: str) -> None:
     """Log in the given format, from the level in LOG_LEVEL; exits with 2 if that is unknown."""
     from umberward.core import log
--- a/umberward/cli/soak.py
+++ b/umberward/cli/soak.py
@@ -142,7 +142,7 @@
     try:
         commit = options.beside
         if commit == PRODUCTION:
-            commit = builds.production_commit(repository)
+            commit = builds.production_commit(repository / builds.DEPLOY_FILE)
         return BuildPair(builds.current_build(), builds.export_build(commit, repository, folder))
     except builds.BuildNotAvailableError as error:
         click.echo(f"soak: --beside: {error}", err=True)
--- a/umberward/core/known_faults.py
+++ b/umberward/core/known_faults.py
@@ -21,7 +21,9 @@
     """A fault of every version before `mended_release`.
 
     `symptom` is what callers see, and `page` describes it. A version whose peer status has the
-    field `excluding_status_field` is later than the mend.
+    field `excluding_status_field` is later than the mend. A commit whose history has one of
+    `mending_commits` is free of the fault; `patch_commit` is the release that differs least from
+    the versions with it.
     """
 
     name: str
@@ -29,6 +31,8 @@
     mended_release: Release
     excluding_status_field: str
     page: str
+    mending_commits: tuple[str, ...]
+    patch_commit: str
 
     @property
     def mended_in(self) -> str:
@@ -43,6 +47,11 @@
         mended_release=(0, 1, 1),
         excluding_status_field="heard_age",
         page="docs/operators/upgrades.md",
+        mending_commits=(
+            "e4ec351f691f7eab2a1b41ebcf73f40b87a16687",
+            "6a32a50da810341a4a45ff42cff151715e9a89f3",
+        ),
+        patch_commit="0fcfe804504e75ed3a700572259f04cfae41ee30",
     ),
 )
 
--- a/umberward/local/builds.py
+++ b/umberward/local/builds.py
@@ -16,6 +16,7 @@
 PACKAGE = "umberward"
 DEPLOY_FILE = "deploy/service.toml"
 COMMIT_NAME_LENGTH = 12  # characters of the commit id in the name of its build
+NOT_AN_ANCESTOR = 1  # exit status of git merge-base --is-ancestor
 START_TIMEOUT_S = 30.0  # for the check that a build can be loaded
 
 
@@ -49,19 +50,18 @@
     return Path(__file__).resolve().parents[2]
 
 
-def production_commit(repository: Path) -> str:
-    """The commit that the deploy file records as running in production.
+def production_commit(deploy_file: Path) -> str:
+    """The commit that a deploy file records as running in production.
 
     Raises BuildNotAvailableError.
     """
-    path = repository / DEPLOY_FILE
     try:
-        commit = tomllib.loads(path.read_text())["production"]
-    except (OSError, tomllib.TOMLDecodeError, KeyError) as error:
-        reason = f"{DEPLOY_FILE} records no production commit: {error}"
+        commit = tomllib.loads(deploy_file.read_text())["production"]
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError, KeyError) as error:
+        reason = f"{deploy_file} records no production commit: {error}"
         raise BuildNotAvailableError(reason) from None
     if not isinstance(commit, str):
-        reason = f"{DEPLOY_FILE}: production is not a text"
+        reason = f"{deploy_file}: production is not a text"
         raise BuildNotAvailableError(reason)
     return commit
 
@@ -72,7 +72,7 @@
     `commit` is anything that git resolves to one; `folder` must exist and be empty. Raises
     BuildNotAvailableError.
     """
-    commit_id = _resolve(commit, repository)
+    commit_id = resolve_commit(commit, repository)
     try:
         archive = _git(repository, "archive", commit_id, PACKAGE)
     except subprocess.CalledProcessError as error:
@@ -85,8 +85,8 @@
     return build
 
 
-def _resolve(commit: str, repository: Path) -> str:
-    """The id of a commit. Raises BuildNotAvailableError."""
+def resolve_commit(commit: str, repository: Path) -> str:
+    """The id of what git resolves to a commit. Raises BuildNotAvailableError."""
     reason = f"{commit!r} is not a commit in the history of the repository"
     if not commit or commit.startswith("-"):
         raise BuildNotAvailableError(reason)
@@ -97,6 +97,19 @@
     return resolved.decode().strip()
 
 
+def has_ancestor(commit: str, ancestor: str, repository: Path) -> bool:
+    """Whether a commit is, or has in its history, another one. Raises BuildNotAvailableError."""
+    ancestor_id = resolve_commit(ancestor, repository)
+    try:
+        _git(repository, "merge-base", "--is-ancestor", ancestor_id, commit)
+    except subprocess.CalledProcessError as error:
+        if error.returncode == NOT_AN_ANCESTOR:
+            return False
+        reason = f"git merge-base failed: {_last_line(error.stderr)}"
+        raise BuildNotAvailableError(reason) from None
+    return True
+
+
 def _git(repository: Path, *arguments: str) -> bytes:
     """Run git and return its output. Raises BuildNotAvailableError and CalledProcessError."""
     command = ["git", "-C", str(repository), *arguments]
