Log: one name each for a leader's term and token; times of spans on the log's clock; what 'none' rests on

Cause: four things of the line of state were left to its reader. Change: 'term' (version of the leader's key) and 'token' (newest known), each with the age of the knowledge, in code and log; 'epoch' stays on the wire and in stored data. The age counts from when the key was certainly unchanged, not from when a watch was answered. 'watched_from' is the earliest time from which this controller, or a peer that told it, watched without a gap (a new optional field of the peers' status). Two lines have ten other lines or ten seconds between them. Result: tests by the fields, with both versions' processes, a take-over, a cut leader and a roll; the table of log.md is compared with what is written.

--- a/tests/test_peer_link.py
+++ b/tests/test_peer_link.py
@@ -107,7 +107,7 @@
 ) -> None:
     peers = _peers(answers)
     peers.election.leader = ControllerName("k11")
-    peers.election.leader_key_version = Version(7)
+    peers.election.term = Version(7)
 
     async def ask() -> None:
         await peers.contacts.refresh()
--- a/tests/test_peer_monitor.py
+++ b/tests/test_peer_monitor.py
@@ -12,9 +12,10 @@
 
 from umberward.control import known_fault_log, peer_monitor
 from umberward.control.controller import Controller
+from umberward.control.fault_watch import CHECK_INTERVAL_S
 from umberward.control.known_fault_log import KnownFaultLog
 from umberward.control.peer_messages import PeerStatus, decode
-from umberward.control.peer_monitor import CHECK_INTERVAL_S, PeerMonitor
+from umberward.control.peer_monitor import PeerMonitor
 from umberward.core.build_identity import UNKNOWN_BUILD
 from umberward.core.types import Address
 from umberward.protocol.http import RequestNotSentError, Response
--- a/tests/test_state_log.py
+++ b/tests/test_state_log.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import itertools
+import re
 from collections.abc import Iterator
+from pathlib import Path
 from typing import Any
 
 import pytest
@@ -19,10 +22,14 @@
 )
 from umberward.core import log
 from umberward.core.known_faults import KNOWN_FAULTS
+from umberward.local.links import LinkFault
 
 FAULT = KNOWN_FAULTS[0].name
 FAULTY_BUILD, THIS_BUILD = "0.1.0", "0.5.0"
 EXCERPT_LINES = 15  # what operators keep of a log
+PAGE = Path(__file__).parent.parent / "docs/operators/log.md"
+SAMPLE_S = 0.1
+ROUNDING_S = 0.1  # of the times and ages in a line, together
 
 
 @pytest.fixture(autouse=True)
@@ -57,6 +64,7 @@
     controllers = SimulatedControllers()
     with controllers.playing():
         start_all(controllers)
+        started_at = controllers.now
         controllers.run(20.0)
         controllers.crash("k2")
         controllers.run(5.0)
@@ -74,12 +82,14 @@
     assert len(found) == len(controllers.names)
     for line in found:
         fault, _, span = line["known_faults"].partition(":")
-        name, _, ages = span.partition("@")
-        first_s, last_s = map(float, ages.split(".."))
+        name, _, times = span.partition("@")
+        first, last = map(float, times.split(".."))
         assert (fault, name) == (FAULT, "k2")
-        assert 15.0 < first_s - last_s < 20.5  # it ran for 20 s, and is asked every 2 s
+        assert started_at <= first <= started_at + 4.0  # it is asked every 2 s
+        assert started_at + 16.0 <= last <= started_at + 20.0
+        assert started_at <= line["watched_from"] <= first
         assert line["builds"] == f"{THIS_BUILD}:k0,k1,k2" and line["build"] == THIS_BUILD
-        assert line["leader"] in controllers.names and line["token"] > 0
+        assert line["leader"] in controllers.names and line["token"] >= line["term"] > 0
         assert line["leader_read_s"] < 15.0 and line["uptime_s"] > INTERVAL_S
     assert len({(line["leader"], line["known_faults"].partition(":")[0]) for line in found}) == 1
 
@@ -122,7 +132,121 @@
         excerpt = written[first : first + EXCERPT_LINES]
         (state, *_) = [line for line in excerpt if ": controller_state " in line]
         assert f"{THIS_BUILD}:k0,k1" in state and f"{FAULT}:k2@" in state
-        assert " leader=k" in state and " token=" in state
+        assert " leader=k" in state and " term=" in state and " token=" in state
+
+
+def test_two_lines_have_ten_others_or_ten_seconds_between_them(
+    builds: dict[str, str], capsys: pytest.CaptureFixture[str]
+) -> None:
+    controllers = SimulatedControllers(size=1)
+    states = []  # times of the lines of state, and how many other lines came before each
+    others = 0
+    with controllers.playing():
+        log.configure("info", "lines", cache_loggers=False)
+        start_all(controllers)
+        for step in range(1200):
+            if step % 7 == 0 or 400 < step < 440:  # a line every 0.7 s, at times ten a second
+                log.logger("umberward.busy").info("tasks_preempted")
+            controllers.run(0.1)
+            for line in capsys.readouterr().err.splitlines():
+                if " controller_state " in line:
+                    states.append((controllers.now, others))
+                    others = 0
+                else:
+                    others += 1
+    assert len(states) > 1200 * 0.1 / INTERVAL_S
+    for (earlier, _), (later, lines_between) in itertools.pairwise(states):
+        assert lines_between <= MAX_LINES_BETWEEN + 1
+        assert lines_between >= MAX_LINES_BETWEEN or later - earlier >= INTERVAL_S - ROUNDING_S
+
+
+class LeaderKeyHistory:
+    """Every value of the leader key, sampled from the simulated state service."""
+
+    def __init__(self, controllers: SimulatedControllers) -> None:
+        self.controllers = controllers
+        self.values: list[tuple[float, str | None, int | None]] = []  # from when; leader, term
+
+    def run(self, seconds: float) -> None:
+        """Run the simulation, and note each change of the key."""
+        for _ in range(round(seconds / SAMPLE_S)):
+            self.controllers.run(SAMPLE_S)
+            found = self.controllers.state.core.keys.get("leader")
+            value = (None, None) if found is None else (found.data["node"], found.version)
+            if not self.values or self.values[-1][1:] != value:
+                self.values.append((self.controllers.now, *value))
+
+    def held_since(self, leader: str | None, term: int | None, instant: float) -> bool:
+        """Whether the key had the value at some time from `instant` on."""
+        ends = [began for began, *_ in self.values[1:]] + [float("inf")]
+        return any(
+            (found_leader, found_term) == (leader, term) and end >= instant
+            for (_, found_leader, found_term), end in zip(self.values, ends, strict=True)
+        )
+
+
+def test_leaders_terms_and_tokens_agree_within_the_stated_ages(
+    builds: dict[str, str], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    lines = Lines()
+    monkeypatch.setattr(state_log, "log", lines)
+    monkeypatch.setattr(state_log, "INTERVAL_S", 1.0)
+    builds["k2"] = THIS_BUILD
+    controllers = SimulatedControllers()
+    history = LeaderKeyHistory(controllers)
+    with controllers.playing():
+        start_all(controllers)
+        history.run(10.0)
+        first = controllers.leader()
+        assert first is not None
+        controllers.crash(first)  # a take-over
+        history.run(10.0)
+        controllers.start(first)
+        history.run(5.0)
+        second = str(controllers.leader())
+        cut = {f"{a}-{b}": LinkFault(a, b, "lost") for a, b in (("*", second), (second, "*"))}
+        controllers.network.links.faults.update(cut)  # the leader is cut off
+        history.run(20.0)
+        for name in cut:
+            controllers.network.links.faults.pop(name)
+        history.run(10.0)
+        for name in controllers.names:  # a roll
+            controllers.crash(name)
+            history.run(1.0)
+            controllers.start(name)
+            history.run(6.0)
+        found = lines.of("controller_state")
+    assert len({term for _, _, term in history.values if term is not None}) >= 3
+    for line in found:
+        if line["leader_read_s"] is not None:
+            known_at = line["time"] - line["leader_read_s"] - ROUNDING_S - SAMPLE_S
+            assert history.held_since(line["leader"], line["term"], known_at), line
+        if line["leader"] is not None:
+            assert line["token"] >= line["term"]
+    disagreeing = [
+        (one, other)
+        for one, other in itertools.combinations(found, 2)
+        if abs(one["time"] - other["time"]) <= 1.0
+        and None not in (one["term"], other["term"])
+        and one["term"] != other["term"]
+    ]
+    assert max(max(a["leader_read_s"], b["leader_read_s"]) for a, b in disagreeing) > 15.0
+
+
+def test_page_describes_exactly_the_fields_of_the_line(
+    builds: dict[str, str], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    lines = Lines()
+    monkeypatch.setattr(state_log, "log", lines)
+    controllers = SimulatedControllers(size=1)
+    with controllers.playing():
+        start_all(controllers)
+        controllers.run(5.0)
+    written = set(lines.of("controller_state")[0]) - {"event"}
+    section = PAGE.read_text().partition("### Which build was it")[2].partition("\n## ")[0]
+    cells = [line.split("|")[1] for line in section.splitlines() if line.startswith("| `")]
+    described = [field for cell in cells for field in re.findall("`([a-z_]+)`", cell)]
+    assert sorted(described) == sorted(written)
 
 
 def test_length_of_the_list_of_builds_is_bounded() -> None:
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -318,8 +318,12 @@
     for excerpt in excerpts:
         (*_, state) = [line for line in excerpt if ": controller_state " in line]
         assert f" builds={this_build}:keeper-0,keeper-1,keeper-2 " in state
-        assert re.search(rf" known_faults={KNOWN_FAULTS[0].name}:keeper-0@[0-9.]+ ", state)
-        assert re.search(r" leader=keeper-\d token=\d+ leader_read_s=\d", state)
+        assert re.search(
+            rf" known_faults={KNOWN_FAULTS[0].name}:keeper-0@[0-9.]+ watched_from=[0-9.]+ ", state
+        )
+        assert re.search(
+            r" leader=keeper-\d term=\d+ leader_read_s=\S+ token=\d+ token_read_s=\d", state
+        )
     assert len(excerpts) == 3
 
 
--- a/umberward/control/controller.py
+++ b/umberward/control/controller.py
@@ -111,8 +111,7 @@
                 self.election,
                 self.job_states,
                 self.router.job_api.rejections,
-                self.peers.monitor.builds,
-                self.peers.monitor.fault_history,
+                self.peers.monitor,
             ),
             clock,
         )
--- a/umberward/control/peer_contacts.py
+++ b/umberward/control/peer_contacts.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Sequence
 from typing import NamedTuple
 
 import msgspec
 
 from umberward.control import peer_messages
-from umberward.control.known_fault_history import SightingReport
+from umberward.control.fault_watch import STATUS_TIMEOUT_S
+from umberward.control.known_fault_history import KnownFaultHistory
 from umberward.control.peer_messages import STATUS_PATH, InvalidPeerMessageError, PeerStatus
 from umberward.core.build_identity import UNKNOWN_BUILD
 from umberward.core.settings import Settings
@@ -21,7 +21,7 @@
 # from the state service.
 STATE_CONTACT_TIMEOUT_S = 2.5
 CONTACT_VALID_S = 3.0  # maximum age of a peer's status
-PEER_TIMEOUT_S = 0.5  # short, so that a silent peer does not delay requests to the others
+PEER_TIMEOUT_S = STATUS_TIMEOUT_S
 # A worker whose heartbeat has had no response for 4 s tries the next controller 1 s later. A peer
 # counts as receiving heartbeats if one has arrived within this base plus the heartbeat interval,
 # multiplied by the factor as a margin.
@@ -84,8 +84,10 @@
         """Record that a worker has sent a heartbeat to this controller, whoever answers it."""
         self.heartbeat_at = self.clock()
 
-    def own_status(self, fault_sightings: Sequence[SightingReport] = ()) -> PeerStatus:
+    def own_status(self, fault_history: KnownFaultHistory | None = None) -> PeerStatus:
         """This controller's status, as reported to peers, with what it knows of faulty peers."""
+        watched_s = None if fault_history is None else fault_history.watch.watched_s()
+        fault_sightings = [] if fault_history is None else fault_history.reports()
         now = self.clock()
         build = self.election.build
         is_known = build != UNKNOWN_BUILD
@@ -94,12 +96,13 @@
             name=self.election.name,
             state_contact_age_s=now - self.election.renewal_sent_at,
             leader=self.election.leader,
-            leader_key_version=self.election.leader_key_version,
+            term=self.election.term,
             newest_token=msgspec.UNSET if newest_token is None else newest_token,
             heartbeat_age_s=now - self.heartbeat_at,
             build=build if is_known else msgspec.UNSET,
             uptime_s=now - self.started_at if is_known else msgspec.UNSET,
-            fault_sightings=list(fault_sightings) or msgspec.UNSET,
+            fault_sightings=fault_sightings or msgspec.UNSET,
+            watched_s=msgspec.UNSET if watched_s is None else watched_s,
         )
 
     # ---- the peers ---------------------------------------------------------------------
@@ -133,7 +136,7 @@
             self.contacts_by_peer[peer] = contact
             if contact.has_state_contact and status.leader != self.name:
                 # Another controller may have been elected while this one was cut off.
-                await self.election.step_down_if_superseded(FencingToken(status.leader_key_version))
+                await self.election.step_down_if_superseded(FencingToken(status.term))
 
     def _valid_contacts_with_state(self) -> list[ReceivedStatus]:
         now = self.clock()
@@ -180,8 +183,8 @@
         """The highest fencing token that the leader known here is known to use."""
         contact = self.contacts_by_peer.get(str(leader))
         if contact is None or not contact.is_valid(self.clock()):
-            return self.election.leader_key_version
-        return max(self.election.leader_key_version, contact.newest_token)
+            return self.election.term
+        return max(self.election.term, contact.newest_token)
 
     async def peers_receive_heartbeats(self) -> bool:
         """Query all peers: whether one in contact with the state service receives heartbeats.
--- a/umberward/control/peer_link.py
+++ b/umberward/control/peer_link.py
@@ -113,7 +113,7 @@
         """Answer a request of a peer; 404 for an unknown path, or one that only a leader serves."""
         path = request.path
         if path == peer_messages.STATUS_PATH:
-            status = self.contacts.own_status(self.monitor.fault_history.reports())
+            status = self.contacts.own_status(self.monitor.fault_history)
             return Response(200, peer_messages.encode(status))
         if path == peer_messages.FORWARDED_HEARTBEAT_PATH and request.method == "POST":
             return await self.callbacks.answer_heartbeat(request.body)
--- a/umberward/control/peer_messages.py
+++ b/umberward/control/peer_messages.py
@@ -24,7 +24,10 @@
 DELEGATION_PATH = "/peer/loan"
 SNAPSHOT_PATH = "/peer/hints"
 
-FAULT_SIGHTINGS_FIELD = "faulty"  # of a status
+# Fields of a status.
+FAULT_SIGHTINGS_FIELD = "faulty"
+TOKEN_FIELD = "token"
+WATCHED_FIELD = "watched"
 
 Message = TypeVar("Message", bound=msgspec.Struct)
 
@@ -40,18 +43,19 @@
     rename={
         "name": "label",
         "state_contact_age_s": "contact_age",
-        "leader_key_version": "stamp",
-        "newest_token": "token",
+        "term": "stamp",
+        "newest_token": TOKEN_FIELD,
         "heartbeat_age_s": "heard_age",
         "uptime_s": "uptime",
         "fault_sightings": FAULT_SIGHTINGS_FIELD,
+        "watched_s": WATCHED_FIELD,
     },
 ):
     """The status of a controller, returned to a peer that requests it.
 
     `state_contact_age_s` is the time in seconds since it sent the latest lease renewal that the
     state service granted.
-    `leader` and `leader_key_version` are the current leader and the version of the leader's key.
+    `leader` is the current leader, and `term` the version of the leader's key.
     `newest_token` is the highest fencing token that it may use; omitted unless it leads, and by
     earlier versions.
     `heartbeat_age_s` is the time in seconds since a worker last sent it a heartbeat; earlier
@@ -59,17 +63,19 @@
     `build` and `uptime_s` say which process it is, for the log only; they are omitted if the build
     is not known, and by earlier versions, and of any type if they are malformed.
     `fault_sightings` lists the `SightingReport`s of peers with a known fault, for the log only; it
-    is omitted if there are none.
+    is omitted if there are none. `watched_s` is for how many seconds the sender would have learned
+    of such a peer; omitted if it has no contact, and by earlier versions.
     """
 
     name: str = ""
     state_contact_age_s: float
     leader: ControllerName | None
-    leader_key_version: int = 0
+    term: int = 0
     heartbeat_age_s: float = math.inf
     build: object = msgspec.UNSET
     uptime_s: object = msgspec.UNSET
     fault_sightings: object = msgspec.UNSET
+    watched_s: object = msgspec.UNSET
     newest_token: int | msgspec.UnsetType = msgspec.UNSET
 
     @property
--- a/umberward/control/peer_monitor.py
+++ b/umberward/control/peer_monitor.py
@@ -14,10 +14,17 @@
 import cbor2
 import curio
 
+from umberward.control.fault_watch import CHECK_INTERVAL_S
 from umberward.control.known_fault_history import KnownFaultHistory
 from umberward.control.known_fault_log import KnownFaultLog
+from umberward.control.newest_token import NewestToken
 from umberward.control.peer_contacts import PEER_TIMEOUT_S
-from umberward.control.peer_messages import FAULT_SIGHTINGS_FIELD, STATUS_PATH
+from umberward.control.peer_messages import (
+    FAULT_SIGHTINGS_FIELD,
+    STATUS_PATH,
+    TOKEN_FIELD,
+    WATCHED_FIELD,
+)
 from umberward.core.build_identity import parse_build
 from umberward.core.log import logger
 from umberward.core.rate_limited_log import RateLimitedLog
@@ -26,7 +33,6 @@
 
 log = logger(__name__)
 
-CHECK_INTERVAL_S = 2.0  # between two requests for the status of a peer
 # A peer has been started anew if its start, by its uptime, is later by more than this. Up to
 # PEER_TIMEOUT_S can come from the time that a response takes.
 RESTART_TOLERANCE_S = 1.0
@@ -41,14 +47,17 @@
 class PeerProcess(NamedTuple):
     """What a peer says of its process; `uptime_s` is None for versions that do not say it.
 
-    `status_fields` are the names of all fields of its status. `fault_sightings` is what it reports
-    of peers with a known fault, in any form.
+    `status_fields` are the names of all fields of its status. `fault_sightings` and `watched_s` are
+    what it reports of peers with a known fault, and `newest_token` is the token with which it
+    leads; all three are in any form.
     """
 
     build: str
     uptime_s: float | None
     status_fields: frozenset[object]
     fault_sightings: object = None
+    watched_s: object = None
+    newest_token: object = None
 
     @classmethod
     def decode(cls, body: bytes) -> PeerProcess:
@@ -69,6 +78,8 @@
             uptime_s if is_duration else None,
             frozenset(status),
             status.get(FAULT_SIGHTINGS_FIELD),
+            status.get(WATCHED_FIELD),
+            status.get(TOKEN_FIELD),
         )
 
 
@@ -101,6 +112,7 @@
         self.clock = clock
         self.known_faults = known_faults
         self.fault_history = KnownFaultHistory([name, *addresses], clock)
+        self.newest_token = NewestToken()
         self.peers: dict[str, ObservedPeer] = {}
         self.logged_builds: dict[str, str] = {}
         self.invalid_status_log = RateLimitedLog(log, INVALID_STATUS_LINES_PER_S, clock)
@@ -133,7 +145,10 @@
             if received_at - sent_at <= PEER_TIMEOUT_S:  # otherwise either process was paused
                 self._note_answer(peer, process)
                 self.fault_history.note_seen(peer, self.known_faults.faults_of(peer))
-                self.fault_history.merge(process.fault_sightings, sent_at, received_at)
+                self.fault_history.merge(
+                    process.fault_sightings, process.watched_s, sent_at, received_at
+                )
+                self.newest_token.note(process.newest_token, sent_at)
                 self._log_builds()
 
     def _note_silence(self, peer: str) -> None:
--- a/umberward/control/state_log.py
+++ b/umberward/control/state_log.py
@@ -6,15 +6,17 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Mapping
 from typing import NamedTuple
 
 import curio
 
 from umberward.control.job_state_cache import JobStateCache
-from umberward.control.known_fault_history import KnownFaultHistory
+from umberward.control.peer_monitor import PeerMonitor
 from umberward.control.rejection_log import RejectionLog
 from umberward.core.log import logger, observe_lines
+from umberward.core.log_clock import LogClock
 from umberward.leader.leader_election import LeaderElection
 
 log = logger(__name__)
@@ -27,31 +29,35 @@
 
 
 class ControllerParts(NamedTuple):
-    """The parts of a controller whose state is logged; `builds` returns all builds, by name."""
+    """The parts of a controller whose state is logged."""
 
     election: LeaderElection
     job_states: JobStateCache
     rejections: RejectionLog
-    builds: Callable[[], Mapping[str, str]]
-    fault_history: KnownFaultHistory
+    peer_monitor: PeerMonitor
 
 
 class ControllerStateLog:
-    """Writes `controller_state` every INTERVAL_S, and after MAX_LINES_BETWEEN other lines."""
+    """Writes `controller_state` INTERVAL_S, or MAX_LINES_BETWEEN other lines, after the last."""
 
     def __init__(self, parts: ControllerParts, clock: Callable[[], float]) -> None:
         """`clock`: monotonic, in seconds; the process is assumed to start now."""
         self.parts = parts
         self.clock = clock
+        self.log_clock = LogClock(clock)
         self.started_at = clock()
+        self.written_at = -math.inf
         self.lines_since = 0
 
     async def run(self) -> None:
         """Write the line until cancelled."""
         with observe_lines(self.note_line):
             while True:
-                self.write()
-                await curio.sleep(INTERVAL_S)
+                remaining_s = self.written_at + INTERVAL_S - self.clock()
+                if remaining_s > 0.0:
+                    await curio.sleep(remaining_s)
+                else:
+                    self.write()
 
     def note_line(self) -> None:
         """A line of any event has been written."""
@@ -62,29 +68,43 @@
     def write(self) -> None:
         """Write the line; it counts as none between two of its kind."""
         self.lines_since = -1
+        self.written_at = self.clock()
         log.info("controller_state", **self.fields())
 
     def fields(self) -> dict[str, object]:
-        """The fields of the line. Ages are in seconds before it; None: never."""
+        """The fields of the line. Ages are in seconds before it; None: never, or not known."""
         election, job_states = self.parts.election, self.parts.job_states
-        leads = election.fencing_token is not None
-        refreshed_at = job_states.refresh_sent_at or None
+        faults = self.parts.peer_monitor.fault_history
+        token, token_known_at = self._newest_token()
+        watched_from = faults.watched_from()
         return {
+            "time": self.log_clock.now(),
             "build": election.build,
             "uptime_s": self._age_s(self.started_at),
             "leader": election.leader,
-            "token": election.fencing_token if leads else election.leader_key_version,
-            "leader_read_s": self._age_s(
-                election.renewal_sent_at if leads else election.leader_read_at
-            ),
-            "refreshed_s": self._age_s(refreshed_at),
+            "term": None if election.leader is None else election.term,
+            "leader_read_s": self._age_s(election.leader_known_at()),
+            "token": token,
+            "token_read_s": self._age_s(token_known_at),
+            "refreshed_s": self._age_s(job_states.refresh_sent_at or None),
             "listed_s": self._age_s(job_states.listed_at or None),
             "revision": job_states.watched_revision,
-            "builds": describe_builds(self.parts.builds()),
-            "known_faults": self.parts.fault_history.summary() or NONE,
+            "builds": describe_builds(self.parts.peer_monitor.builds()),
+            "known_faults": faults.summary(self.log_clock) or NONE,
+            "watched_from": None if watched_from is None else self.log_clock.time_of(watched_from),
             "rejected": self.parts.rejections.summary() or NONE,
         }
 
+    def _newest_token(self) -> tuple[int | None, float | None]:
+        """The newest fencing token known, and when at the latest it was the leader's."""
+        election, heard = self.parts.election, self.parts.peer_monitor.newest_token
+        known_at = election.leader_known_at()
+        if election.fencing_token is not None:
+            return election.fencing_token, known_at
+        if heard.known_at is not None and heard.token >= election.term:
+            return heard.token, heard.known_at
+        return election.term or None, known_at
+
     def _age_s(self, instant: float | None) -> float | None:
         return None if instant is None else round(self.clock() - instant, AGE_DIGITS)
 
--- a/umberward/leader/command_sender.py
+++ b/umberward/leader/command_sender.py
@@ -81,7 +81,7 @@
         log.debug(
             "command_sent",
             machine=command.machine,
-            epoch=command.fencing_token,
+            token=command.fencing_token,
             session=command.incarnation,
             orders=_describe_commands(command.commands),
             jobs_read_s=self.jobs_read_age_s(sent_at),
@@ -94,7 +94,7 @@
             rate_limited_log.info(
                 "command_timed_out",
                 machine=command.machine,
-                epoch=command.fencing_token,
+                token=command.fencing_token,
                 session=command.incarnation,
                 after_s=round(monotonic_now() - sent_at, 1),
                 orders=_describe_commands(command.commands),
--- a/umberward/leader/leader_election.py
+++ b/umberward/leader/leader_election.py
@@ -90,16 +90,16 @@
         self.on_lost = on_lost
         self.used_nonces: set[str] = set()  # nonces of all campaigns of this process
         self.nonce = ""  # of the latest campaign; empty if its lease was abandoned
-        self.term = 0  # the number of fencing tokens obtained in this term
+        self.tokens_in_term = 0  # the number of fencing tokens obtained in this term
         self.lease: LeaseId | None = None
         self.renewal_sent_at = Instant(0.0)  # when the latest successful renewal was sent
         # The highest token that this leader may use; None: not the leader.
         self.fencing_token: FencingToken | None = None
         self.leader: ControllerName | None = None  # None: unknown or none
-        # Of the leader key, and so also the first fencing token of the leader that wrote it.
-        self.leader_key_version = Version(0)
+        # The version of the leader key, and so also the leader's first fencing token.
+        self.term = Version(0)
         self.campaign_not_before = 0.0
-        # When the leader key was last read or seen unchanged; None: never. For the log only.
+        # The leader key had this value at that time or later; None: it was never read. For the log.
         self.leader_read_at: Instant | None = None
 
     def _warn_if_renewal_window_too_short(self, workers: WorkerTimes) -> None:
@@ -163,9 +163,15 @@
             jobs_read_requested_at, self.renewal_sent_at, Instant(self.clock())
         )
 
+    def leader_known_at(self) -> Instant | None:
+        """`leader` and `term` were those of the leader key at that time or later; None: unknown."""
+        if self.fencing_token is None or self.leader_read_at is None:
+            return self.leader_read_at
+        return max(self.renewal_sent_at, self.leader_read_at)  # the key is attached to the lease
+
     def leadership_condition(self) -> tuple[Key, Version]:
         """Return the condition that makes a transaction valid only while this controller leads."""
-        return LEADER_KEY, self.leader_key_version
+        return LEADER_KEY, self.term
 
     # ---- leadership changes ------------------------------------------------------------
 
@@ -175,7 +181,7 @@
         Must be called while this controller leads. Raises the errors of `StateClient.commit`.
         """
         assert self.fencing_token is not None
-        self.term += 1
+        self.tokens_in_term += 1
         revision = await self.store.commit(
             [self.leadership_condition()],
             [transactions.put(self.record_key, self.controller_record())],
@@ -215,15 +221,15 @@
         leader.
         """
         if self.fencing_token is not None and seen_token > self.fencing_token:
-            log.warning("leadership_superseded", epoch=self.fencing_token, seen=seen_token)
+            log.warning("leadership_superseded", token=self.fencing_token, seen=seen_token)
             await self._lose_leadership()
 
     async def _become_leader(self, version: Version) -> None:
         """Take the leadership. `version`: of the leader key, which this controller has written."""
-        self.leader, self.leader_key_version = self.name, version
+        self.leader, self.term = self.name, version
         self.fencing_token = FencingToken(version)
         self.store.set_role(leading=True)
-        log.info("leadership_acquired", epoch=version)
+        log.info("leadership_acquired", term=version)
         await self.on_elected(self.fencing_token)
 
     async def _lose_leadership(self) -> None:
@@ -310,10 +316,13 @@
             max_delay_s = (
                 FREE_KEY_WATCH_MAX_DELAY_S if self.leader is None else LEADER_WATCH_MAX_DELAY_S
             )
+            sent_at = self.clock()
             changes, revision = await self.store.watch(LEADER_KEY, revision, max_delay_s)
-            self.leader_read_at = Instant(self.clock())
             if any(LEADER_KEY in (change.put_key, change.deleted_key) for change in changes):
                 return
+            # Without changes, the service has waited for the whole delay before it responded.
+            unchanged_at = sent_at if changes else min(sent_at + max_delay_s, self.clock())
+            self.leader_read_at = Instant(unchanged_at)
 
     async def _read_leader(self) -> Revision:
         """Read the leader key and handle its value. Returns the revision of the read."""
@@ -322,7 +331,7 @@
         self.leader_read_at = sent_at
         entry = next((entry for entry in entries if entry.key == LEADER_KEY), None)
         if entry is None:
-            self.leader, self.leader_key_version = None, Version(0)
+            self.leader, self.term = None, Version(0)
             if self.fencing_token is not None:
                 await self._lose_leadership()
             return revision
@@ -345,7 +354,7 @@
         else:
             # It is attached to an abandoned lease, or its campaign was committed late. Treat it as
             # free: the next campaign replaces this version.
-            self.leader, self.leader_key_version = None, version
+            self.leader, self.term = None, version
 
     async def _delete_key_of_former_process(self, version: Version) -> None:
         """Handle a leader key that this controller wrote before its restart.
@@ -362,15 +371,15 @@
             [transactions.delete(LEADER_KEY)],
             priority=transactions.URGENT,
         )
-        self.leader, self.leader_key_version = None, Version(0)
+        self.leader, self.term = None, Version(0)
 
     async def _follow_leader(self, leader: ControllerName, version: Version) -> None:
         """Handle a leader key written by another controller."""
         if self.fencing_token is not None:
             await self._lose_leadership()
         if self.leader != leader:
-            log.info("leader_changed", node=leader, epoch=version)
-        self.leader, self.leader_key_version = leader, version
+            log.info("leader_changed", node=leader, term=version)
+        self.leader, self.term = leader, version
 
     async def _campaign(self) -> None:
         """Try to write the leader key, attached to a sufficiently recent lease.
@@ -383,13 +392,14 @@
             await self._renew()
         if self.lease is None:
             return
+        sent_at = Instant(self.clock())
         nonce = self.nonce = f"{self.rng.getrandbits(64):016x}"
         self.used_nonces.add(nonce)
-        self.term = 1
+        self.tokens_in_term = 1
         leader_record = wire.LeaderRecord(self.name, nonce)
         try:
             revision = await self.store.commit(
-                [(LEADER_KEY, self.leader_key_version)],
+                [(LEADER_KEY, self.term)],
                 [
                     transactions.put(LEADER_KEY, leader_record, self.lease),
                     transactions.put(self.record_key, self.controller_record()),
@@ -401,8 +411,11 @@
                 self._abandon_lease()
             return
         if self.nonce == nonce:  # otherwise the key's lease has been abandoned meanwhile
+            self.leader_read_at = sent_at
             await self._become_leader(Version(revision))
 
     def controller_record(self) -> wire.ControllerRecord:
         """This controller's record, to be stored under `record_key`."""
-        return wire.ControllerRecord(self.name, self.nonce, self.term, ALL_JOB_HASHES, self.build)
+        return wire.ControllerRecord(
+            self.name, self.nonce, self.tokens_in_term, ALL_JOB_HASHES, self.build
+        )
--- a/umberward/leader/leader_loop.py
+++ b/umberward/leader/leader_loop.py
@@ -403,7 +403,7 @@
             log.info("token_not_rotated", error=error)
             self.scheduler.token_rotation.failed()
             return
-        log.info("token_rotated", epoch=fencing_token)
+        log.info("token_rotated", token=fencing_token)
         self.scheduler.token_rotated(fencing_token)
 
 
--- a/umberward/scheduling/scheduler.py
+++ b/umberward/scheduling/scheduler.py
@@ -230,7 +230,7 @@
         self.scheduling_pass_needed = True
         log.info(
             "failover_completed",
-            epoch=self.tokens.initial,
+            term=self.tokens.initial,
             machines=len(self.machines),
             jobs=len(self.jobs),
         )
