--- a/tools/regress/__main__.py
+++ b/tools/regress/__main__.py
@@ -215,7 +215,8 @@
             days_to_run.append((site, sites.write_day(site, day), seed))
     failures = 0
     with ThreadPoolExecutor(max_workers=jobs) as pool:
-        for text, failed in pool.map(lambda day: _run_roll(*day, why), days_to_run):
+        results = pool.map(lambda day: _run_roll(day[0], day[1], day[2], why), days_to_run)
+        for text, failed in results:
             click.echo(text)
             failures += failed
     click.echo(f"{failures} of {len(days_to_run)} failed")
