--- a/umberward/control/job_api.py
+++ b/umberward/control/job_api.py
@@ -10,11 +10,10 @@
 from dataclasses import dataclass
 from typing import overload
 
-import msgspec
-
 from umberward.clients import state_client
 from umberward.clients.state_client import StateClient
 from umberward.control.absent_jobs import AbsentJob
+from umberward.control.cancelled_records import cancelled_record
 from umberward.control.errors import ControllerError
 from umberward.control.job_admission import (
     JobAdmission,
@@ -28,17 +27,21 @@
 from umberward.control.job_responses import (
     JobStateResponse,
     final_response,
+    live_response,
     state_response,
 )
 from umberward.control.job_state_cache import JobStateCache
-from umberward.control.job_states import LiveJobState
 from umberward.control.rejection_log import JobRequest, RejectionLog
-from umberward.control.responses import error_response
-from umberward.control.stored_jobs import done_task_count, final_key, live_key
+from umberward.control.responses import (
+    error_response,
+    rate_limited_response,
+    retry_later_response,
+)
+from umberward.control.stored_jobs import final_key, live_key
 from umberward.core.log import logger
 from umberward.core.rate_limited_log import RateLimitedLog
 from umberward.core.settings import Settings
-from umberward.core.types import JobId, MachineTypeName, TeamName, Version, WallTime
+from umberward.core.types import JobId, MachineTypeName, Version, WallTime
 from umberward.protocol import transactions, wire
 from umberward.protocol.http import Response
 from umberward.protocol.transactions import AbsentKey
@@ -47,7 +50,6 @@
     FinalJobRecord,
     JobRecord,
     MachineType,
-    RemainingTasks,
 )
 
 log = logger(__name__)
@@ -57,11 +59,9 @@
 SUBMIT_BUDGET_WAIT_S = 0.4  # longest wait of a submission for the rate budget of the writes
 MAX_SUBMIT_ATTEMPTS = 2
 MAX_CANCEL_ATTEMPTS = 4
-RETRY_AFTER_S = 1.0
 OUTAGE_RETRY_AFTER_S = 2.0
 STATE_UNREACHABLE = "the state service is unreachable"
-UNPROVED_ABSENCE = "the read that does not have the job is older than the request"
-NO_COMPLETIONS = "0"  # an empty bitmap
+ABSENCE_TOO_OLD = "the read that does not have the job is older than the request"
 NO_RECORD = Version(0)  # the version of a key that does not exist
 
 
@@ -125,10 +125,10 @@
                 "submission_not_accepted",
                 error="this controller's share of the write rate is used up",
             )
-            return _rate_limited_response(error)
+            return rate_limited_response(error.wait_s)
         except (state_client.StateUnavailableError, state_client.UnknownOutcomeError) as error:
             log.info("submission_not_accepted", error=error)
-            return Response(503, retry_after=OUTAGE_RETRY_AFTER_S)
+            return retry_later_response(OUTAGE_RETRY_AFTER_S)
 
     async def _submit(self, body: bytes, arrived_at: float) -> Response:
         try:
@@ -141,7 +141,7 @@
             return final_response(submission.job_id, final)
         self._require_state_service()
         if not self.machine_types:
-            return _retry_later_response()
+            return retry_later_response()
         try:
             self.admission.check_feasible(submission.spec)
             if submission.job_id in submission.dependencies:
@@ -170,7 +170,7 @@
         if not isinstance(own_state, AbsentJob):
             # Accepted before: return its state, whatever the states of its dependencies are.
             existing = await self._existing_job_response(job_id)
-            return existing if isinstance(existing, Response) else _retry_later_response()
+            return existing if isinstance(existing, Response) else retry_later_response()
         try:
             outcome = resolve_dependencies(states)
         except UnknownDependencyError as error:
@@ -183,7 +183,11 @@
             return await self._store_submission(job_id, final)
         held = self.job_states.dependency_graph.edge_count
         if held + len(outcome.unfinished) > self.admission.max_dependencies:
-            return _dependencies_exhausted_response(job_id, held, len(outcome.unfinished))
+            requested = len(outcome.unfinished)
+            rate_limited_log.info(
+                "dependencies_exhausted", job=job_id, held=held, requested=requested
+            )
+            return Response(429, retry_after=DEPENDENCIES_RETRY_AFTER_S)
         record.dependencies = wire.pack_dependencies(outcome.unfinished)
         return await self._store_submission(job_id, record)
 
@@ -209,7 +213,7 @@
                     raise
             else:
                 return self._accepted_response(job_id, record)
-        return _retry_later_response()
+        return retry_later_response()
 
     def _accepted_response(self, job_id: JobId, record: JobRecord | FinalJobRecord) -> Response:
         log.debug("accepted", job=job_id)
@@ -235,7 +239,7 @@
             return self._unknown_job_response(JobRequest.POLL, found, arrived_at)
         except (state_client.StateUnavailableError, state_client.UnknownOutcomeError) as error:
             log.debug("poll_not_answered", job=job_id, error=error)
-            return _retry_later_response()
+            return retry_later_response()
 
     # ---- cancel ------------------------------------------------------------------------
 
@@ -255,10 +259,10 @@
                 self._report_cancellation(job_id)
                 return response
         except state_client.RateBudgetExceededError as error:
-            return _rate_limited_response(error)
+            return rate_limited_response(error.wait_s)
         except (state_client.StateUnavailableError, state_client.UnknownOutcomeError) as error:
             log.info("cancellation_not_accepted", job=job_id, error=error)
-        return _retry_later_response()
+        return retry_later_response()
 
     async def _try_cancel(self, job_id: JobId, arrived_at: float) -> Response:
         """Try once to cancel the job. Raises JobChangedError if this should be retried."""
@@ -272,7 +276,8 @@
             if isinstance(state, FinalJobRecord):
                 return final_response(job_id, state)
             raise JobChangedError(job_id)
-        final = self._cancelled_record(job_id, live.data)
+        admission = self.admission
+        final = cancelled_record(job_id, live.data, admission.quota, admission.max_value_bytes)
         try:
             await self.store.commit(
                 [(live_key(job_id), live.version)],
@@ -294,42 +299,6 @@
             log.info("cancelled_by_user", job=job_id)
             self.callbacks.announce_cancellation(job_id)
 
-    def _cancelled_record(self, job_id: JobId, stored: object) -> FinalJobRecord:
-        """The final record that cancels a job with this live record."""
-        try:
-            record = wire.convert(stored, JobRecord)
-            done_count = done_task_count(record)
-        except (wire.MalformedMessageError, ValueError) as error:
-            log.error("record_malformed", job=job_id, error=error)  # noqa: TRY400 - a fault of the record, not of the code
-            return FinalJobRecord(CANCELLED)
-        remaining = self._remaining_tasks(record, done_count)
-        final = FinalJobRecord(CANCELLED, done_count, remaining=remaining)
-        if remaining is not None and wire.json_size(final) > self.admission.max_value_bytes:
-            # The bitmap was stored under a higher limit. Without it, tasks that are done count
-            # against the team's limit as well until it is known what each machine runs.
-            remaining.done_bitmap = NO_COMPLETIONS
-        return final
-
-    def _remaining_tasks(self, record: JobRecord, done_count: int) -> RemainingTasks | None:
-        """The tasks that may still be running and count towards their team's limit.
-
-        They are stored for a leader that has never read the live record. None if there are none or
-        the team has no limit.
-        """
-        spec = record.spec
-        has_limit = self.admission.quota.has_limit(TeamName(spec.team))
-        if record.placed_below <= done_count or not has_limit:
-            return None
-        return RemainingTasks(
-            spec.team,
-            spec.cores,
-            spec.mem_gb,
-            record.placed_below,
-            spec.accelerators,
-            record.done_below,
-            record.done_bitmap,
-        )
-
     # ---- states ------------------------------------------------------------------------
 
     def _require_state_service(self) -> None:
@@ -361,7 +330,7 @@
             return state
         if isinstance(state, FinalJobRecord):
             return final_response(job_id, state)
-        return self._live_response(job_id, state)
+        return live_response(job_id, state, self.job_states.dependencies_of(job_id))
 
     def _require_proof_since(self, absent: AbsentJob, arrived_at: float) -> None:
         """Raise StateUnavailableError for a proof that is older than the request.
@@ -370,7 +339,7 @@
         """
         if absent.read_sent_at < arrived_at:
             self.rejections.note_unproved_absence(absent, arrived_at)
-            raise state_client.StateUnavailableError(UNPROVED_ABSENCE)
+            raise state_client.StateUnavailableError(ABSENCE_TOO_OLD)
 
     def _unknown_job_response(
         self, request: JobRequest, absent: AbsentJob, arrived_at: float
@@ -388,29 +357,3 @@
             self._require_proof_since(absent, arrived_at)
         response = error_response(status, reason)
         return self.rejections.record(JobRequest.SUBMIT, absent, response, reason)
-
-    def _live_response(self, job_id: JobId, state: LiveJobState) -> Response:
-        return state_response(
-            JobStateResponse(
-                job_id=job_id,
-                phase=wire.RUNNING if state.placed_below else wire.PENDING,
-                done_count=state.done_count,
-                running_count=max(0, state.placed_below - state.done_count),
-                dependencies=self.job_states.dependencies_of(job_id) or msgspec.UNSET,
-            )
-        )
-
-
-def _retry_later_response() -> Response:
-    return Response(503, retry_after=RETRY_AFTER_S)
-
-
-def _dependencies_exhausted_response(job_id: JobId, held: int, requested: int) -> Response:
-    """Tell the user to retry when fewer jobs wait for others."""
-    rate_limited_log.info("dependencies_exhausted", job=job_id, held=held, requested=requested)
-    return Response(429, retry_after=DEPENDENCIES_RETRY_AFTER_S)
-
-
-def _rate_limited_response(error: state_client.RateBudgetExceededError) -> Response:
-    """Tell the user to retry when this controller's share of the write rate allows it."""
-    return Response(429, retry_after=max(RETRY_AFTER_S, error.wait_s))
--- a/umberward/control/job_responses.py
+++ b/umberward/control/job_responses.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from umberward.control.job_states import LiveJobState
 from umberward.core.types import JobId
 from umberward.protocol import wire
 from umberward.protocol.http import Response
@@ -50,3 +51,19 @@
         cancelled_by=final.cancelled_by or msgspec.UNSET,
     )
     return state_response(state, status)
+
+
+def live_response(
+    job_id: JobId, state: LiveJobState, dependencies: list[JobId], status: int = 200
+) -> Response:
+    """A response with the state of a job that has not ended; `dependencies`: it waits for these."""
+    return state_response(
+        JobStateResponse(
+            job_id=job_id,
+            phase=wire.RUNNING if state.placed_below else wire.PENDING,
+            done_count=state.done_count,
+            running_count=max(0, state.placed_below - state.done_count),
+            dependencies=dependencies or msgspec.UNSET,
+        ),
+        status,
+    )
