--- a/umberward/local/cluster.py
+++ b/umberward/local/cluster.py
@@ -17,11 +17,8 @@
 from collections.abc import AsyncIterator
 from http import HTTPStatus
 from pathlib import Path
-from typing import Any
 
 import curio
-import javaproperties
-import tomli_w
 
 from umberward.client.store import CALL_SUFFIX, Store
 from umberward.core.log import logger
@@ -35,6 +32,14 @@
 from umberward.local.cloudcore import CloudCore, Machine
 from umberward.local.cluster_plan import ClusterPlan as ClusterPlan
 from umberward.local.cluster_plan import Fault as Fault
+from umberward.local.controller_settings import (
+    CLOUD_RPS,
+    LIST_LAG_S,
+    PROPERTIES_FILE,
+    ClusterLimits,
+    ControllerAddresses,
+    write_settings,
+)
 from umberward.local.job_descriptions import JobDescriptions
 from umberward.local.shared_tasks import SharedTaskState
 from umberward.local.state_server import StateServer
@@ -54,8 +59,6 @@
 MIN_RUN_S = 0.02
 DEFAULT_RUN_S = 5.0  # of tasks without an expected run time
 MAX_FAILING_RUN_S = 0.2  # run time of tasks on a machine that fails its tasks
-LIST_LAG_S = 2.0
-CLOUD_RPS = 5.0
 CLIENT_SOCKETS = 600
 READY_TIMEOUT_S = 30.0  # from the start of the controllers until all are ready
 READY_POLL_S = 0.1
@@ -150,13 +153,23 @@
         await self.task_scope.spawn(self._cause_faults)
 
     def _write_settings(self) -> None:
-        for number in range(self.plan.controllers):
-            path = self.folder / f"{self.controller_names[number]}.toml"
-            path.write_text(tomli_w.dumps(self._settings(number)))
-        # Builds from before a property was added refuse it.
-        graphs = {"graphs.enabled": "true"} if self.plan.graphs else {}
-        properties = {**graphs, **self.plan.properties}
-        (self.folder / "own.properties").write_text(javaproperties.dumps(properties))
+        controllers = [
+            ControllerAddresses(
+                name,
+                self.zones[number % len(self.zones)],
+                self.listen[number],
+                self.peers[number],
+                self.state.servers[number].address,
+                self.cloud.server.address,
+            )
+            for number, name in enumerate(self.controller_names)
+        ]
+        limits = ClusterLimits(self.zones, self.worker_times, self.limits)
+        write_settings(self.folder, self.plan, limits, controllers, self._peer_address)
+
+    def _peer_address(self, _: ControllerAddresses, peer: ControllerAddresses) -> Address:
+        """The address at which the first controller reaches the other."""
+        return peer.peer_bind
 
     def _stop_processes(self) -> None:
         for process in [*self.controller_processes, *self.processes.values()]:
@@ -183,44 +196,6 @@
                 return f"; {name}: {lines[-1]}"
         return ""
 
-    def _settings(self, number: int) -> dict[str, Any]:
-        zone = self.zones[number % len(self.zones)]
-        peers = [
-            {
-                "label": self.controller_names[peer],
-                "site": self.zones[peer % len(self.zones)],
-                "addr": str(address),
-            }
-            for peer, address in enumerate(self.peers)
-            if peer != number
-        ]
-        limits = {
-            name: limit
-            for name, limit in wire.to_builtins(self.limits).items()
-            if limit is not None
-        }
-        return {
-            "label": self.controller_names[number],
-            "site": zone,
-            "listen": str(self.listen[number]),
-            "peer_bind": str(self.peers[number]),
-            "peers": peers,
-            "endpoints": {
-                "cloud": str(self.cloud.server.address),
-                "state": str(self.state.servers[number].address),
-            },
-            "cluster": {
-                "size": self.plan.controllers,
-                "zones": self.zones,
-                "skew_ms": 0.0,
-                "teams": wire.to_builtins(self.plan.teams),
-                "workers": wire.to_builtins(self.worker_times),
-                "state": limits,
-                "cloud": {"rps": CLOUD_RPS, "list_lag_s": LIST_LAG_S},
-                "machine_limits": {"cpu": 1.0, "memory_mb": 200.0, "sockets": 800},
-            },
-        }
-
     # ---- ticks -------------------------------------------------------------------------
 
     async def _run_ticks(self) -> None:
@@ -283,7 +258,7 @@
                     "--config",
                     str(self.folder / f"{name}.toml"),
                     "--properties",
-                    str(self.folder / "own.properties"),
+                    str(self.folder / PROPERTIES_FILE),
                 ],
                 stdin=subprocess.PIPE,
                 stdout=log_file,
--- a/umberward/soak/cluster.py
+++ b/umberward/soak/cluster.py
@@ -17,6 +17,7 @@
 from umberward.local.cloudcore import CapacityPool, Machine
 from umberward.local.cluster import ClusterPlan as LocalPlan
 from umberward.local.cluster import LocalCluster
+from umberward.local.controller_settings import ControllerAddresses
 from umberward.local.links import Links
 from umberward.local.task_attempts import TaskOutcome
 from umberward.local.worker_server import WorkerServer
@@ -150,11 +151,8 @@
 
         return self._link_handler(src, dst, forward)
 
-    def _settings(self, number: int) -> dict[str, Any]:
-        settings = super()._settings(number)
-        for peer in settings["peers"]:
-            peer["addr"] = str(self.relays[self.controller_names[number], peer["label"]].address)
-        return settings
+    def _peer_address(self, own: ControllerAddresses, peer: ControllerAddresses) -> Address:
+        return self.relays[own.name, peer.name].address
 
     async def _start(self) -> None:
         for relay in self.relays.values():
