Leader's memory: the ids of a machine's tasks are kept with the machine, not in a cache of 32,768

Why the mend works: a heartbeat repeats most ids of the one before, which are now found by machine and dropped with it; 2,048 others, of commands, stay cached. The cache was also too small at 4,000 machines, where each lookup missed.

--- a/umberward/core/types.py
+++ b/umberward/core/types.py
@@ -30,7 +30,7 @@
 
 MAX_TASKS_PER_JOB = 100_000
 MAX_PORT = 65535
-TASK_ID_CACHE_SIZE = 32768  # parsed ids; successive heartbeats name the same tasks
+TASK_ID_CACHE_SIZE = 2048  # parsed ids: those of a command are needed several times in a row
 JOB_ID_PREFIX = "req-"
 _JOB_ID_PATTERN = re.compile(JOB_ID_PREFIX + r"[0-9]{1,18}\Z")
 
--- a/umberward/scheduling/machines.py
+++ b/umberward/scheduling/machines.py
@@ -118,6 +118,8 @@
     placements: dict[TaskId, Placement] = field(init=False, default_factory=dict)
     inflight_starts: InflightStarts = field(init=False, default_factory=InflightStarts)
     exited_tasks: set[TaskId] = field(init=False, default_factory=set)  # exited but still listed
+    # The parsed ids of its latest task list, most of which the next one repeats.
+    listed_task_ids: dict[str, TaskId] = field(init=False, default_factory=dict)
     # Time from which an exited attempt has stayed listed for lack of a token that voids its starts.
     forget_deferred_since: Instant | None = field(init=False, default=None)
     # Tasks listed as running without a placement; they are to be stopped.
--- a/umberward/scheduling/reconciliation.py
+++ b/umberward/scheduling/reconciliation.py
@@ -80,11 +80,14 @@
         context = _ReconciliationContext(machine, heartbeat, now, periodic)
         machine.exited_tasks.clear()
         self.cluster.clear_tasks_without_placement(machine)
+        known_ids, listed_ids = machine.listed_task_ids, {}
         for status in heartbeat.tasks:
-            task_id = parse_task_id(status.task_id)
+            task_id = known_ids.get(status.task_id) or parse_task_id(status.task_id)
             if task_id is not None:
+                listed_ids[status.task_id] = task_id
                 context.listed_tasks.add(task_id)
                 self._reconcile_listed(context, task_id, status)
+        machine.listed_task_ids = listed_ids
         for task_id, placement in list(machine.placements.items()):
             if task_id not in context.listed_tasks and placement.sent:
                 self._reconcile_unlisted(context, task_id, placement)
