--- a/tests/test_soak_memory.py
+++ b/tests/test_soak_memory.py
@@ -25,7 +25,12 @@
 def result(warm_mb: float, end_mb: float) -> MemoryResult:
     steady = ControllerMemory("keeper-1", "follower", 40.0, 40.0)
     return MemoryResult(
-        1, COMMANDS, 9, 60.0, [ControllerMemory("keeper-0", "leader", warm_mb, end_mb), steady]
+        1,
+        COMMANDS,
+        COMMANDS,
+        9,
+        60.0,
+        [ControllerMemory("keeper-0", "leader", warm_mb, end_mb), steady],
     )
 
 
--- a/umberward/cli/soak_memory.py
+++ b/umberward/cli/soak_memory.py
@@ -60,6 +60,11 @@
         sys.exit(EXIT_HARNESS_FAILED)
     if report is not None:
         report.write_bytes(msgspec.json.format(msgspec.json.encode(result)) + b"\n")
+    if result.warm_up_commands < warm_up:
+        click.echo(
+            f"the warm-up ended by time after {result.warm_up_commands} of {warm_up} commands:"
+            " some of the growth may be caches that fill"
+        )
     click.echo(
         f"seed {seed}: {result.commands} commands, {result.jobs} jobs, {result.seconds} s;"
         f" grown too much: {', '.join(result.grown) or 'none'}"
--- a/umberward/soak/memory.py
+++ b/umberward/soak/memory.py
@@ -70,9 +70,13 @@
 
 
 class MemoryResult(msgspec.Struct):
-    """The result of a run; `commands` and `jobs` count from the end of the warm-up."""
+    """The result of a run; `commands` and `jobs` count from the end of the warm-up.
+
+    `warm_up_commands` are those before, fewer than planned if the warm-up ended by time.
+    """
 
     seed: int
+    warm_up_commands: int
     commands: int
     jobs: int
     seconds: float
@@ -193,6 +197,7 @@
         leader = "" if cluster.leader is None else cluster.controller_names[cluster.leader]
         return MemoryResult(
             self.plan.seed,
+            warm_commands,
             cluster.commands - warm_commands,
             users.submitted - warm_jobs,
             round(time.monotonic() - started_at, 1),
