--- a/tests/simulated_controllers.py
+++ b/tests/simulated_controllers.py
@@ -235,9 +235,9 @@
         node.rng.seed(self.rng.getrandbits(32))
         elected = node.election.on_elected
 
-        async def record_term(epoch: Any) -> None:
-            self.terms.append((name, epoch))
-            await elected(epoch)
+        async def record_term(term: Any) -> None:
+            self.terms.append((name, term))
+            await elected(term)
 
         node.election.on_elected = record_term
         self.nodes[name] = node
--- a/tests/test_leader_election.py
+++ b/tests/test_leader_election.py
@@ -61,8 +61,8 @@
             settings, self.store, random.Random(1), self._elected, self._lost, lambda: self.now
         )  # type: ignore[arg-type]
 
-    async def _elected(self, epoch: FencingToken) -> None:
-        self.tokens_won.append(epoch)
+    async def _elected(self, token: FencingToken) -> None:
+        self.tokens_won.append(token)
 
     async def _lost(self) -> None:
         pass
--- a/tests/test_returns.py
+++ b/tests/test_returns.py
@@ -40,8 +40,8 @@
             controllers.run(0.35)
         terms_of_k0 = sum(1 for label, _ in controllers.terms[terms_before:] if label == "k0")
         rate = round((controllers.state.requests - before) / 4.0)
-        assert [epoch for _, epoch in controllers.terms] == sorted(
-            {epoch for _, epoch in controllers.terms}
+        assert [term for _, term in controllers.terms] == sorted(
+            {term for _, term in controllers.terms}
         )
     return terms_of_k0, longest_wait_s, rate
 
