Tests: the length of a span is asserted as before; unknown faults of a drawn roll fail

A fault of a drawn roll that the simulated controllers don't know was left out in silence and is an error now. The commits of the two releases are named once.

--- a/tests/simulated_cluster.py
+++ b/tests/simulated_cluster.py
@@ -140,7 +140,7 @@
         self.scheduler: Scheduler | None = None
         self.autoscaler: Autoscaler | None = None
         self.snapshots_to_restore: list[tuple[failover_snapshot.FailoverSnapshot, float]] = []
-        self.term = 0
+        self.token = 0
         self.seen_revision = 0
         self.placing = True
         self.watching = True
@@ -205,14 +205,14 @@
 
     def load_blocks(self) -> None:
         self.store.apply([], [transactions.put(Key("leader"), {"node": "n", "nonce": "x"})])
-        self.term = self.store.revision
+        self.token = self.store.revision
         self.leader_since = self.now
         if self.scheduler is not None:
             self.former_leaders.append(self.scheduler)
         scheduler = Scheduler(
             self.settings,
             MACHINE_TYPES,
-            FencingToken(self.term),
+            FencingToken(self.token),
             Instant(self.now),
             lambda: WallTime(self.now),
             self.rng,
@@ -220,7 +220,7 @@
         self.scheduler = scheduler
         self.commands = CommandQueue(scheduler, lambda: True)
         self.lost_commands = []
-        self.autoscaler = Autoscaler(scheduler, f"n-{self.term}", Instant(self.now))
+        self.autoscaler = Autoscaler(scheduler, f"n-{self.token}", Instant(self.now))
         for key, got in list(self.store.keys.items()):
             if key.startswith(BLOCKS_PREFIX):
                 record = wire.convert(got.data, wire.BlockRecord)
@@ -421,7 +421,7 @@
             if scheduler.token_rotation.requested and self.store.mode == "ok":
                 self.store.apply([], [transactions.put(Key("term"), 1)])
                 scheduler.token_rotated(FencingToken(self.store.revision))
-                self.term = self.store.revision
+                self.token = self.store.revision
             if self.placing and self.store.mode != "down":
                 scheduler.run_pass(now)
             self._send_outbox(scheduler)
--- a/tests/test_builds.py
+++ b/tests/test_builds.py
@@ -8,6 +8,7 @@
 
 import pytest
 from click.testing import CliRunner
+from test_upgrade import FAULTY_COMMIT, PATCH_RELEASE_COMMIT
 
 from umberward.cli.builds import EXIT_KNOWN_FAULT
 from umberward.cli.main import main
@@ -21,8 +22,6 @@
     repository_root,
 )
 
-PATCH_RELEASE = "0fcfe804504e75ed3a700572259f04cfae41ee30"
-
 
 @pytest.fixture
 def repository(tmp_path: Path) -> Path:
@@ -104,8 +103,8 @@
 @pytest.mark.parametrize(
     ("production", "exit_code", "expected"),
     [
-        ("e3e27d45fba9c421791ba7becade9d7c9039dc79", EXIT_KNOWN_FAULT, PATCH_RELEASE),
-        (PATCH_RELEASE, 0, "(no known fault)"),
+        (FAULTY_COMMIT, EXIT_KNOWN_FAULT, PATCH_RELEASE_COMMIT),
+        (PATCH_RELEASE_COMMIT, 0, "(no known fault)"),
         ("e4ec351f691f7eab2a1b41ebcf73f40b87a16687", 0, "(no known fault)"),  # says 0.1.0 too
         ("f" * 40, EXIT_INVALID_SETTINGS, "is not a commit"),
         ("", EXIT_INVALID_SETTINGS, "is not a commit"),
@@ -125,4 +124,6 @@
         deploy_file.write_text(f'production = "{production}"\n')
     result = CliRunner().invoke(main, ["builds", "--deploy", str(deploy_file)])
     assert (result.exit_code, expected in result.output) == (exit_code, True), result.output
-    assert (f'production = "{PATCH_RELEASE}"' in result.output) == (exit_code == EXIT_KNOWN_FAULT)
+    assert (f'production = "{PATCH_RELEASE_COMMIT}"' in result.output) == (
+        exit_code == EXIT_KNOWN_FAULT
+    )
--- a/tests/test_drawn_rolls.py
+++ b/tests/test_drawn_rolls.py
@@ -21,6 +21,8 @@
 REQUEST_GAP_S = 0.01
 LOOKUP_S = (0.0, 0.1)
 STEP_S = 0.1
+# What `_repeat_requests` does throughout, and jobs that are cancelled as they end.
+PLAYED_THROUGHOUT = ("close_looks", "odd_requests", "cancel_at_end")
 SETTLED_S = 60.0
 
 
@@ -30,7 +32,7 @@
     def __init__(self, seed: int) -> None:
         self.rng = random.Random(seed)
         self.world = SimulatedControllers(3, seed, rent=2)
-        self.due: list[tuple[float, Callable[[], None]]] = []
+        self.due: list[tuple[float, Callable[[], object]]] = []
 
     def play(self, day: dict[str, Any]) -> None:
         for name in self.world.names:
@@ -42,9 +44,8 @@
             "state", "*", LATE, "/kv/", *LOOKUP_S
         )
         for fault in day["faults"]:
-            begin = getattr(self, f"_{fault['kind']}", None)
-            if begin is not None:
-                self._in(fault["at_s"], partial(begin, fault))
+            if fault["kind"] not in PLAYED_THROUGHOUT:
+                self._in(fault["at_s"], partial(getattr(self, f"_{fault['kind']}"), fault))
         self._in(2.0, self._submit)
         self._in(5.0, self._repeat_requests)
         self._run_until(self.world.now + DURATION_S)
@@ -58,7 +59,7 @@
         self.world.run(SETTLED_S)
         self.world.known_by_all()
 
-    def _in(self, delay_s: float, action: Callable[[], None]) -> None:
+    def _in(self, delay_s: float, action: Callable[[], object]) -> None:
         self.due.append((self.world.now + delay_s, action))
 
     def _run_until(self, end: float) -> None:
@@ -107,7 +108,7 @@
     def _fail_link(self, link_fault: LinkFault, for_s: float) -> None:
         key = f"{link_fault} {self.world.now}"
         self.world.network.links.faults[key] = link_fault
-        self._in(for_s, lambda: self.world.network.links.faults.pop(key, None) and None)
+        self._in(for_s, partial(self.world.network.links.faults.pop, key))
 
     # ---- users -------------------------------------------------------------------------
 
--- a/tests/test_state_log.py
+++ b/tests/test_state_log.py
@@ -85,7 +85,8 @@
         name, _, times = span.partition("@")
         first, last = map(float, times.split(".."))
         assert (fault, name) == (FAULT, "k2")
-        assert started_at <= first <= started_at + 4.0  # it is asked every 2 s
+        assert 15.0 < last - first < 20.5  # it ran for 20 s, and is asked every 2 s
+        assert started_at <= first <= started_at + 4.0
         assert started_at + 16.0 <= last <= started_at + 20.0
         assert started_at <= line["watched_from"] <= first
         assert line["builds"] == f"{THIS_BUILD}:k0,k1,k2" and line["build"] == THIS_BUILD
