--- a/tools/regress/__main__.py
+++ b/tools/regress/__main__.py
@@ -10,7 +10,7 @@
 
 import click
 
-from tools.regress import entries, largest, meetings, served, sites
+from tools.regress import entries, largest, meetings, rolls, served, sites
 from tools.regress.entries import Entry, Row
 
 KIT = Path("../given/kit")
@@ -191,6 +191,54 @@
     _run_days(days_to_run, why, jobs)
 
 
+@main.command("rolls")
+@_why_option
+@_jobs_option
+@click.option("--first-seed", default=1, show_default=True, help="Of the drawn rolls.")
+@click.option("--days", "count", default=20, show_default=True, help="Seeds per deployment.")
+@click.option("--upgrade", is_flag=True, help="From the production version to this one.")
+@click.option("--only", default="", help="Only deployments whose names contain this.")
+def _play_rolls(
+    why: str, jobs: int, first_seed: int, count: int, *, upgrade: bool, only: str
+) -> None:
+    """Drawn rolls on both hunt deployments in small, controllers back after 0.2 s.
+
+    Exits with 1 if a rule is broken or a day has no result.
+    """
+    _require_bench()
+    days_to_run = []
+    for source in (name for name in HUNT if only in name):
+        site = sites.write(KIT / source, SITES / "rolls", 1.0, rolls.RESTART_S, 1)
+        controllers = sites.read_site(site)["nodes"]["count"]
+        for seed in range(first_seed, first_seed + count):
+            day = rolls.draw_roll(controllers, seed, upgrade=upgrade)
+            days_to_run.append((site, sites.write_day(site, day), seed))
+    failures = 0
+    with ThreadPoolExecutor(max_workers=jobs) as pool:
+        for text, failed in pool.map(lambda day: _run_roll(*day, why), days_to_run):
+            click.echo(text)
+            failures += failed
+    click.echo(f"{failures} of {len(days_to_run)} failed")
+    sys.exit(1 if failures else 0)
+
+
+def _run_roll(site: Path, day: Path, seed: int, why: str) -> tuple[str, bool]:
+    """Run the beginning of one day in small; returns a line about it, and whether it failed."""
+    report = day.with_suffix(".json")
+    report.unlink(missing_ok=True)
+    command = [str(BENCH), "run", str(site), str(day), "--seed", str(seed), "--small"]
+    command += ["--until", f"{rolls.DURATION_S:g}", "--log", "info", "--report", str(report)]
+    done = subprocess.run(
+        [*command, "--why", f"{why} (seed {seed})"], check=False, capture_output=True, text=True
+    )
+    day.with_suffix(".log").write_text(done.stdout + done.stderr)
+    if not report.exists():
+        return f"{day.stem}: no result", True
+    found = served.read(report)
+    broken = ", ".join(sorted(found.rules_broken.by_kind)) if found.broken else "unbroken"
+    return f"{day.stem}: {broken}", found.broken
+
+
 @main.command()
 @click.argument("ids", nargs=-1)
 def compare(ids: tuple[str, ...]) -> None:
