A response that renews a session carries the stops of cancelled tasks, or is not given

Cause: a leader's first response in its term goes out before the machine's tasks are reconciled, with no commands; the stops were left to a second message, after an empty direct command that raises the worker's token. The first response renews the session, so each leader in turn added a lease to tasks that had been cancelled before its term. The bound in LeaseBounds covers cancellations that a leader does not know, not those that it knows. The same held for a report overtaken by the answer to a probe, for a machine whose existence is not confirmed, and for one believed deleted.

Change: SessionRenewal judges each answer with the report's list at hand. Each listed attempt that has not exited and whose job is not live is stopped by this very answer; what a newer report listed is added; the answer is not given while the jobs are unread, a newer list has unplaced tasks of ended jobs, a start of an ended job is not void under the answer's token, or the stops exceed one message. An invariant checks the same on what is sent (renewed_with_stops). An overtaken list is no longer kept as the settled one.

The mutation unwanted-start removes the safeguard where both its users ask, and fresh- knows-nothing removes the new one too, which alone would hide it.

--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -64,6 +64,7 @@
 from umberward.scheduling.reachability import Reachability
 from umberward.scheduling.scale_out import ScaleOutPlan
 from umberward.scheduling.scheduler import Scheduler
+from umberward.scheduling.session_renewal import SessionRenewal
 from umberward.scheduling.state_writer import StateWriter
 from umberward.scheduling.token_rotation import TokenRotation
 from umberward.scheduling.unlocated_tasks import UnlocatedTasks
@@ -707,6 +708,13 @@
         return original(self, self.renewal_sent_at if known is None else known)
 
     patch.setattr(LeaderElection, "may_answer_heartbeat", may_answer_heartbeat)
+    renewal_without_stops(patch)
+
+
+def renewal_without_stops(patch: pytest.MonkeyPatch) -> None:
+    """A response that renews a session carries only the commands of the reconciliation."""
+    patch.setattr(SessionRenewal, "complete", lambda _, __, commands, *___, **____: commands)
+    patch.setattr(SessionRenewal, "may_renew_unchanged", lambda *_: True)
 
 
 def tending_ends(patch: pytest.MonkeyPatch) -> None:
@@ -808,7 +816,7 @@
 def unwanted_start(patch: pytest.MonkeyPatch) -> None:
     """Sessions are renewed even while an unwanted start may still arrive, and no token voids it."""
     _never_raise_tokens(patch)
-    patch.setattr(Scheduler, "has_unwanted_start", lambda *_: False)
+    patch.setattr(Scheduler, "unwanted_starts", lambda *_: iter(()))
 
 
 def cancelled_use(patch: pytest.MonkeyPatch) -> None:
@@ -923,6 +931,7 @@
     "cancelled-use": cancelled_use,
     "knows-cancellations": knows_cancellations,
     "fresh-knows-nothing": fresh_knows_nothing,
+    "renewal-without-stops": renewal_without_stops,
     "tending-ends": tending_ends,
     "cheap-only": cheap_only,
     "one-zone": one_zone,
--- a/tests/test_fault_combinations.py
+++ b/tests/test_fault_combinations.py
@@ -13,6 +13,7 @@
 import pytest
 from simulated_controllers import CANCEL_RETRY_DURATION_S, SimulatedControllers
 from test_scenarios import (
+    ScenarioFailure,
     ScenarioPlayer,
     assert_fails_without_guard,
     files_with_guard,
@@ -206,6 +207,15 @@
                 self.cluster.start(leader)
             self.cluster.run(float(every) - float(away))
 
+    def do_until_renewed(self, name: str, most_s: str = "30") -> None:
+        """Run until the machine accepts a response, which renews its session."""
+        worker = self.cluster.workers[name]
+        renewed_at, until = worker.lease_renewed_at, self.cluster.now + float(most_s)
+        while worker.lease_renewed_at == renewed_at:
+            if self.cluster.now >= until:
+                raise ScenarioFailure(f"{name} was not renewed within {most_s} s")
+            self.cluster.run(0.01)
+
     def do_known(self) -> None:
         """With no fault left, check that each controller answers polls of each job in time."""
         self.cluster.known_by_all()
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -69,11 +69,17 @@
     assert not setup.scheduler.invariants.may_forget(machine, TASK, setup.placement.attempt)
 
 
+def _renew_without_a_stop(setup: Setup) -> None:
+    report = setup.player.cluster.workers[setup.placement.machine].report()
+    assert not setup.scheduler.invariants.may_renew(report, [], {})
+
+
 VIOLATIONS = {
     "hold twice": (_place_twice, Invariant.ONE_ATTEMPT_HELD),
     "start beside a placement": (_start_beside_a_placement, Invariant.STARTED_ALONE),
     "start beside a stray": (_start_beside_an_unplaced_task, Invariant.STARTED_ALONE),
     "start of the ended": (_start_of_an_ended_job, Invariant.STARTED_WHILE_LIVE),
+    "renew": (_renew_without_a_stop, Invariant.RENEWED_WITH_STOPS),
     "forget": (_forget_while_a_start_may_arrive, Invariant.FORGOTTEN_FOR_GOOD),
 }
 
--- a/umberward/scheduling/cluster_state.py
+++ b/umberward/scheduling/cluster_state.py
@@ -9,7 +9,7 @@
 
 import random
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
 from umberward.core.log import logger
@@ -30,6 +30,7 @@
 from umberward.protocol.wire import KILL, START, MachineType, TaskCommand
 from umberward.scheduling.fencing_tokens import FencingTokens
 from umberward.scheduling.headroom import Headroom
+from umberward.scheduling.inflight_commands import AttemptKey
 from umberward.scheduling.invariants import Invariants
 from umberward.scheduling.job_constraints import JobConstraints
 from umberward.scheduling.job_timing import DEFAULT_START_WITHIN_S
@@ -364,7 +365,12 @@
         self.queue_commands(machine, [TaskCommand(START, str(placement.task), placement.attempt)])
 
     def has_unwanted_start(self, machine: Machine) -> bool:
-        """Tell whether a start of a task that is to be stopped may still be executed there.
+        """Tell whether a start of a task that is to be stopped may still be executed there."""
+        return any(True for _ in self.unwanted_starts(machine))
+
+    @staticmethod
+    def unwanted_starts(machine: Machine) -> Iterator[AttemptKey]:
+        """Iterate over the attempts to be stopped whose start may still be executed there.
 
         Such a start becomes void when the worker receives a higher fencing token or its session
         ends. Until the token is raised, the session must therefore be allowed to end. A start has
@@ -374,7 +380,6 @@
             placement = machine.placements.get(task)
             if placement is None or placement.attempt != attempt:
                 if task not in machine.exited_tasks:
-                    return True
+                    yield task, attempt
             elif placement.stop_grace_s is not None and not placement.seen_on_worker:
-                return True
-        return False
+                yield task, attempt
--- a/umberward/scheduling/heartbeats.py
+++ b/umberward/scheduling/heartbeats.py
@@ -28,6 +28,7 @@
 from umberward.scheduling.machines import Machine
 from umberward.scheduling.reachability import Reachability
 from umberward.scheduling.reconciliation import TaskReconciliation
+from umberward.scheduling.session_renewal import RenewalKind, SessionRenewal
 from umberward.scheduling.state_writer import StateWriter
 
 log = logger(__name__)
@@ -47,15 +48,16 @@
     """The leader's decision on one heartbeat."""
 
     answerable: bool  # False: this leader must not renew the worker's lease with a response
-    commands: list[TaskCommand]  # for the response; empty if not answerable
+    reconciled: bool  # whether its tasks were reconciled
+    commands: list[TaskCommand]  # of the reconciliation
 
 
 def _refused() -> HeartbeatOutcome:
-    return HeartbeatOutcome(answerable=False, commands=[])
+    return HeartbeatOutcome(answerable=False, reconciled=False, commands=[])
 
 
-def _without_commands() -> HeartbeatOutcome:
-    return HeartbeatOutcome(answerable=True, commands=[])
+def _not_reconciled() -> HeartbeatOutcome:
+    return HeartbeatOutcome(answerable=True, reconciled=False, commands=[])
 
 
 class HeartbeatHandler:
@@ -73,6 +75,7 @@
         self.reachability = reachability
         self.writer = writer
         self.reconciliation = TaskReconciliation(cluster, reachability, failure_attribution, writer)
+        self.renewal = SessionRenewal(cluster)
         self.duplicates = 0  # since the last log line on duplicates
         self.duplicates_logged_at = cluster.started_at
 
@@ -91,6 +94,7 @@
         not answer.
         """
         if self._accept_unchanged(header, now):
+            self.renewal.counts[RenewalKind.UNCHANGED] += 1
             return []
         try:
             heartbeat = wire.decode_heartbeat(body)
@@ -100,10 +104,18 @@
         self.cluster.heartbeats_decoded += 1
         outcome = self.apply(heartbeat, now, HeartbeatSource.PERIODIC)
         if not outcome.answerable:
+            self.renewal.refused()
             return None
-        if not outcome.commands:
+        commands = self.renewal.complete(
+            heartbeat, outcome.commands, now, reconciled=outcome.reconciled
+        )
+        if commands is None or not self.cluster.invariants.may_renew(
+            heartbeat, commands, self.cluster.jobs
+        ):
+            return None
+        if outcome.reconciled and not commands:
             self._store_settled_task_list(header)
-        return outcome.commands
+        return commands
 
     def apply(
         self, heartbeat: Heartbeat, now: Instant, source: HeartbeatSource
@@ -114,22 +126,22 @@
             self._note_higher_token(FencingToken(heartbeat.fencing_token))
             return _refused()
         if heartbeat.machine_id in self.cluster.deleted_machines:
-            return _without_commands()
+            return _refused()  # its tasks may have been started elsewhere
         machine = self._find_or_register(heartbeat, now)
         if machine is None or not self._may_answer(machine, heartbeat):
             return _refused()
         if source is HeartbeatSource.PERIODIC and heartbeat.incarnation == machine.incarnation:
             self._renew_lease(machine, heartbeat, now)
         if (heartbeat.incarnation, heartbeat.sequence) <= (machine.incarnation, machine.sequence):
-            return _without_commands()  # out of order: a newer one was already applied
+            return _not_reconciled()  # out of order: a newer one was already applied
         self._update_machine(machine, heartbeat, now, source)
         if not machine.reconciled and not self._may_reconcile(machine, heartbeat, now, source):
-            return _without_commands()
+            return _not_reconciled()
         if machine.block_number is None and self.cluster.loaded:
             self.writer.assign_block(machine)
         periodic = source is HeartbeatSource.PERIODIC
         commands = self.reconciliation.reconcile(machine, heartbeat, now, periodic=periodic)
-        return HeartbeatOutcome(answerable=True, commands=commands)
+        return HeartbeatOutcome(answerable=True, reconciled=True, commands=commands)
 
     # ---- unchanged heartbeats --------------------------------------------------------------
 
@@ -154,6 +166,7 @@
             or machine.suspected_unreachable_since is not None
             or machine.no_heartbeats_since is not None
             or machine.settled_task_list != bytes(header.tasks)
+            or not self.renewal.may_renew_unchanged(machine)
         ):
             return False
         machine.last_message_at = machine.heartbeat_at = machine.lease_started_at = (
--- a/umberward/scheduling/invariants.py
+++ b/umberward/scheduling/invariants.py
@@ -8,10 +8,12 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Container, Iterable
 from enum import StrEnum
 
 from umberward.core.log import logger
-from umberward.core.types import Attempt, TaskId
+from umberward.core.types import Attempt, JobId, TaskId, parse_task_id
+from umberward.protocol.wire import EXITED, KILL, Heartbeat, TaskCommand, TaskStatus
 from umberward.scheduling.jobs import Job, Placement
 from umberward.scheduling.machines import Machine
 
@@ -25,6 +27,7 @@
     STARTED_ALONE = "started_alone"  # no other attempt is on a machine or in flight
     STARTED_WHILE_LIVE = "started_while_live"  # a task is started only if its job is live
     FORGOTTEN_FOR_GOOD = "forgotten_for_good"  # no start of a forgotten attempt can arrive
+    RENEWED_WITH_STOPS = "renewed_with_stops"  # a renewal stops each listed task of an ended job
 
 
 class InvariantViolationError(AssertionError):
@@ -88,6 +91,32 @@
             session=machine.incarnation,
         )
 
+    def may_renew(
+        self, heartbeat: Heartbeat, commands: list[TaskCommand], live_jobs: Container[JobId]
+    ) -> bool:
+        """Whether a response with these commands may renew the session of the heartbeat's worker.
+
+        `live_jobs` are the jobs that the leader knows as live.
+        """
+        ended = running_without_live_job(heartbeat.tasks, live_jobs)
+        if not ended:
+            return True
+        stopped = {
+            (command.task_id, command.attempt)
+            for command in commands
+            if command.verb == KILL and not command.grace_s
+        }
+        unstopped = [status for status in ended if (status.task_id, status.attempt) not in stopped]
+        if not unstopped:
+            return True
+        return self._refuse(
+            Invariant.RENEWED_WITH_STOPS,
+            machine=heartbeat.machine_id,
+            task=parse_task_id(unstopped[0].task_id),
+            attempt=unstopped[0].attempt,
+            unstopped=len(unstopped),
+        )
+
     def _refuse_placement(
         self, invariant: Invariant, placement: Placement, **evidence: object
     ) -> bool:
@@ -112,3 +141,14 @@
             **evidence,
         )
         return False
+
+
+def running_without_live_job(
+    tasks: Iterable[TaskStatus], live_jobs: Container[JobId]
+) -> list[TaskStatus]:
+    """Return the listed attempts that have not exited and whose job is not live."""
+    return [
+        status
+        for status in tasks
+        if status.phase != EXITED and JobId(status.task_id.rpartition("/")[0]) not in live_jobs
+    ]
