A previous leader's tasks are not over while this one has renewed their session

Cause: takeover_s bounds the sessions that previous leaders renewed. A leader's own response to a machine that it has not reconciled renews the session, too, and outlives that bound: the machine's tasks counted as ended, and were started elsewhere.

Change: a machine that is not reconciled is waited for until the lease that began with this leader's last response is over. A session that began in this term ends the wait at once: its worker has killed what ran before, also where the machine hears nothing.

--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -56,6 +56,7 @@
 from umberward.scheduling.lease_bounds import LeaseBounds
 from umberward.scheduling.lease_delegation import Delegate, Delegator
 from umberward.scheduling.machine_blocks import MachineBlocks
+from umberward.scheduling.machine_checks import MachineChecks
 from umberward.scheduling.machines import Machine
 from umberward.scheduling.placement_pass import PlacementPass
 from umberward.scheduling.placement_search import JobSearch, PassState
@@ -717,6 +718,11 @@
     patch.setattr(SessionRenewal, "may_renew_unchanged", lambda *_: True)
 
 
+def renewed_unreconciled(patch: pytest.MonkeyPatch) -> None:
+    """The tasks of a previous leader count as ended although this one has renewed their session."""
+    patch.setattr(MachineChecks, "_lease_is_over", lambda *_: True)
+
+
 def tending_ends(patch: pytest.MonkeyPatch) -> None:
     """Sessions may be renewed for 60 s after the jobs were last read."""
     original = LeaseBounds.__init__
@@ -932,6 +938,7 @@
     "knows-cancellations": knows_cancellations,
     "fresh-knows-nothing": fresh_knows_nothing,
     "renewal-without-stops": renewal_without_stops,
+    "renewed-unreconciled": renewed_unreconciled,
     "tending-ends": tending_ends,
     "cheap-only": cheap_only,
     "one-zone": one_zone,
--- a/tests/test_session_renewal.py
+++ b/tests/test_session_renewal.py
@@ -173,3 +173,13 @@
     response = curio.run(api.serve_forwarded, wire.encode(report(1, token=1)))
     orders = [{"verb": "kill", "shard": TASK, "try": 1, "drain_s": 0.0}]
     assert msgspec.msgpack.decode(response.body) == {"epoch": TOKEN, "orders": orders}
+
+
+def test_new_session_of_a_machine_that_hears_nothing_ends_the_wait_for_earlier_tasks() -> None:
+    """Its reports go on in ever new sessions, and none of them can still run those tasks."""
+    leader = leader_of(LIVE)
+    assert answer(leader, report(1, token=1)) == []
+    machine = leader.scheduler.machines[MACHINE]
+    assert not machine.previous_tasks_ended
+    assert answer(leader, msgspec.structs.replace(report(1, (), token=1), incarnation=2)) == []
+    assert machine.previous_tasks_ended and not machine.reconciled
--- a/umberward/scheduling/heartbeats.py
+++ b/umberward/scheduling/heartbeats.py
@@ -311,6 +311,7 @@
         periodic = source is HeartbeatSource.PERIODIC
         if machine.incarnation:
             self.cluster.release_all_placements(machine, "session over")
+            machine.previous_tasks_ended = True
         if periodic:
             self.reachability.periodic_heartbeat_received(machine, now)
         if periodic and machine.incarnation:
--- a/umberward/scheduling/machine_checks.py
+++ b/umberward/scheduling/machine_checks.py
@@ -92,7 +92,10 @@
             return NO_CHECK_DUE
         takeover_s = self.delegator.bounds.takeover_s
         if now - self.cluster.started_at > takeover_s:
-            # Any session that a previous leader renewed is over by now.
+            # Any session that a previous leader renewed is over by now, but this one may have
+            # renewed it as well, before knowing its tasks.
+            if machine.lease_started_at is not None and not self._lease_is_over(machine, now):
+                return Instant(machine.lease_started_at + self.delegator.bounds.lease_s)
             machine.previous_tasks_ended = True
             return NO_CHECK_DUE
         return Instant(self.cluster.started_at + takeover_s)
@@ -101,13 +104,18 @@
         """Expire the lease of a reconciled machine; its worker has then killed all tasks."""
         if machine.lease_started_at is None:
             return NO_CHECK_DUE
-        if self.delegator.lease_expired(
-            machine.zone, machine.lease_started_at, machine.delegated_at, now
-        ):
+        if self._lease_is_over(machine, now):
             self._expire_lease(machine)
             return NO_CHECK_DUE
         return Instant(machine.lease_started_at + self.delegator.bounds.lease_s)
 
+    def _lease_is_over(self, machine: Machine, now: Instant) -> bool:
+        """Whether the session that began or was renewed at `lease_started_at` is certainly over."""
+        assert machine.lease_started_at is not None, "the machine has no lease"
+        return self.delegator.lease_expired(
+            machine.zone, machine.lease_started_at, machine.delegated_at, now
+        )
+
     def _expire_lease(self, machine: Machine) -> None:
         self.cluster.release_all_placements(machine, "lease over")
         machine.min_incarnation = Incarnation(machine.incarnation + 1)
