Log: events about many machines at one moment are one line; how heartbeats were answered

An event's first line is written at once, what follows within a second becomes one line with its number, the first names and the ranges. Warnings of curio.time are counted in controller_state (library), not written.

session_renewals says every 10 s and at the end of a term how heartbeats were answered (unchanged, reconciled, stops only, refused), how many machines last listed tasks of ended jobs, and for how long; renewal_refused gives the reason.

--- a/umberward/control/job_api.py
+++ b/umberward/control/job_api.py
@@ -38,6 +38,7 @@
     retry_later_response,
 )
 from umberward.control.stored_jobs import final_key, live_key
+from umberward.core.grouped_log import GroupedLog
 from umberward.core.log import logger
 from umberward.core.rate_limited_log import RateLimitedLog
 from umberward.core.settings import Settings
@@ -53,6 +54,7 @@
 )
 
 log = logger(__name__)
+grouped_log = GroupedLog(log)
 rate_limited_log = RateLimitedLog(log)
 
 DEPENDENCIES_RETRY_AFTER_S = 10.0
@@ -121,13 +123,13 @@
         try:
             return await self._submit(body, arrived_at)
         except state_client.RateBudgetExceededError as error:
-            log.info(
+            grouped_log.info(
                 "submission_not_accepted",
                 error="this controller's share of the write rate is used up",
             )
             return rate_limited_response(error.wait_s)
         except (state_client.StateUnavailableError, state_client.UnknownOutcomeError) as error:
-            log.info("submission_not_accepted", error=error)
+            grouped_log.info("submission_not_accepted", error=error)
             return retry_later_response(OUTAGE_RETRY_AFTER_S)
 
     async def _submit(self, body: bytes, arrived_at: float) -> Response:
--- a/umberward/control/state_log.py
+++ b/umberward/control/state_log.py
@@ -15,7 +15,8 @@
 from umberward.control.job_state_cache import JobStateCache
 from umberward.control.peer_monitor import PeerMonitor
 from umberward.control.rejection_log import RejectionLog
-from umberward.core.log import logger, observe_lines
+from umberward.core.grouped_log import GroupedLog
+from umberward.core.log import library_records, logger, observe_lines
 from umberward.core.log_clock import LogClock
 from umberward.leader.leader_election import LeaderElection
 
@@ -57,6 +58,7 @@
                 if remaining_s > 0.0:
                     await curio.sleep(remaining_s)
                 else:
+                    GroupedLog.flush_due()
                     self.write()
 
     def note_line(self) -> None:
@@ -93,6 +95,7 @@
             "known_faults": faults.summary(self.log_clock) or NONE,
             "watched_from": None if watched_from is None else self.log_clock.time_of(watched_from),
             "rejected": self.parts.rejections.summary() or NONE,
+            "library": ",".join(f"{name}:{many}" for name, many in library_records.items()) or NONE,
         }
 
     def _newest_token(self) -> tuple[int | None, float | None]:
--- a/umberward/core/log.py
+++ b/umberward/core/log.py
@@ -9,6 +9,7 @@
 import contextlib
 import logging
 import sys
+from collections import Counter
 from collections.abc import Callable, Iterator, MutableMapping
 from typing import Any
 
@@ -61,10 +62,18 @@
 _line_observers: list[Callable[[], None]] = []
 
 
+# Records of these libraries' loggers are counted here and not written: a busy process has hundreds.
+COUNTED_LOGGERS = ("curio.time",)
+library_records: Counter[str] = Counter()
+
+
 class _LibraryHandler(logging.Handler):
     """Forwards records of the standard library's `logging` to this log."""
 
     def emit(self, record: logging.LogRecord) -> None:
+        if record.name in COUNTED_LOGGERS:
+            library_records[record.name] += 1
+            return
         fields = {"text": record.getMessage()}
         if record.exc_info and record.exc_info[1] is not None:
             fields["error"] = repr(record.exc_info[1])
--- a/umberward/leader/command_sender.py
+++ b/umberward/leader/command_sender.py
@@ -5,8 +5,8 @@
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 
+from umberward.core.grouped_log import GroupedLog
 from umberward.core.log import logger
-from umberward.core.rate_limited_log import RateLimitedLog
 from umberward.core.types import Instant, MachineId, parse_address
 from umberward.leader.clock import monotonic_now
 from umberward.leader.leader_context import LeaderContext
@@ -18,7 +18,7 @@
 from umberward.scheduling.command_queue import CommandQueue
 
 log = logger(__name__)
-rate_limited_log = RateLimitedLog(log)
+grouped_log = GroupedLog(log)
 
 COMMAND_TIMEOUT_S = 2.0
 PROBE_TIMEOUT_S = 1.0
@@ -91,7 +91,7 @@
         except RequestNotSentError:
             completed = CommandCompleted(command, None, outcome_unknown=False)
         except (NoResponseError, wire.MalformedMessageError, ValueError) as error:
-            rate_limited_log.info(
+            grouped_log.info(
                 "command_timed_out",
                 machine=command.machine,
                 token=command.fencing_token,
@@ -131,7 +131,7 @@
         if response.status in HEARTBEAT_STATUSES:
             heartbeat = wire.decode_heartbeat(response.body)
         else:
-            rate_limited_log.info(
+            grouped_log.info(
                 "command_rejected",
                 machine=command.machine,
                 status=response.status,
--- a/umberward/leader/leader_loop.py
+++ b/umberward/leader/leader_loop.py
@@ -17,6 +17,7 @@
 from umberward.clients.cloud_client import CloudClient
 from umberward.clients.state_client import StateClient
 from umberward.core.actor import Actor
+from umberward.core.grouped_log import GroupedLog
 from umberward.core.log import logger
 from umberward.core.settings import Settings
 from umberward.core.types import (
@@ -177,6 +178,12 @@
 
     async def serve(self) -> None:
         """Run all background tasks of the term until cancelled."""
+        try:
+            await self._run_tasks()
+        finally:
+            self._log_renewals(monotonic_now())
+
+    async def _run_tasks(self) -> None:
         async with curio.TaskGroup(wait=None) as self._tasks:  # cancels what still runs at its end
             await self._spawn(self.run)
             await self._spawn(self.state_sync.run)
@@ -218,12 +225,18 @@
             log.info("fleet", **fields)
         for fields in self.scheduler.quarantine_summary(now):
             log.info("quarantine", **fields)
+        self._log_renewals(now)
         log.info(
             "inflight_starts",
             **self.scheduler.inflight_summary(),
             jobs_read_s=self.commands.jobs_read_age_s(now),
         )
 
+    def _log_renewals(self, now: Instant) -> None:
+        """Log how heartbeats were answered in this term."""
+        term = self.scheduler.tokens.initial
+        log.info("session_renewals", term=term, **self.scheduler.renewal_summary(now))
+
     async def _load_stored_snapshots(self) -> None:
         """Load the snapshot stored by a former leader, unless this controller already has one."""
         if not self.snapshots_to_restore:
@@ -342,6 +355,7 @@
     async def _timer_tick(self, _message: TimerTick, now: Instant) -> None:
         scheduler = self.scheduler
         scheduler.tick(now)
+        GroupedLog.flush_due()
         # The background tasks spawned here are not owned by the loop, as they must outlive it: when
         # one gives up the leadership, the controller cancels `serve` with all tasks of the loop,
         # but for example the lease must still be revoked. Each ends by itself: it sends a few
--- a/umberward/scheduling/cluster_state.py
+++ b/umberward/scheduling/cluster_state.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
+from umberward.core.grouped_log import GroupedLog
 from umberward.core.log import logger
 from umberward.core.settings import Settings
 from umberward.core.types import (
@@ -42,6 +43,7 @@
 from umberward.scheduling.token_rotation import TokenRotation
 
 log = logger(__name__)
+grouped_log = GroupedLog(log)
 
 INVARIANT_REFUSAL_PAUSE_S = 1.0  # pause of a job after an invariant refused one of its starts
 
@@ -292,7 +294,9 @@
     def release_all_placements(self, machine: Machine, reason: str) -> None:
         """Release all placements of a machine whose session has ended; log the `reason`."""
         if machine.placements:
-            log.info("tasks_lost", machine=machine.id, tasks=len(machine.placements), reason=reason)
+            grouped_log.info(
+                "tasks_lost", machine=machine.id, tasks=len(machine.placements), reason=reason
+            )
         machine.inflight_starts.incarnation_ended()
         for placement in list(machine.placements.values()):
             self.release(machine, placement)
--- a/umberward/scheduling/command_results.py
+++ b/umberward/scheduling/command_results.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from umberward.core.grouped_log import GroupedLog
 from umberward.core.log import logger
 from umberward.core.types import Instant, MachineId, parse_task_id
 from umberward.protocol.wire import Heartbeat
@@ -15,6 +16,7 @@
 from umberward.scheduling.reachability import Reachability
 
 log = logger(__name__)
+grouped_log = GroupedLog(log)
 
 
 class CommandResults:
@@ -81,7 +83,9 @@
         if silent_s <= self.cluster.heartbeat_timeout_s():
             return
         if not machine.silent:
-            log.info("machine_probe_unanswered", machine=machine.id, seconds=round(silent_s, 1))
+            grouped_log.info(
+                "machine_probe_unanswered", machine=machine.id, seconds=round(silent_s, 1)
+            )
         machine.silent = True
         machine.settled_task_list = None
         machine.mark_availability_changed()
--- a/umberward/scheduling/heartbeats.py
+++ b/umberward/scheduling/heartbeats.py
@@ -11,6 +11,7 @@
 from enum import StrEnum
 from typing import NamedTuple
 
+from umberward.core.grouped_log import GroupedLog
 from umberward.core.log import logger
 from umberward.core.types import (
     FencingToken,
@@ -32,6 +33,7 @@
 from umberward.scheduling.state_writer import StateWriter
 
 log = logger(__name__)
+grouped_log = GroupedLog(log)
 
 DUPLICATES_LOG_INTERVAL_S = 1.0  # minimum interval between log lines on duplicates
 CHECKPOINT_MARGIN_S = 1.0  # safety margin between a checkpoint's end and the preemption
@@ -224,7 +226,7 @@
             now,
         )
         machine.existence_confirmed = False
-        log.info("machine_new", machine=machine_id, type=machine_type, zone=heartbeat.zone)
+        grouped_log.info("machine_new", machine=machine_id, type=machine_type, zone=heartbeat.zone)
         return machine
 
     @staticmethod
--- a/umberward/scheduling/reachability.py
+++ b/umberward/scheduling/reachability.py
@@ -16,6 +16,7 @@
 
 from __future__ import annotations
 
+from umberward.core.grouped_log import GroupedLog
 from umberward.core.log import logger
 from umberward.core.types import Instant, MachineId
 from umberward.scheduling.cluster_state import ClusterState, Probe
@@ -23,6 +24,7 @@
 from umberward.scheduling.machines import UNREACHABLE_AFTER_PROBES, Machine
 
 log = logger(__name__)
+grouped_log = GroupedLog(log)
 
 # Intervals between probes of a suspected machine that sends heartbeats, of one that does not, and
 # of one that counts as unreachable.
@@ -117,7 +119,7 @@
         if machine.suspected_unreachable_since is None:
             return
         if machine.unreachable:
-            log.info(
+            grouped_log.info(
                 "machine_reachable",
                 machine=machine.id,
                 after_s=round(now - machine.suspected_unreachable_since, 1),
@@ -135,7 +137,9 @@
         machine.unanswered_probes += 1
         if machine.unanswered_probes == UNREACHABLE_AFTER_PROBES:
             machine.mark_availability_changed()
-            log.info("machine_unreachable", machine=machine.id, tasks=len(machine.placements))
+            grouped_log.info(
+                "machine_unreachable", machine=machine.id, tasks=len(machine.placements)
+            )
             self._stop_waiting_gangs(machine)
 
     # ---- whether a machine sends heartbeats --------------------------------------------------
@@ -144,7 +148,7 @@
         """Record a periodic heartbeat of the machine that is no duplicate."""
         machine.heartbeat_at = now
         if machine.no_heartbeats_since is not None:
-            log.info(
+            grouped_log.info(
                 "machine_heartbeats_resumed",
                 machine=machine.id,
                 after_s=round(now - machine.no_heartbeats_since, 1),
@@ -156,7 +160,9 @@
 
     def heartbeats_missing(self, machine: Machine, now: Instant) -> None:
         """Record that heartbeats have been missing for too long; probe responses renew no lease."""
-        log.info("machine_heartbeats_missing", machine=machine.id, tasks=len(machine.placements))
+        grouped_log.info(
+            "machine_heartbeats_missing", machine=machine.id, tasks=len(machine.placements)
+        )
         machine.no_heartbeats_since = now
         self.without_heartbeats[machine.id] = machine
         machine.mark_availability_changed()
--- a/umberward/scheduling/scheduler.py
+++ b/umberward/scheduling/scheduler.py
@@ -410,6 +410,10 @@
         """Return the quarantined machines and what keeps them there, as log fields."""
         return self.quarantines.summary(now)
 
+    def renewal_summary(self, now: Instant) -> dict[str, int | float]:
+        """Return how heartbeats were answered, as log fields."""
+        return self.heartbeats.renewal.summary(now)
+
     def inflight_summary(self) -> dict[str, int]:
         """Return the number of starts that may still reach a worker, as log fields."""
         return summaries.inflight_summary(self, self.heartbeats.deferred_forget_count)
--- a/umberward/scheduling/session_renewal.py
+++ b/umberward/scheduling/session_renewal.py
@@ -15,6 +15,7 @@
 from collections import Counter
 from enum import StrEnum
 
+from umberward.core.grouped_log import GroupedLog
 from umberward.core.log import logger
 from umberward.core.types import Instant, MachineId
 from umberward.protocol.message_sizes import commands_that_fit
@@ -24,6 +25,7 @@
 from umberward.scheduling.machines import Machine
 
 log = logger(__name__)
+grouped_log = GroupedLog(log)
 
 
 class RenewalKind(StrEnum):
@@ -77,13 +79,28 @@
         return completed
 
     def _refuse(self, heartbeat: Heartbeat, reason: str) -> None:
-        log.info("renewal_refused", machine=heartbeat.machine_id, reason=reason)
+        grouped_log.info("renewal_refused", machine=heartbeat.machine_id, reason=reason)
         self.refused()
 
     def refused(self) -> None:
         """Count a heartbeat that is not answered."""
         self.counts[RenewalKind.REFUSED] += 1
 
+    def summary(self, now: Instant) -> dict[str, int | float]:
+        """Return the counts by kind, and the machines that list tasks of ended jobs, as log fields.
+
+        `oldest_s` is for how long the longest of these has done so.
+        """
+        machines = self.cluster.machines
+        for machine_id in [each for each in self.awaiting_stops if each not in machines]:
+            del self.awaiting_stops[machine_id]
+        oldest = min(self.awaiting_stops.values(), default=now)
+        return {
+            **{kind.value: self.counts[kind] for kind in RenewalKind},
+            "awaiting_stops": len(self.awaiting_stops),
+            "oldest_s": round(now - oldest, 1),
+        }
+
     def _due_stops(self, machine: Machine | None, heartbeat: Heartbeat) -> list[TaskCommand]:
         """Return a stop of each attempt that may be on the machine and must not go on."""
         stops = [
--- a/umberward/scheduling/task_progress.py
+++ b/umberward/scheduling/task_progress.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from umberward.core.grouped_log import GroupedLog
 from umberward.core.log import logger
 from umberward.core.types import ImageName, Instant, TaskId
 from umberward.protocol import wire
@@ -13,6 +14,7 @@
 from umberward.scheduling.state_writer import StateWriter
 
 log = logger(__name__)
+grouped_log = GroupedLog(log)
 
 FAILED_CAUSE = "error"  # the task itself failed (PROTOCOL, "POST /hello")
 REFUSED_START_CAUSES = ("no_room", "in_use", "no_such")  # the worker did not start the task
@@ -129,7 +131,7 @@
             return
         if placement.adopted_from_previous_leader or not first_start:
             return
-        log.info(
+        grouped_log.info(
             "replica_started_late",
             task=placement.task,
             jobclass=job.spec.job_class,
