--- a/tests/explored_sessions.py
+++ b/tests/explored_sessions.py
@@ -32,9 +32,9 @@
 from umberward.scheduling.cluster_state import CommandMessage, Probe
 from umberward.scheduling.command_queue import CommandQueue
 from umberward.scheduling.invariants import InvariantViolationError
-from umberward.scheduling.lease_bounds import LeaseBounds
-from umberward.scheduling.lease_delegation import Delegate
 from umberward.scheduling.scheduler import Scheduler
+from umberward.scheduling.sessions.lease_bounds import LeaseBounds
+from umberward.scheduling.sessions.lease_delegation import Delegate
 
 JOB, MACHINE, TASK = JobId("req-000001"), MachineId("m1"), "req-000001/0"
 LEASE_S, CANCEL_S = 8.0, 16.0
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -34,38 +34,36 @@
     best_fit,
     dependencies,
     failure_attribution,
-    failure_detector,
     job_constraints,
     job_failures,
-    lease_bounds,
     machine_selection,
     placement_pass,
     quarantine,
-    reachability,
 )
 from umberward.scheduling.best_fit import MachineRoom
 from umberward.scheduling.consolidation import Consolidation
 from umberward.scheduling.dependencies import NO_DEMAND, BlockedJobs, DependencyGraph
 from umberward.scheduling.failure_attribution import FailureAttribution
-from umberward.scheduling.failure_detector import FailureDetector
 from umberward.scheduling.fencing_tokens import FencingTokens
 from umberward.scheduling.gang_reservation import GangReservations
-from umberward.scheduling.heartbeats import HeartbeatHandler
 from umberward.scheduling.inflight_commands import InflightStarts
 from umberward.scheduling.jobs import Job
-from umberward.scheduling.lease_bounds import LeaseBounds
-from umberward.scheduling.lease_delegation import Delegate, Delegator
 from umberward.scheduling.machine_blocks import MachineBlocks
-from umberward.scheduling.machine_checks import MachineChecks
 from umberward.scheduling.machines import Machine
 from umberward.scheduling.placement_pass import PlacementPass
 from umberward.scheduling.placement_search import JobSearch, PassState
 from umberward.scheduling.quarantine import DueTrials, MachineQuarantines
 from umberward.scheduling.quota import Quota
-from umberward.scheduling.reachability import Reachability
 from umberward.scheduling.scale_out import ScaleOutPlan
 from umberward.scheduling.scheduler import Scheduler
-from umberward.scheduling.session_renewal import SessionRenewal
+from umberward.scheduling.sessions import failure_detector, lease_bounds, reachability
+from umberward.scheduling.sessions.failure_detector import FailureDetector
+from umberward.scheduling.sessions.heartbeats import HeartbeatHandler
+from umberward.scheduling.sessions.lease_bounds import LeaseBounds
+from umberward.scheduling.sessions.lease_delegation import Delegate, Delegator
+from umberward.scheduling.sessions.machine_checks import MachineChecks
+from umberward.scheduling.sessions.reachability import Reachability
+from umberward.scheduling.sessions.session_renewal import SessionRenewal
 from umberward.scheduling.state_writer import StateWriter
 from umberward.scheduling.token_rotation import TokenRotation
 from umberward.scheduling.unlocated_tasks import UnlocatedTasks
--- a/tests/simulated_cluster.py
+++ b/tests/simulated_cluster.py
@@ -49,9 +49,9 @@
 from umberward.scheduling.autoscaler import Autoscaler
 from umberward.scheduling.cluster_state import CommandMessage, Probe
 from umberward.scheduling.command_queue import CommandQueue
-from umberward.scheduling.lease_bounds import LeaseBounds
-from umberward.scheduling.lease_delegation import Delegate
 from umberward.scheduling.scheduler import Scheduler
+from umberward.scheduling.sessions.lease_bounds import LeaseBounds
+from umberward.scheduling.sessions.lease_delegation import Delegate
 
 STEP_S = 0.1
 
--- a/tests/test_delegation_copies.py
+++ b/tests/test_delegation_copies.py
@@ -6,7 +6,7 @@
 
 from umberward.core.settings import OperatorSettings, settings_from_toml
 from umberward.core.types import ControllerName, Instant, ZoneName
-from umberward.scheduling.lease_delegation import Delegator
+from umberward.scheduling.sessions.lease_delegation import Delegator
 
 DELEGATE, ZONE = ControllerName("k1"), ZoneName("b")
 WORKERS = settings_from_toml(raw_settings(), OperatorSettings()).platform.cluster.workers
--- a/tests/test_session_renewal.py
+++ b/tests/test_session_renewal.py
@@ -15,8 +15,8 @@
 from umberward.protocol import wire
 from umberward.protocol.message_sizes import MAX_COMMAND_LIST_BYTES, command_bytes
 from umberward.protocol.wire import KILL, Heartbeat, JobRecord, TaskCommand, TaskStatus
-from umberward.scheduling.heartbeats import HeartbeatSource
-from umberward.scheduling.session_renewal import RenewalKind
+from umberward.scheduling.sessions.heartbeats import HeartbeatSource
+from umberward.scheduling.sessions.session_renewal import RenewalKind
 
 NOW, TOKEN = 1000.0, 5
 LIVE = JobRecord(SPEC, NOW, 1)
--- a/tests/test_stored_bytes.py
+++ b/tests/test_stored_bytes.py
@@ -19,7 +19,7 @@
 from umberward.graphs import records
 from umberward.leader import failover_snapshot
 from umberward.protocol import wire
-from umberward.scheduling.lease_delegation import Delegation
+from umberward.scheduling.sessions.lease_delegation import Delegation
 
 ENCODED = {
     name: bytes.fromhex(text)
--- a/umberward/control/controller.py
+++ b/umberward/control/controller.py
@@ -45,7 +45,7 @@
 from umberward.protocol import wire
 from umberward.protocol.http import Client, Connection, Response, Server, SocketBudget
 from umberward.protocol.wire import MachineType
-from umberward.scheduling.lease_delegation import Delegation
+from umberward.scheduling.sessions.lease_delegation import Delegation
 
 if TYPE_CHECKING:
     from umberward.graphs.graph_api import GraphApi
--- a/umberward/control/job_state_cache.py
+++ b/umberward/control/job_state_cache.py
@@ -35,7 +35,7 @@
     FinalJobRecord,
 )
 from umberward.scheduling.dependencies import DependencyGraph
-from umberward.scheduling.lease_bounds import LeaseBounds
+from umberward.scheduling.sessions.lease_bounds import LeaseBounds
 
 log = logger(__name__)
 
--- a/umberward/control/peer_delegation.py
+++ b/umberward/control/peer_delegation.py
@@ -1,6 +1,6 @@
 """Obtains delegations of lease renewal from the leader, and uses them in a zone partition.
 
-The rules and their reasons are explained in umberward.scheduling.lease_delegation.
+The rules and their reasons are explained in umberward.scheduling.sessions.lease_delegation.
 """
 
 from __future__ import annotations
@@ -17,7 +17,7 @@
 from umberward.core.settings import Settings
 from umberward.core.types import Address, ControllerName, Instant, MachineId
 from umberward.protocol.http import Client, NoResponseError, RequestNotSentError
-from umberward.scheduling.lease_delegation import Delegate, Delegation
+from umberward.scheduling.sessions.lease_delegation import Delegate, Delegation
 
 log = logger(__name__)
 
--- a/umberward/control/peer_link.py
+++ b/umberward/control/peer_link.py
@@ -23,7 +23,7 @@
 from umberward.leader.failover_snapshot import FailoverSnapshot
 from umberward.leader.leader_election import LeaderElection
 from umberward.protocol.http import Client, Request, Response
-from umberward.scheduling.lease_delegation import Delegation
+from umberward.scheduling.sessions.lease_delegation import Delegation
 
 POLL_PAUSE_RANGE_S = (0.8, 1.2)  # range of the random pause between two polls of the peers
 
--- a/umberward/leader/leader_election.py
+++ b/umberward/leader/leader_election.py
@@ -30,7 +30,7 @@
     Version,
 )
 from umberward.protocol import transactions, wire
-from umberward.scheduling.lease_bounds import LeaseBounds
+from umberward.scheduling.sessions.lease_bounds import LeaseBounds
 
 log = logger(__name__)
 
--- a/umberward/leader/leader_loop.py
+++ b/umberward/leader/leader_loop.py
@@ -59,8 +59,8 @@
 from umberward.protocol.wire import LIVE_JOBS_PREFIX, FinalJobRecord, MachineType
 from umberward.scheduling import job_records
 from umberward.scheduling.autoscaler import Autoscaler
-from umberward.scheduling.lease_delegation import Delegation
 from umberward.scheduling.scheduler import Scheduler
+from umberward.scheduling.sessions.lease_delegation import Delegation
 
 if TYPE_CHECKING:  # not imported at run time if graphs are disabled
     from umberward.graphs.graph_controller import GraphController
--- a/umberward/leader/messages.py
+++ b/umberward/leader/messages.py
@@ -17,7 +17,7 @@
 from umberward.protocol.transactions import VersionedValue
 from umberward.protocol.wire import Heartbeat, KeyChange, KeyValue, RemainingTasks, TaskCommand
 from umberward.scheduling.cluster_state import CommandMessage, Probe
-from umberward.scheduling.lease_delegation import Delegation
+from umberward.scheduling.sessions.lease_delegation import Delegation
 
 
 class HeartbeatReceived(Request[list[TaskCommand] | None], frozen=True):
--- a/umberward/scheduling/scheduler.py
+++ b/umberward/scheduling/scheduler.py
@@ -32,21 +32,21 @@
 from umberward.protocol.wire import Heartbeat, JobRecord, MachineType
 from umberward.scheduling import summaries
 from umberward.scheduling.cluster_state import ClusterState, CommandMessage, Probe
-from umberward.scheduling.command_results import CommandResults
 from umberward.scheduling.consolidation import Consolidation
 from umberward.scheduling.deadline_triage import DeadlineTriage
 from umberward.scheduling.dependencies import BlockedJobs
 from umberward.scheduling.failure_attribution import FailureAttribution
-from umberward.scheduling.failure_detector import FailureDetector
-from umberward.scheduling.heartbeats import HeartbeatHandler
 from umberward.scheduling.jobs import Job
-from umberward.scheduling.lease_delegation import Delegation, Delegator
 from umberward.scheduling.machines import Machine
 from umberward.scheduling.placement_pass import PlacementPass
 from umberward.scheduling.preemption import Preemption
 from umberward.scheduling.quarantine import MachineQuarantines
-from umberward.scheduling.reachability import Reachability
 from umberward.scheduling.service_order import ServiceOrder
+from umberward.scheduling.sessions.command_results import CommandResults
+from umberward.scheduling.sessions.failure_detector import FailureDetector
+from umberward.scheduling.sessions.heartbeats import HeartbeatHandler
+from umberward.scheduling.sessions.lease_delegation import Delegation, Delegator
+from umberward.scheduling.sessions.reachability import Reachability
 from umberward.scheduling.state_writer import StateWriter, Transaction
 from umberward.scheduling.unlocated_tasks import UnlocatedTasks
 
--- a/umberward/scheduling/command_results.py
+++ b/umberward/scheduling/sessions/command_results.py
@@ -11,9 +11,9 @@
 from umberward.core.types import Instant, MachineId, parse_task_id
 from umberward.protocol.wire import Heartbeat
 from umberward.scheduling.cluster_state import ClusterState, CommandMessage, Probe
-from umberward.scheduling.heartbeats import HeartbeatHandler, HeartbeatSource
 from umberward.scheduling.machines import Machine
-from umberward.scheduling.reachability import Reachability
+from umberward.scheduling.sessions.heartbeats import HeartbeatHandler, HeartbeatSource
+from umberward.scheduling.sessions.reachability import Reachability
 
 log = logger(__name__)
 grouped_log = GroupedLog(log)
--- a/umberward/scheduling/failure_detector.py
+++ b/umberward/scheduling/sessions/failure_detector.py
@@ -13,10 +13,10 @@
 from umberward.core.log import logger
 from umberward.core.types import ControllerName, Instant, ZoneName
 from umberward.scheduling.cluster_state import ClusterState
-from umberward.scheduling.lease_delegation import Delegation, Delegator
-from umberward.scheduling.machine_checks import MachineChecks
 from umberward.scheduling.machines import Machine
-from umberward.scheduling.reachability import Reachability
+from umberward.scheduling.sessions.lease_delegation import Delegation, Delegator
+from umberward.scheduling.sessions.machine_checks import MachineChecks
+from umberward.scheduling.sessions.reachability import Reachability
 
 log = logger(__name__)
 
--- a/umberward/scheduling/heartbeats.py
+++ b/umberward/scheduling/sessions/heartbeats.py
@@ -27,9 +27,9 @@
 from umberward.scheduling.cluster_state import ClusterState, CommandMessage, Probe
 from umberward.scheduling.failure_attribution import FailureAttribution
 from umberward.scheduling.machines import Machine
-from umberward.scheduling.reachability import Reachability
-from umberward.scheduling.reconciliation import TaskReconciliation
-from umberward.scheduling.session_renewal import RenewalKind, SessionRenewal
+from umberward.scheduling.sessions.reachability import Reachability
+from umberward.scheduling.sessions.reconciliation import TaskReconciliation
+from umberward.scheduling.sessions.session_renewal import RenewalKind, SessionRenewal
 from umberward.scheduling.state_writer import StateWriter
 
 log = logger(__name__)
--- a/umberward/scheduling/lease_delegation.py
+++ b/umberward/scheduling/sessions/lease_delegation.py
@@ -23,7 +23,7 @@
 
 from umberward.core.settings import WorkerTimes
 from umberward.core.types import ControllerName, FencingToken, Instant, MachineId, ZoneName
-from umberward.scheduling.lease_bounds import LeaseBounds
+from umberward.scheduling.sessions.lease_bounds import LeaseBounds
 
 # A leader that answered within this time is reachable, so workers are redirected to it.
 LEADER_REACHABLE_S = 2.5
--- a/umberward/scheduling/machine_checks.py
+++ b/umberward/scheduling/sessions/machine_checks.py
@@ -10,9 +10,9 @@
 
 from umberward.core.types import Incarnation, Instant, MachineId
 from umberward.scheduling.cluster_state import ClusterState
-from umberward.scheduling.lease_delegation import Delegator
 from umberward.scheduling.machines import Machine
-from umberward.scheduling.reachability import Reachability
+from umberward.scheduling.sessions.lease_delegation import Delegator
+from umberward.scheduling.sessions.reachability import Reachability
 
 RECHECK_INTERVAL_S = 0.1  # shorter than the tick interval: checks again at the next tick
 
--- a/umberward/scheduling/reachability.py
+++ b/umberward/scheduling/sessions/reachability.py
@@ -20,8 +20,8 @@
 from umberward.core.log import logger
 from umberward.core.types import Instant, MachineId
 from umberward.scheduling.cluster_state import ClusterState, Probe
-from umberward.scheduling.lease_bounds import LeaseBounds
 from umberward.scheduling.machines import UNREACHABLE_AFTER_PROBES, Machine
+from umberward.scheduling.sessions.lease_bounds import LeaseBounds
 
 log = logger(__name__)
 grouped_log = GroupedLog(log)
--- a/umberward/scheduling/reconciliation.py
+++ b/umberward/scheduling/sessions/reconciliation.py
@@ -18,9 +18,9 @@
 from umberward.scheduling.failure_attribution import FailureAttribution
 from umberward.scheduling.jobs import Placement
 from umberward.scheduling.machines import Machine
-from umberward.scheduling.reachability import Reachability
+from umberward.scheduling.sessions.reachability import Reachability
+from umberward.scheduling.sessions.task_adoption import TaskAdoption
 from umberward.scheduling.state_writer import StateWriter
-from umberward.scheduling.task_adoption import TaskAdoption
 from umberward.scheduling.task_progress import TaskProgress
 
 log = logger(__name__)
--- a/umberward/scheduling/unlocated_tasks.py
+++ b/umberward/scheduling/unlocated_tasks.py
@@ -14,7 +14,7 @@
 from umberward.core.types import NO_RESOURCES, Instant, JobId, Resources, TeamName
 from umberward.scheduling.cluster_state import ClusterState
 from umberward.scheduling.jobs import Job
-from umberward.scheduling.lease_delegation import Delegator
+from umberward.scheduling.sessions.lease_delegation import Delegator
 
 log = logger(__name__)
 
