A heartbeat's judgement costs less: the reconciliation's own stops, one pass over the list

The reconciliation already stops each listed attempt that must end, so that the judge looks at the list itself only where there was none, and the invariant looks at it once. Counts are plain numbers.

--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -713,7 +713,6 @@
 def renewal_without_stops(patch: pytest.MonkeyPatch) -> None:
     """A response that renews a session carries only the commands of the reconciliation."""
     patch.setattr(SessionRenewal, "complete", lambda _, __, commands, *___, **____: commands)
-    patch.setattr(SessionRenewal, "may_renew_unchanged", lambda *_: True)
 
 
 def renewed_unreconciled(patch: pytest.MonkeyPatch) -> None:
@@ -827,7 +826,7 @@
 def unwanted_start(patch: pytest.MonkeyPatch) -> None:
     """Sessions are renewed even while an unwanted start may still arrive, and no token voids it."""
     _never_raise_tokens(patch)
-    patch.setattr(Scheduler, "unwanted_starts", lambda *_: iter(()))
+    patch.setattr(Scheduler, "is_unwanted_start", lambda *_: False)
 
 
 def cancelled_use(patch: pytest.MonkeyPatch) -> None:
--- a/tests/test_session_renewal.py
+++ b/tests/test_session_renewal.py
@@ -16,9 +16,9 @@
 from umberward.protocol.message_sizes import MAX_COMMAND_LIST_BYTES, command_bytes
 from umberward.protocol.wire import KILL, Heartbeat, JobRecord, TaskCommand, TaskStatus
 from umberward.scheduling.sessions.heartbeats import HeartbeatSource
-from umberward.scheduling.sessions.session_renewal import RenewalKind
 
 NOW, TOKEN = 1000.0, 5
+KINDS = ("unchanged", "reconciled", "stops_only", "refused")
 LIVE = JobRecord(SPEC, NOW, 1)
 STOP = TaskCommand(KILL, TASK, 1, 0.0)
 RUNNING = (TaskStatus(TASK, 1, wire.RUNNING),)
@@ -52,8 +52,10 @@
     return leader
 
 
-def kinds(leader: Leader) -> dict[RenewalKind, int]:
-    return dict(leader.scheduler.heartbeats.renewal.counts)
+def kinds(leader: Leader) -> dict[str, int | float]:
+    """How the heartbeats were answered, by kind."""
+    summary = leader.scheduler.renewal_summary(Instant(NOW))
+    return {name: many for name, many in summary.items() if name in KINDS and many}
 
 
 # Tasks of a service or an array, of a gang that waits, of a graph, and one that saves.
@@ -71,7 +73,7 @@
     stops = [TaskCommand(KILL, status.task_id, status.attempt, 0.0) for status in tasks]
     assert answer(leader, report(1, tasks, token=1)) == stops
     assert not leader.scheduler.machines[MACHINE].reconciled
-    assert kinds(leader) == {RenewalKind.STOPS_ONLY: 1}
+    assert kinds(leader) == {"stops_only": 1}
 
 
 def test_first_answer_of_a_term_concludes_nothing_else() -> None:
@@ -110,7 +112,7 @@
     leader = reconciled_leader()
     leader.scheduler.remove_job(JOB)
     assert answer(leader, report(4)) == [STOP]
-    assert kinds(leader) == {RenewalKind.RECONCILED: 2, RenewalKind.UNCHANGED: 1}
+    assert kinds(leader) == {"reconciled": 2, "unchanged": 1}
 
 
 def test_task_that_was_told_to_save_is_ended_once_its_job_is_cancelled() -> None:
@@ -126,7 +128,7 @@
     leader = leader_of(LIVE)
     leader.scheduler.loaded = False
     assert answer(leader, report(1, token=1)) is None
-    assert kinds(leader) == {RenewalKind.REFUSED: 1}
+    assert kinds(leader) == {"refused": 1}
 
 
 def test_report_of_a_machine_believed_deleted_is_not_answered() -> None:
--- a/umberward/scheduling/cluster_state.py
+++ b/umberward/scheduling/cluster_state.py
@@ -9,7 +9,7 @@
 
 import random
 from collections import Counter
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from typing import NamedTuple
 
 from umberward.core.grouped_log import GroupedLog
@@ -17,6 +17,7 @@
 from umberward.core.settings import Settings
 from umberward.core.types import (
     NO_RESOURCES,
+    Attempt,
     FencingToken,
     Incarnation,
     Instant,
@@ -31,7 +32,6 @@
 from umberward.protocol.wire import KILL, START, MachineType, TaskCommand
 from umberward.scheduling.fencing_tokens import FencingTokens
 from umberward.scheduling.headroom import Headroom
-from umberward.scheduling.inflight_commands import AttemptKey
 from umberward.scheduling.invariants import Invariants
 from umberward.scheduling.job_constraints import JobConstraints
 from umberward.scheduling.job_timing import DEFAULT_START_WITHIN_S
@@ -370,20 +370,17 @@
 
     def has_unwanted_start(self, machine: Machine) -> bool:
         """Tell whether a start of a task that is to be stopped may still be executed there."""
-        return any(True for _ in self.unwanted_starts(machine))
+        return any(self.is_unwanted_start(machine, *key) for key in machine.inflight_starts)
 
     @staticmethod
-    def unwanted_starts(machine: Machine) -> Iterator[AttemptKey]:
-        """Iterate over the attempts to be stopped whose start may still be executed there.
+    def is_unwanted_start(machine: Machine, task: TaskId, attempt: Attempt) -> bool:
+        """Tell whether a start in flight is of an attempt to be stopped, and may be executed.
 
         Such a start becomes void when the worker receives a higher fencing token or its session
         ends. Until the token is raised, the session must therefore be allowed to end. A start has
         no effect on an attempt that the worker already lists, exited or not.
         """
-        for task, attempt in machine.inflight_starts:
-            placement = machine.placements.get(task)
-            if placement is None or placement.attempt != attempt:
-                if task not in machine.exited_tasks:
-                    yield task, attempt
-            elif placement.stop_grace_s is not None and not placement.seen_on_worker:
-                yield task, attempt
+        placement = machine.placements.get(task)
+        if placement is None or placement.attempt != attempt:
+            return task not in machine.exited_tasks
+        return placement.stop_grace_s is not None and not placement.seen_on_worker
--- a/umberward/scheduling/invariants.py
+++ b/umberward/scheduling/invariants.py
@@ -12,7 +12,7 @@
 from enum import StrEnum
 
 from umberward.core.log import logger
-from umberward.core.types import Attempt, JobId, TaskId, parse_task_id
+from umberward.core.types import Attempt, TaskId, parse_task_id
 from umberward.protocol.wire import EXITED, KILL, Heartbeat, TaskCommand, TaskStatus
 from umberward.scheduling.jobs import Job, Placement
 from umberward.scheduling.machines import Machine
@@ -92,7 +92,7 @@
         )
 
     def may_renew(
-        self, heartbeat: Heartbeat, commands: list[TaskCommand], live_jobs: Container[JobId]
+        self, heartbeat: Heartbeat, commands: list[TaskCommand], live_jobs: Container[str]
     ) -> bool:
         """Whether a response with these commands may renew the session of the heartbeat's worker.
 
@@ -144,11 +144,17 @@
 
 
 def running_without_live_job(
-    tasks: Iterable[TaskStatus], live_jobs: Container[JobId]
+    tasks: Iterable[TaskStatus], live_jobs: Container[str]
 ) -> list[TaskStatus]:
     """Return the listed attempts that have not exited and whose job is not live."""
-    return [
-        status
-        for status in tasks
-        if status.phase != EXITED and JobId(status.task_id.rpartition("/")[0]) not in live_jobs
-    ]
+    ended = []
+    live_prefix = "/"  # of the ids of the latest live job's tasks, which mostly follow each other
+    for status in tasks:
+        if status.task_id.startswith(live_prefix) or status.phase == EXITED:
+            continue
+        job_id = status.task_id.partition("/")[0]
+        if job_id in live_jobs:
+            live_prefix = f"{job_id}/"
+        else:
+            ended.append(status)
+    return ended
--- a/umberward/scheduling/sessions/__init__.py
+++ b/umberward/scheduling/sessions/__init__.py
@@ -3,7 +3,7 @@
 | state | owner |
 | --- | --- |
 | a machine's incarnation, sequence numbers, lease and tokens seen | `heartbeats` |
-| which responses renew sessions, and which machines list tasks of ended jobs | `session_renewal` |
+| which responses renew sessions, and which machines list tasks to stop | `session_renewal` |
 | whether a session, or a previous leader's, is over | `machine_checks` |
 | what each controller may answer in the leader's place, and for how long | `lease_delegation` |
 | from when on a machine receives nothing, or sends nothing | `reachability` |
--- a/umberward/scheduling/sessions/heartbeats.py
+++ b/umberward/scheduling/sessions/heartbeats.py
@@ -29,7 +29,7 @@
 from umberward.scheduling.machines import Machine
 from umberward.scheduling.sessions.reachability import Reachability
 from umberward.scheduling.sessions.reconciliation import TaskReconciliation
-from umberward.scheduling.sessions.session_renewal import RenewalKind, SessionRenewal
+from umberward.scheduling.sessions.session_renewal import SessionRenewal
 from umberward.scheduling.state_writer import StateWriter
 
 log = logger(__name__)
@@ -96,7 +96,7 @@
         not answer.
         """
         if self._accept_unchanged(header, now):
-            self.renewal.counts[RenewalKind.UNCHANGED] += 1
+            self.renewal.unchanged += 1
             return []
         try:
             heartbeat = wire.decode_heartbeat(body)
@@ -106,7 +106,7 @@
         self.cluster.heartbeats_decoded += 1
         outcome = self.apply(heartbeat, now, HeartbeatSource.PERIODIC)
         if not outcome.answerable:
-            self.renewal.refused()
+            self.renewal.refused += 1
             return None
         commands = self.renewal.complete(
             heartbeat, outcome.commands, now, reconciled=outcome.reconciled
@@ -168,7 +168,6 @@
             or machine.suspected_unreachable_since is not None
             or machine.no_heartbeats_since is not None
             or machine.settled_task_list != bytes(header.tasks)
-            or not self.renewal.may_renew_unchanged(machine)
         ):
             return False
         machine.last_message_at = machine.heartbeat_at = machine.lease_started_at = (
--- a/umberward/scheduling/sessions/session_renewal.py
+++ b/umberward/scheduling/sessions/session_renewal.py
@@ -12,9 +12,6 @@
 
 from __future__ import annotations
 
-from collections import Counter
-from enum import StrEnum
-
 from umberward.core.grouped_log import GroupedLog
 from umberward.core.log import logger
 from umberward.core.types import Instant, MachineId
@@ -28,44 +25,37 @@
 grouped_log = GroupedLog(log)
 
 
-class RenewalKind(StrEnum):
-    """How a heartbeat was answered; the values are logged."""
-
-    UNCHANGED = "unchanged"  # nothing has changed since the last reconciliation
-    RECONCILED = "reconciled"  # with the commands of a reconciliation
-    STOPS_ONLY = "stops_only"  # not reconciled: at most with stops
-    REFUSED = "refused"  # not answered, so that the session is not renewed
-
-
 class SessionRenewal:
     """Judges each response to a heartbeat before it may renew the worker's session."""
 
     def __init__(self, cluster: ClusterState) -> None:
         """Judge for the machines and jobs of `cluster`."""
         self.cluster = cluster
-        self.counts: Counter[RenewalKind] = Counter()  # heartbeats in this term
-        # Machines that last listed attempts of ended jobs, and when they first did so.
+        # How the heartbeats of this term were answered. Plain numbers, as each heartbeat counts.
+        self.unchanged = 0  # nothing has changed since the last reconciliation
+        self.reconciled = 0  # with the commands of a reconciliation
+        self.stops_only = 0  # not reconciled: at most with stops
+        self.refused = 0  # not answered, so that the session is not renewed
+        # Machines that last listed attempts to be stopped, and when they first did so.
         self.awaiting_stops: dict[MachineId, Instant] = {}
 
-    def may_renew_unchanged(self, machine: Machine) -> bool:
-        """Whether a heartbeat that lists what the last one did may be answered without commands.
-
-        The last one listed exactly the machine's placements.
-        """
-        return not machine.has_stopping_tasks
-
     def complete(
         self, heartbeat: Heartbeat, commands: list[TaskCommand], now: Instant, *, reconciled: bool
     ) -> list[TaskCommand] | None:
         """Return the commands of the response, or None if it must not be given.
 
-        `commands` come from the reconciliation of this heartbeat, if it was `reconciled`.
+        `commands` come from the reconciliation of this heartbeat, if it was `reconciled`: then they
+        stop each listed attempt that has no placement or whose placement is to be stopped.
         """
         if not self.cluster.loaded:
             self._refuse(heartbeat, "the jobs have not been read")
             return None
         machine = self.cluster.machines.get(MachineId(heartbeat.machine_id))
-        stops = self._due_stops(machine, heartbeat)
+        stops = (
+            [command for command in commands if command.verb == KILL]
+            if reconciled
+            else self._due_stops(machine, heartbeat)
+        )
         self._track(heartbeat, stops, now)
         completed = commands
         if stops:
@@ -75,19 +65,18 @@
         if reason is not None:
             self._refuse(heartbeat, reason)
             return None
-        self.counts[RenewalKind.RECONCILED if reconciled else RenewalKind.STOPS_ONLY] += 1
+        if reconciled:
+            self.reconciled += 1
+        else:
+            self.stops_only += 1
         return completed
 
     def _refuse(self, heartbeat: Heartbeat, reason: str) -> None:
         grouped_log.info("renewal_refused", machine=heartbeat.machine_id, reason=reason)
-        self.refused()
-
-    def refused(self) -> None:
-        """Count a heartbeat that is not answered."""
-        self.counts[RenewalKind.REFUSED] += 1
+        self.refused += 1
 
     def summary(self, now: Instant) -> dict[str, int | float]:
-        """Return the counts by kind, and the machines that list tasks of ended jobs, as log fields.
+        """Return the counts by kind, and the machines that list tasks to be stopped, as log fields.
 
         `oldest_s` is for how long the longest of these has done so.
         """
@@ -96,7 +85,10 @@
             del self.awaiting_stops[machine_id]
         oldest = min(self.awaiting_stops.values(), default=now)
         return {
-            **{kind.value: self.counts[kind] for kind in RenewalKind},
+            "unchanged": self.unchanged,
+            "reconciled": self.reconciled,
+            "stops_only": self.stops_only,
+            "refused": self.refused,
             "awaiting_stops": len(self.awaiting_stops),
             "oldest_s": round(now - oldest, 1),
         }
@@ -146,14 +138,16 @@
 
     def _start_of_ended_job_may_arrive(self, machine: Machine) -> bool:
         """Whether a start of an ended job is not void under the token of the response."""
+        jobs = self.cluster.jobs
         return any(
-            task.job not in self.cluster.jobs
+            self.cluster.is_unwanted_start(machine, task, attempt)
             and not machine.inflight_starts.is_void_under(task, attempt, machine.fencing_token)
-            for task, attempt in self.cluster.unwanted_starts(machine)
+            for task, attempt in machine.inflight_starts
+            if task.job not in jobs
         )
 
     def _track(self, heartbeat: Heartbeat, stops: list[TaskCommand], now: Instant) -> None:
-        """Record since when the machine has listed attempts of ended jobs."""
+        """Record since when the machine has listed attempts that were stopped by the answer."""
         machine_id = MachineId(heartbeat.machine_id)
         if stops:
             self.awaiting_stops.setdefault(machine_id, now)
